--- /dev/null
+++ b/src/billing.rs
@@ -0,0 +1,225 @@
+//! The billing duty: seals each window once and reports what was sealed.
+//!
+//! Each daemon writes its own sheet to the store; the holder of the duty adds them up. The seal is a
+//! conditional create, so of two holders that both believe they are in charge one creates it and
+//! the other finds it; both can only report the same figures.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::store::{Condition, Failure, ObjectStore};
+use crate::{control, lease, usage};
+
+/// Least pause between two writes of a sheet.
+const SHEET_MS: u64 = 3_000;
+/// Sheet writes a second that all daemons together may cause; the pause stretches with the fleet.
+const SHEETS_PER_S: u64 = 25;
+/// What must be left of the term to report: the call's own limit and some more.
+const REPORT_MS: u64 = 2_600;
+/// How long after the last sealed window the next one is looked at again.
+const LOOK_MS: u64 = 500;
+
+/// How far the billing of a region is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// The last window sealed and reported.
+    pub reported: usage::Window,
+}
+
+fn sheets_prefix(region: &str) -> String {
+    format!("usage/{region}/sheets/")
+}
+
+fn sealed_key(region: &str, window: usage::Window) -> String {
+    format!("usage/{region}/sealed/{window}")
+}
+
+fn progress_key(region: &str) -> String {
+    format!("usage/{region}/progress")
+}
+
+/// Writes this daemon's sheet whenever it has changed.
+pub async fn write_sheet(control: Rc<control::Control>) {
+    let daemon = &control.settings;
+    let prefix = sheets_prefix(&daemon.region);
+    let key = format!("{prefix}{}.{:016x}", daemon.id, control.boot);
+    let mut written = usage::Sheet::default();
+    let mut version = 0;
+    loop {
+        let fleet = control.with_shared(|shared| shared.fleet.len()) as u64;
+        let pause_ms = SHEET_MS.max(fleet * 1000 / SHEETS_PER_S);
+        let jitter_ms = rand::random_range(0..pause_ms / 4);
+        time::sleep(Duration::from_millis(pause_ms - pause_ms / 8 + jitter_ms)).await;
+        let sheet = control.hub.sheet.lock().map(|sheet| sheet.clone()).unwrap_or_default();
+        if sheet == written {
+            continue;
+        }
+        let condition =
+            if version == 0 { Condition::Absent } else { Condition::Version(version) };
+        let value = serde_json::to_string(&sheet).unwrap_or_default();
+        let put = control.platform.put(&key, value, condition).await;
+        control.store_answered(&put);
+        match put {
+            Ok(new) => {
+                version = new;
+                written = sheet;
+            }
+            // Only this daemon writes this key, so a conflict is an earlier write of its own whose
+            // answer was lost: the version is read and the next round writes on top of it.
+            Err(Failure::Conflict | Failure::NoAnswer) => {
+                if let Ok(found) = control.platform.get(&key).await {
+                    version = found.map_or(0, |object| object.version);
+                }
+            }
+            Err(Failure::Down) => {}
+        }
+    }
+}
+
+/// What a holder of the billing duty remembers between ticks; all of it can be read again.
+#[derive(Debug, Default)]
+pub struct Work {
+    next_look_ms: u64,
+    progress: Option<(u64, Progress)>,
+    note: String,
+}
+
+impl Work {
+    /// What the duty is at.
+    #[must_use]
+    pub fn note(&self) -> &str {
+        &self.note
+    }
+
+    /// Seals and reports the next window, if its time has come.
+    pub async fn tick(
+        &mut self,
+        control: &control::Control,
+        lease: &lease::Contender,
+        region: &str,
+    ) {
+        let now_ms = control.hub.now_ms();
+        if now_ms < self.next_look_ms {
+            return;
+        }
+        self.next_look_ms = now_ms + LOOK_MS;
+        if let Err(failure) = self.advance(control, lease, region).await {
+            self.progress = None;
+            self.note = format!("waits: {failure}");
+        }
+    }
+
+    async fn advance(
+        &mut self,
+        control: &control::Control,
+        lease: &lease::Contender,
+        region: &str,
+    ) -> Result<(), Failure> {
+        let billing = control.with_shared(|shared| {
+            shared.config.as_ref().map(|config| config.model.billing)
+        });
+        let Some(billing) = billing else { return Ok(()) };
+        let now_s = control::unix_ms() / 1000;
+        let (version, progress) = match self.progress {
+            Some(known) => known,
+            None => read_progress(control, region, now_s / billing.window_s).await?,
+        };
+        self.progress = Some((version, progress));
+        let window = usage::Window(progress.reported.0 + 1);
+        self.note = format!("reported up to window {}", progress.reported);
+        if now_s < (window.0 + 1) * billing.window_s + billing.grace_s {
+            return Ok(());
+        }
+        let sealed = seal(control, region, window).await?;
+        // A holder frozen here and woken after its term must not report: the next one does.
+        if lease.epoch_for(control.hub.now_ms(), REPORT_MS).is_none() {
+            return Ok(());
+        }
+        control.platform.report(&sealed.report(region)).await?;
+        slog::info!(control.log, "window reported"; "window" => window.0,
+            "output_tokens" => sealed.figures.sum().output_tokens);
+        self.progress = None;
+        let value = serde_json::to_string(&Progress { reported: window }).unwrap_or_default();
+        let condition =
+            if version == 0 { Condition::Absent } else { Condition::Version(version) };
+        control.platform.put(&progress_key(region), value, condition).await?;
+        Ok(())
+    }
+}
+
+async fn read_progress(
+    control: &control::Control,
+    region: &str,
+    current: u64,
+) -> Result<(u64, Progress), Failure> {
+    let read = control.platform.get(&progress_key(region)).await?;
+    let known = read.and_then(|object| {
+        let progress = serde_json::from_str(&object.value).ok()?;
+        Some((object.version, progress))
+    });
+    if let Some(known) = known {
+        return Ok(known);
+    }
+    // The first holder ever begins with the window before the current one, and writes that down:
+    // a later holder must not begin anywhere else.
+    let first = Progress { reported: usage::Window(current.saturating_sub(2)) };
+    let value = serde_json::to_string(&first).unwrap_or_default();
+    let version = control.platform.put(&progress_key(region), value, Condition::Absent).await?;
+    Ok((version, first))
+}
+
+/// The sealed figures of a window; seals it if nobody has.
+pub async fn seal(
+    control: &control::Control,
+    region: &str,
+    window: usage::Window,
+) -> Result<usage::Sealed, Failure> {
+    seal_in(&control.platform, region, window, rand::random()).await
+}
+
+/// The sealed figures of a window in this store; seals it if nobody has.
+///
+/// # Errors
+/// When the store is down or gives no answer; nothing is then known of the seal.
+pub async fn seal_in(
+    store: &impl ObjectStore,
+    region: &str,
+    window: usage::Window,
+    nonce: u64,
+) -> Result<usage::Sealed, Failure> {
+    let key = sealed_key(region, window);
+    if let Some(sealed) = read_sealed(store, &key).await? {
+        return Ok(sealed);
+    }
+    let former = match window.0.checked_sub(1) {
+        Some(before) => read_sealed(store, &sealed_key(region, usage::Window(before))).await?,
+        None => None,
+    };
+    let listing = store.list(&sheets_prefix(region)).await?;
+    let sheets: Vec<usage::Sheet> = listing
+        .objects
+        .iter()
+        .filter_map(|object| serde_json::from_str(&object.value).ok())
+        .collect();
+    let sealed = usage::Sealed::compute(window, &sheets, former.as_ref(), nonce);
+    let value = serde_json::to_string(&sealed).unwrap_or_default();
+    match store.put(&key, value, Condition::Absent).await {
+        Ok(_) => Ok(sealed),
+        // Another holder sealed it, or our own write's answer was lost: what stands is the truth.
+        Err(Failure::Conflict | Failure::NoAnswer) => {
+            read_sealed(store, &key).await?.ok_or(Failure::NoAnswer)
+        }
+        Err(Failure::Down) => Err(Failure::Down),
+    }
+}
+
+async fn read_sealed(
+    store: &impl ObjectStore,
+    key: &str,
+) -> Result<Option<usage::Sealed>, Failure> {
+    let Some(object) = store.get(key).await? else { return Ok(None) };
+    serde_json::from_str(&object.value).map(Some).map_err(|_| Failure::NoAnswer)
+}
--- /dev/null
+++ b/src/bin/briarwinch-side.rs
@@ -0,0 +1,9 @@
+//! The side daemon: the only way to the endpoints of its instance.
+
+use std::process::ExitCode;
+
+use briarwinch::{daemon, side};
+
+fn main() -> ExitCode {
+    daemon::main(side::run)
+}
--- /dev/null
+++ b/src/bin/briarwinch.rs
@@ -0,0 +1,21 @@
+//! The operator's tool.
+
+use std::process::ExitCode;
+
+use briarwinch::{cli, operator};
+use clap::Parser;
+
+fn main() -> ExitCode {
+    let line = cli::Operator::parse();
+    let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
+    match runner.block_on(async move { operator::run(&line).await }) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(problem) => {
+            eprintln!("briarwinch: {problem}");
+            ExitCode::from(problem.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,55 @@
+//! What the daemons' programs have in common: settings, log, runtime, exit code.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use compact_str::CompactString;
+
+use crate::{cli, logging, settings};
+
+/// Exit code for settings that hold a mistake.
+const EXIT_SETTINGS: u8 = 3;
+
+/// A daemon's settings name it.
+pub trait Named: settings::Checked {
+    fn id(&self) -> &CompactString;
+}
+
+impl Named for settings::Entry {
+    fn id(&self) -> &CompactString {
+        &self.daemon.id
+    }
+}
+
+impl Named for settings::Side {
+    fn id(&self) -> &CompactString {
+        &self.daemon.id
+    }
+}
+
+/// Runs a daemon's program: reads the command line and the settings, then `run` to its end.
+pub fn main<T: Named + 'static>(
+    run: impl AsyncFnOnce(T, slog::Logger) -> anyhow::Result<()> + 'static,
+) -> ExitCode {
+    let line = cli::Daemon::parse();
+    let settings: T = match settings::load(&line.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error:#}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if line.check {
+        println!("{}: no mistakes", line.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    let log = logging::open(settings.id());
+    let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
+    match runner.block_on(async move { run(settings, log).await }) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/duties.rs
@@ -0,0 +1,167 @@
+//! Duties: work that one daemon does for all, under a lease that any entry may hold.
+//!
+//! The first two entries by rendezvous hash contend for each duty, so the store's calls grow with
+//! the duties and not with the fleet. Losing an entry loses nothing: what a duty needs to know
+//! stands in the store.
+
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use tokio::{task, time};
+use xxhash_rust::xxh3;
+
+use crate::store::{self, Condition, Failure, ObjectStore};
+use crate::{billing, control, lease, membership};
+
+/// Entries that contend for a duty.
+const CONTENDERS: usize = 2;
+/// Pause of an entry that does not contend.
+const IDLE_MS: u64 = 2_000;
+/// Longest pause between two steps of a contender, so that a stop is noticed.
+const STEP_MS: u64 = 250;
+
+/// A duty.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Duty {
+    /// Seals and reports the billing windows of a region.
+    Billing { region: CompactString },
+}
+
+impl Duty {
+    /// Object key of the duty's lease.
+    #[must_use]
+    pub fn key(&self) -> String {
+        match self {
+            Self::Billing { region } => format!("leases/billing/{region}"),
+        }
+    }
+}
+
+/// A duty as this daemon sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    pub duty: String,
+    pub holder: CompactString,
+    pub epoch: u64,
+    pub held_here: bool,
+    /// What the duty is at; for billing the windows sealed and reported.
+    pub note: String,
+}
+
+/// Starts this daemon's part in the duties, and the writing of its usage sheet.
+pub fn spawn(control: &Rc<control::Control>, role: membership::Role) {
+    task::spawn_local(billing::write_sheet(Rc::clone(control)));
+    match role {
+        membership::Role::Entry => {
+            let region = control.settings.region.clone();
+            task::spawn_local(contend(Rc::clone(control), Duty::Billing { region }));
+        }
+        membership::Role::Side => {}
+    }
+}
+
+/// Whether this daemon is among those that contend for a duty.
+fn contends(control: &control::Control, duty: &Duty) -> bool {
+    let key = duty.key();
+    let me = control.me();
+    let weight = |id: &str| xxh3::xxh3_64_with_seed(id.as_bytes(), xxh3::xxh3_64(key.as_bytes()));
+    let mine = weight(&me.id);
+    control.with_shared(|shared| {
+        shared
+            .fleet
+            .iter()
+            .filter(|member| member.state == membership::State::Ready)
+            .filter(|member| member.role == membership::Role::Entry && member.region == me.region)
+            .filter(|member| member.id != me.id && weight(&member.id) > mine)
+            .count()
+            < CONTENDERS
+    })
+}
+
+/// Contends for a duty and does it while it is held.
+async fn contend(control: Rc<control::Control>, duty: Duty) {
+    let key = duty.key();
+    let mut contender = lease::Contender::new(control.settings.id.clone(), control.boot);
+    let mut work = billing::Work::default();
+    loop {
+        if control.hub.draining.load(Ordering::Acquire) {
+            contender.release();
+        }
+        if !control.hub.ready.load(Ordering::Acquire) || !contends(&control, &duty) {
+            if contender.epoch(control.hub.now_ms()).is_none() {
+                time::sleep(Duration::from_millis(IDLE_MS)).await;
+                continue;
+            }
+        }
+        match contender.step(control.hub.now_ms()) {
+            lease::Step::Read => read(&control, &mut contender, &key).await,
+            lease::Step::Write(write) => self::write(&control, &mut contender, &key, write).await,
+            lease::Step::WaitUntil(at_ms) => {
+                let now_ms = control.hub.now_ms();
+                let pause_ms = at_ms.saturating_sub(now_ms).clamp(1, STEP_MS);
+                time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+        if contender.epoch(control.hub.now_ms()).is_some() {
+            match &duty {
+                Duty::Billing { region } => work.tick(&control, &contender, region).await,
+            }
+        }
+        show(&control, &duty, &contender, work.note());
+    }
+}
+
+async fn read(control: &control::Control, contender: &mut lease::Contender, key: &str) {
+    let sent_ms = control.hub.now_ms();
+    let read = control.platform.get(key).await;
+    control.store_answered(&read);
+    let seen = match read {
+        Ok(None) => lease::Seen { version: 0, record: None },
+        Ok(Some(object)) => {
+            let record = serde_json::from_str(&object.value).ok();
+            lease::Seen { version: object.version, record }
+        }
+        Err(_) => return,
+    };
+    contender.read(seen, sent_ms, control.hub.now_ms());
+}
+
+async fn write(
+    control: &control::Control,
+    contender: &mut lease::Contender,
+    key: &str,
+    write: lease::Write,
+) {
+    let condition = match write.if_version {
+        0 => Condition::Absent,
+        version => Condition::Version(version),
+    };
+    let value = serde_json::to_string(&write.record).unwrap_or_default();
+    let written = control.platform.put(key, value, condition).await;
+    control.store_answered(&written);
+    let now_ms = control.hub.now_ms();
+    match written {
+        Ok(version) => contender.written(version, now_ms),
+        Err(store::Failure::Conflict) => contender.refused(now_ms),
+        Err(Failure::NoAnswer | Failure::Down) => contender.no_answer(now_ms),
+    }
+}
+
+fn show(control: &control::Control, duty: &Duty, contender: &lease::Contender, note: &str) {
+    let Some(record) = contender.holder() else { return };
+    let status = Status {
+        duty: duty.key(),
+        holder: record.holder.clone(),
+        epoch: record.epoch.0,
+        held_here: contender.epoch(control.hub.now_ms()).is_some(),
+        note: note.to_owned(),
+    };
+    let Ok(mut duties) = control.hub.duties.lock() else { return };
+    match duties.iter_mut().find(|known| known.duty == status.duty) {
+        Some(known) => *known = status,
+        None => duties.push(status),
+    }
+}
--- /dev/null
+++ b/src/entry/intake.rs
@@ -0,0 +1,380 @@
+//! From an HTTP request to what is to be done: key, body, class, service, limits.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use ntex::http::{Method, header};
+use ntex::web::{self, HttpRequest, HttpResponse};
+use tokio::time;
+
+use super::{Worker, relay, respond};
+use crate::{config, error, explain, keys, openai, spread, trace, wire};
+
+/// Names the class of a request.
+pub(super) const CLASS_HEADER: &str = "briarwinch-class";
+/// How long the caller waits, in ms.
+const DEADLINE_HEADER: &str = "briarwinch-deadline-ms";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+const SERVICES_PATH: &str = "/services/";
+const DEFAULT_DEADLINE_MS: u32 = 120_000;
+const MAX_IDEMPOTENCY_BYTES: usize = 200;
+
+/// Headers of callers that are not passed on.
+const KEPT_BACK: [&str; 13] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "traceparent",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+];
+
+/// A request that may go to an endpoint.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) id: CompactString,
+    pub(super) snapshot: Arc<spread::Snapshot>,
+    pub(super) service: CompactString,
+    pub(super) class: CompactString,
+    pub(super) account: CompactString,
+    pub(super) key: CompactString,
+    pub(super) key_revision: u64,
+    pub(super) arrived_ms: u64,
+    pub(super) deadline_at_ms: u64,
+    pub(super) target_at_ms: u64,
+    pub(super) prompt_tokens: u32,
+    pub(super) max_tokens: u32,
+    pub(super) prefix: u64,
+    pub(super) idempotency: Option<wire::IdempotencyDigest>,
+    pub(super) request_digest: [u8; 16],
+    pub(super) repeatable: bool,
+    pub(super) trace: trace::Context,
+    pub(super) call: wire::Call,
+}
+
+/// Counts a request while it is under way.
+#[derive(Debug)]
+pub(super) struct Active {
+    worker: Rc<Worker>,
+    account: CompactString,
+}
+
+impl Active {
+    fn begin(worker: &Rc<Worker>, account: &CompactString, most: u32) -> Option<Self> {
+        let mut accounts = worker.accounts.borrow_mut();
+        let count = accounts.entry(account.clone()).or_default();
+        if *count >= most {
+            return None;
+        }
+        *count += 1;
+        worker.common.active.fetch_add(1, Ordering::AcqRel);
+        Some(Self { worker: Rc::clone(worker), account: account.clone() })
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.worker.common.active.fetch_sub(1, Ordering::AcqRel);
+        let mut accounts = self.worker.accounts.borrow_mut();
+        if let Some(count) = accounts.get_mut(&self.account) {
+            *count -= 1;
+            if *count == 0 {
+                accounts.remove(&self.account);
+            }
+        }
+    }
+}
+
+/// Handles every request of a caller.
+pub(super) async fn handle(
+    http: HttpRequest,
+    payload: web::types::Payload,
+    worker: web::types::State<Rc<Worker>>,
+) -> HttpResponse {
+    let worker: &Rc<Worker> = &worker;
+    let id = CompactString::from(trace::request_id());
+    let parent = text_header(&http, "traceparent").and_then(trace::Context::parse);
+    let span = trace::Span::start("entry", parent.unwrap_or_else(trace::Context::root));
+    let mut story = explain::Story {
+        request: id.clone(),
+        trace_id: format!("{:032x}", span.context.trace),
+        ..Default::default()
+    };
+    if let Some(response) = own_path(worker, &http) {
+        return response;
+    }
+    let begin_ms = worker.now_ms();
+    let taken = take(worker, &http, payload, id, span.context, &mut story).await;
+    let mut response = match taken {
+        Ok((request, active)) => {
+            relay::relay(worker, request, active, story, span).await
+        }
+        Err(refusal) => {
+            span.end(&worker.common.spans, &story.request);
+            respond::refuse(worker, &refusal, story, begin_ms)
+        }
+    };
+    if worker.common.hub.draining.load(Ordering::Relaxed) {
+        // A caller that keeps its connection would send its next request into a process that has
+        // gone by then, and see it cut.
+        response.head_mut().set_connection_type(ntex::http::ConnectionType::Close);
+    }
+    response
+}
+
+/// `/v1/models` and the like, which the entry answers itself.
+fn own_path(worker: &Worker, http: &HttpRequest) -> Option<HttpResponse> {
+    if http.path() != "/v1/models" || *http.method() != Method::GET {
+        return None;
+    }
+    let snapshot = worker.snapshot();
+    if let Err(refusal) = check_key(&snapshot, http) {
+        return Some(respond::bare_refusal(&refusal, ""));
+    }
+    let config = &snapshot.config.as_ref()?.model;
+    let data = config.services.iter().flat_map(|service| {
+        service.text.models.iter().map(|model| openai::Model {
+            id: model,
+            object: "model",
+            owned_by: &service.name,
+        })
+    });
+    Some(HttpResponse::Ok().json(&openai::Models { object: "list", data: data.collect() }))
+}
+
+fn text_header<'a>(http: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    http.headers().get(name)?.to_str().ok()
+}
+
+fn bearer(http: &HttpRequest) -> Option<&str> {
+    text_header(http, "authorization")?.strip_prefix("Bearer ").map(str::trim)
+}
+
+fn check_key<'a>(
+    snapshot: &'a spread::Snapshot,
+    http: &HttpRequest,
+) -> Result<&'a keys::Versioned, error::Refusal> {
+    let text = bearer(http).ok_or_else(|| error::Refusal::not_run(error::Kind::MissingKey))?;
+    if snapshot.config.is_none() {
+        return Err(error::Refusal::not_run(error::Kind::NotReady));
+    }
+    snapshot.keys.check(text)
+}
+
+/// Reads and checks a request.
+async fn take(
+    worker: &Rc<Worker>,
+    http: &HttpRequest,
+    payload: web::types::Payload,
+    id: CompactString,
+    trace: trace::Context,
+    story: &mut explain::Story,
+) -> Result<(Request, Active), error::Refusal> {
+    let arrived_ms = worker.now_ms();
+    let snapshot = worker.snapshot();
+    let refuse = error::Refusal::not_run;
+    let key = check_key(&snapshot, http)?;
+    story.key = key.record.id.clone();
+    story.account = key.record.account.clone();
+    let in_force = snapshot.config.as_ref().ok_or_else(|| refuse(error::Kind::NotReady))?;
+    story.config_version = in_force.version;
+    let config = &in_force.model;
+    let account = config
+        .account(&key.record.account)
+        .map(|key| config.account_at(key))
+        .ok_or_else(|| refuse(error::Kind::InvalidKey).detail("Its account is no longer served."))?;
+    let most = account.max_concurrent.div_ceil(worker.common.settings.workers as u32);
+    let active = Active::begin(worker, &account.name, most)
+        .ok_or_else(|| refuse(error::Kind::AccountLimit).retry_after_ms(1_000))?;
+    let body = read_body(worker, payload).await?;
+    check_no_key(http, &body)?;
+    let wanted = wanted(config, http, &body)?;
+    let service = config.service_at(wanted.service);
+    story.service = service.name.clone();
+    let class_key = class_of(config, http, account, service)?;
+    let class = config.class_at(class_key);
+    story.class = class.name.clone();
+    let is_safe = matches!(*http.method(), Method::GET | Method::HEAD | Method::OPTIONS);
+    let repeatable = service.text.repeatable || is_safe;
+    let idempotency = idempotency(worker, http, &account.name, &service.name)?;
+    if !repeatable && idempotency.is_none() {
+        return Err(refuse(error::Kind::IdempotencyKeyRequired));
+    }
+    let digest = request_digest(worker, http, &wanted.path, &body);
+    let deadline_ms = text_header(http, DEADLINE_HEADER)
+        .map_or(Ok(DEFAULT_DEADLINE_MS), str::parse)
+        .map_err(|_| refuse(error::Kind::InvalidRequest).detail("The deadline is no number."))?;
+    let request = Request {
+        id,
+        service: service.name.clone(),
+        class: class.name.clone(),
+        account: account.name.clone(),
+        key: key.record.id.clone(),
+        key_revision: key.revision,
+        arrived_ms,
+        deadline_at_ms: arrived_ms + u64::from(deadline_ms),
+        target_at_ms: arrived_ms + u64::from(class.text.latency_target_ms),
+        prompt_tokens: wanted.prompt_tokens,
+        max_tokens: wanted.max_tokens,
+        prefix: wanted.prefix,
+        idempotency,
+        request_digest: digest,
+        repeatable,
+        trace,
+        call: wire::Call {
+            method: http.method().as_str().into(),
+            path: wanted.path,
+            headers: passed_headers(http),
+            body,
+        },
+        snapshot: Arc::clone(&snapshot),
+    };
+    Ok((request, active))
+}
+
+async fn read_body(
+    worker: &Worker,
+    mut payload: web::types::Payload,
+) -> Result<Vec<u8>, error::Refusal> {
+    let most = worker.common.settings.max_body_bytes;
+    let read = async {
+        let mut body = Vec::new();
+        while let Some(piece) = payload.recv().await {
+            let piece = piece.map_err(|error| {
+                error::Refusal::not_run(error::Kind::InvalidRequest)
+                    .detail(format!("The body broke off ({error})."))
+            })?;
+            if body.len() + piece.len() > most {
+                return Err(error::Refusal::not_run(error::Kind::BodyTooLarge)
+                    .detail(format!("At most {most} bytes are taken.")));
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body)
+    };
+    let limit = Duration::from_millis(worker.common.settings.request_arrival_ms);
+    time::timeout(limit, read)
+        .await
+        .map_err(|_| error::Refusal::not_run(error::Kind::RequestTimeout))?
+}
+
+/// Refuses a request that carries its key anywhere an endpoint would see it.
+fn check_no_key(http: &HttpRequest, body: &[u8]) -> Result<(), error::Refusal> {
+    let Some(key) = bearer(http) else { return Ok(()) };
+    let in_uri = http.uri().to_string().contains(key);
+    let in_body = body.windows(key.len()).any(|window| window == key.as_bytes());
+    let in_header = http.headers().iter().any(|(name, value)| {
+        *name != header::AUTHORIZATION && value.to_str().is_ok_and(|text| text.contains(key))
+    });
+    if in_uri || in_body || in_header {
+        return Err(error::Refusal::not_run(error::Kind::KeyInRequest));
+    }
+    Ok(())
+}
+
+/// What a request wants, out of its path and body.
+struct Wanted {
+    service: config::ServiceKey,
+    path: String,
+    prompt_tokens: u32,
+    max_tokens: u32,
+    prefix: u64,
+}
+
+fn wanted(
+    config: &config::Config,
+    http: &HttpRequest,
+    body: &[u8],
+) -> Result<Wanted, error::Refusal> {
+    let refuse = error::Refusal::not_run;
+    let path = http.path();
+    if matches!(path, "/v1/chat/completions" | "/v1/completions") {
+        if *http.method() != Method::POST {
+            return Err(refuse(error::Kind::InvalidRequest).detail("The method is POST."));
+        }
+        let completion = openai::parse(body)
+            .map_err(|sentence| refuse(error::Kind::InvalidRequest).detail(sentence))?;
+        let service = config.model(&completion.model).ok_or_else(|| {
+            refuse(error::Kind::UnknownModel).detail(format!("(`{}`)", completion.model))
+        })?;
+        return Ok(Wanted {
+            service,
+            path: path.to_owned(),
+            prompt_tokens: completion.prompt_tokens,
+            max_tokens: completion.max_tokens,
+            prefix: completion.prefix,
+        });
+    }
+    let rest = path
+        .strip_prefix(SERVICES_PATH)
+        .ok_or_else(|| refuse(error::Kind::UnknownPath))?;
+    let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = config
+        .service(name)
+        .filter(|key| config.service_at(*key).text.kind == config::ServiceKind::Plain)
+        .ok_or_else(|| refuse(error::Kind::UnknownService).detail(format!("(`{name}`)")))?;
+    let query = http.uri().query().map_or(String::new(), |query| format!("?{query}"));
+    Ok(Wanted {
+        service,
+        path: format!("/{rest}{query}"),
+        prompt_tokens: 1,
+        max_tokens: 1,
+        prefix: 0,
+    })
+}
+
+fn class_of(
+    config: &config::Config,
+    http: &HttpRequest,
+    account: &config::Account,
+    service: &config::Service,
+) -> Result<config::ClassKey, error::Refusal> {
+    match text_header(http, CLASS_HEADER) {
+        Some(name) => config.class(name).ok_or_else(|| {
+            error::Refusal::not_run(error::Kind::UnknownClass).detail(format!("(`{name}`)"))
+        }),
+        None => Ok(account.default_class.unwrap_or(service.default_class)),
+    }
+}
+
+fn idempotency(
+    worker: &Worker,
+    http: &HttpRequest,
+    account: &str,
+    service: &str,
+) -> Result<Option<wire::IdempotencyDigest>, error::Refusal> {
+    let Some(key) = text_header(http, IDEMPOTENCY_HEADER) else { return Ok(None) };
+    if key.is_empty() || key.len() > MAX_IDEMPOTENCY_BYTES {
+        return Err(error::Refusal::not_run(error::Kind::InvalidRequest)
+            .detail("An idempotency key has 1 to 200 bytes."));
+    }
+    // The account is part of it: equal keys of two accounts must never meet.
+    let parts = [account.as_bytes(), service.as_bytes(), key.as_bytes()];
+    Ok(Some(worker.common.secret.pseudonym(&parts)))
+}
+
+fn request_digest(worker: &Worker, http: &HttpRequest, path: &str, body: &[u8]) -> [u8; 16] {
+    worker.common.secret.pseudonym(&[http.method().as_str().as_bytes(), path.as_bytes(), body])
+}
+
+fn passed_headers(http: &HttpRequest) -> Vec<wire::Header> {
+    http.headers()
+        .iter()
+        .filter(|(name, _)| !KEPT_BACK.contains(&name.as_str()))
+        .filter(|(name, _)| !name.as_str().starts_with("briarwinch-"))
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?.to_owned();
+            Some(wire::Header { name: name.as_str().into(), value })
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/entry/respond.rs
@@ -0,0 +1,231 @@
+//! From a request's outcome to the HTTP answer: streamed, whole, or refused.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use ntex::http::{StatusCode, header};
+use ntex::util::{Bytes, Stream};
+use ntex::web::HttpResponse;
+
+use super::reader::{Next, Reader};
+use super::{Worker, intake};
+use crate::{error, explain, trace, wire};
+
+/// Longest answer that is gathered before it is sent.
+const MAX_WHOLE_BYTES: usize = 8 << 20;
+/// Headers of an answer that name the request and say whether it ran.
+const REQUEST_HEADER: &str = "briarwinch-request";
+const RAN_HEADER: &str = "briarwinch-ran";
+const REPLAYED_HEADER: &str = "briarwinch-replayed";
+
+/// What goes along with an answer until its end.
+#[derive(Debug)]
+pub(super) struct Parts {
+    pub(super) request: intake::Request,
+    pub(super) active: intake::Active,
+    pub(super) story: explain::Story,
+    pub(super) span: trace::Span,
+}
+
+/// Books a request's end.
+struct Closing {
+    worker: Rc<Worker>,
+    parts: Option<Parts>,
+}
+
+impl Closing {
+    fn first_token(&mut self) {
+        let now_ms = self.worker.now_ms();
+        let Some(parts) = self.parts.as_mut() else { return };
+        if parts.story.first_token_ms.is_some() {
+            return;
+        }
+        let after_ms = now_ms - parts.request.arrived_ms;
+        parts.story.first_token_ms = Some(after_ms);
+        let class = parts.request.class.to_string();
+        let in_time = if now_ms <= parts.request.target_at_ms { "yes" } else { "no" };
+        metrics::counter!("briarwinch_first_tokens_total", "class" => class.clone(), "in_time" => in_time)
+            .increment(1);
+        metrics::histogram!("briarwinch_first_token_seconds", "class" => class)
+            .record(after_ms as f64 / 1000.0);
+    }
+
+    fn end(&mut self, status: u16, outcome: Result<wire::End, &error::Refusal>, bytes: u64) {
+        let Some(mut parts) = self.parts.take() else { return };
+        let story = &mut parts.story;
+        story.status = status;
+        story.body_bytes = bytes;
+        story.total_ms = self.worker.now_ms() - parts.request.arrived_ms;
+        match outcome {
+            Ok(end) => {
+                story.outcome = "whole".into();
+                story.queue_ms = Some(end.queue_ms);
+                story.tokens = end.tokens;
+            }
+            Err(refusal) => {
+                story.outcome = refusal.kind.answer().code.into();
+                story.ran = refusal.ran.to_string().into();
+            }
+        }
+        count_outcome(&self.worker, story);
+        parts.span.end(&self.worker.common.spans, &parts.request.id);
+        self.worker.common.ring.push(parts.story);
+        drop(parts.active);
+    }
+}
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        // Dropped before its end: the caller hung up.
+        let refusal = error::Refusal::unknown(error::Kind::Superseded);
+        self.end(0, Err(&refusal), 0);
+    }
+}
+
+fn count_outcome(worker: &Worker, story: &explain::Story) {
+    metrics::counter!("briarwinch_requests_total",
+        "class" => story.class.to_string(), "outcome" => story.outcome.to_string())
+    .increment(1);
+    slog::debug!(worker.common.log, "request";
+        "request" => story.request.as_str(), "trace" => &story.trace_id,
+        "account" => story.account.as_str(), "class" => story.class.as_str(),
+        "service" => story.service.as_str(), "status" => story.status,
+        "outcome" => story.outcome.as_str(), "total_ms" => story.total_ms);
+}
+
+/// Answers with what the endpoint answers.
+pub(super) async fn answer(
+    worker: &Rc<Worker>,
+    parts: Parts,
+    reader: Reader,
+    head: wire::Head,
+) -> HttpResponse {
+    let id = parts.request.id.clone();
+    let closing = Closing { worker: Rc::clone(worker), parts: Some(parts) };
+    let is_stream = head.headers.iter().any(|field| {
+        field.name == "content-type" && field.value.starts_with("text/event-stream")
+    });
+    if is_stream {
+        let body = StreamedBody { closing, reader, status: head.status };
+        return response(&head, &id).streaming(body);
+    }
+    whole(closing, reader, &head, &id).await
+}
+
+fn response(head: &wire::Head, id: &str) -> ntex::web::HttpResponseBuilder {
+    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    for field in &head.headers {
+        response.header(field.name.as_str(), field.value.as_str());
+    }
+    response.set_header(REQUEST_HEADER, id);
+    if head.replayed {
+        response.set_header(REPLAYED_HEADER, "yes");
+    }
+    response
+}
+
+/// Gathers the answer and sends it when it is whole.
+async fn whole(
+    mut closing: Closing,
+    mut reader: Reader,
+    head: &wire::Head,
+    id: &str,
+) -> HttpResponse {
+    let mut body = Vec::new();
+    loop {
+        let refusal = match reader.next().await {
+            Some(Ok(Next::Piece(piece))) if body.len() + piece.len() <= MAX_WHOLE_BYTES => {
+                closing.first_token();
+                body.extend_from_slice(&piece);
+                continue;
+            }
+            Some(Ok(Next::Piece(_))) => error::Refusal::unknown(error::Kind::EndpointFailed)
+                .detail("The answer is too long."),
+            Some(Ok(Next::Top(_))) => continue,
+            Some(Ok(Next::End(end))) => {
+                closing.first_token();
+                closing.end(head.status, Ok(end), reader.received);
+                return response(head, id).body(body);
+            }
+            Some(Err(refusal)) => refusal,
+            None => error::Refusal::unknown(error::Kind::Internal),
+        };
+        let status = refusal.kind.answer().status;
+        closing.end(status, Err(&refusal), reader.received);
+        return bare_refusal(&refusal, id);
+    }
+}
+
+/// A streamed answer. It ends as the endpoint ended it, or with an error event that says why not.
+struct StreamedBody {
+    closing: Closing,
+    reader: Reader,
+    status: u16,
+}
+
+impl Stream for StreamedBody {
+    type Item = Result<Bytes, Infallible>;
+
+    fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let this = self.get_mut();
+        loop {
+            let next = match this.reader.poll_next(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(next) => next,
+            };
+            match next {
+                Some(Ok(Next::Piece(piece))) => {
+                    this.closing.first_token();
+                    return Poll::Ready(Some(Ok(Bytes::from(piece))));
+                }
+                Some(Ok(Next::Top(_))) => {}
+                Some(Ok(Next::End(end))) => {
+                    this.closing.end(this.status, Ok(end), this.reader.received);
+                    return Poll::Ready(None);
+                }
+                Some(Err(refusal)) => {
+                    this.closing.end(this.status, Err(&refusal), this.reader.received);
+                    let event = format!("event: error\ndata: {}\n\n", refusal.body());
+                    return Poll::Ready(Some(Ok(Bytes::from(event))));
+                }
+                None => return Poll::Ready(None),
+            }
+        }
+    }
+}
+
+/// Refuses a request that has no answer yet, and books its end.
+pub(super) fn refuse(
+    worker: &Worker,
+    refusal: &error::Refusal,
+    mut story: explain::Story,
+    begin_ms: u64,
+) -> HttpResponse {
+    story.status = refusal.kind.answer().status;
+    story.outcome = refusal.kind.answer().code.into();
+    story.ran = refusal.ran.to_string().into();
+    story.total_ms = worker.now_ms() - begin_ms;
+    let response = bare_refusal(refusal, &story.request);
+    count_outcome(worker, &story);
+    worker.common.ring.push(story);
+    response
+}
+
+/// A refusal as an HTTP answer.
+pub(super) fn bare_refusal(refusal: &error::Refusal, id: &str) -> HttpResponse {
+    let answer = refusal.kind.answer();
+    let status =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = HttpResponse::build(status);
+    response.set_header(RAN_HEADER, refusal.ran.to_string());
+    if !id.is_empty() {
+        response.set_header(REQUEST_HEADER, id);
+    }
+    if let Some(wait_ms) = refusal.retry_after_ms {
+        response.set_header(header::RETRY_AFTER, wait_ms.div_ceil(1000).to_string());
+    }
+    response.json(&refusal.body())
+}
--- /dev/null
+++ b/src/keys.rs
@@ -0,0 +1,166 @@
+//! Keys of client accounts: how they are made, kept and checked.
+//!
+//! The secret itself is kept nowhere. The store holds one object a key with the secret's digest;
+//! every daemon holds the table, complete up to a revision. A withdrawn key stays as a tombstone,
+//! so that a late grant of an older revision cannot bring it back.
+
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use subtle::ConstantTimeEq;
+
+use crate::error;
+
+/// Prefix of every key, so that a leaked one is found by search.
+const PREFIX: &str = "bw_";
+const SECRET_BYTES: usize = 24;
+/// Longest key text looked at.
+const MAX_KEY_BYTES: usize = 256;
+
+/// Digest of a key's text.
+pub type Digest = [u8; 32];
+
+/// What the store holds of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    pub id: CompactString,
+    pub account: CompactString,
+    pub digest: Digest,
+    pub withdrawn: bool,
+}
+
+/// A record with the store's version of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versioned {
+    pub revision: u64,
+    pub record: Record,
+}
+
+/// A key just made: the text for the caller, the record for the store.
+#[derive(Debug)]
+pub struct Made {
+    pub text: String,
+    pub record: Record,
+}
+
+/// Makes a key for an account.
+///
+/// # Errors
+/// When the system gives no random bytes.
+pub fn make(account: &str) -> Result<Made, getrandom::Error> {
+    let mut id = [0_u8; 6];
+    let mut secret = [0_u8; SECRET_BYTES];
+    getrandom::fill(&mut id)?;
+    getrandom::fill(&mut secret)?;
+    let id = hex(&id);
+    let text = format!("{PREFIX}{id}_{}", hex(&secret));
+    let record = Record {
+        id: CompactString::from(id),
+        account: CompactString::from(account),
+        digest: digest(&text),
+        withdrawn: false,
+    };
+    Ok(Made { text, record })
+}
+
+/// Digest of a key's text.
+#[must_use]
+pub fn digest(text: &str) -> Digest {
+    *blake3::hash(text.as_bytes()).as_bytes()
+}
+
+/// Lower-case hexadecimal.
+#[must_use]
+pub fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+/// The id within a key's text.
+#[must_use]
+pub fn id_of(text: &str) -> Option<&str> {
+    if text.len() > MAX_KEY_BYTES {
+        return None;
+    }
+    let (id, secret) = text.strip_prefix(PREFIX)?.split_once('_')?;
+    (!id.is_empty() && !secret.is_empty()).then_some(id)
+}
+
+/// All keys known, complete up to a revision.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    revision: u64,
+    records: HashMap<CompactString, Versioned>,
+}
+
+impl Table {
+    /// The greatest revision taken in; all keys up to it are here.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Takes in a record unless a newer one is known; says whether it was taken.
+    pub fn take(&mut self, new: Versioned) -> bool {
+        // A slow peer or an old read can bring back a grant after its withdrawal. Only a greater
+        // revision replaces a record, so the store's last word on a key stands.
+        let known = self.records.get(&new.record.id).map_or(0, |known| known.revision);
+        if new.revision <= known {
+            return false;
+        }
+        self.revision = self.revision.max(new.revision);
+        self.records.insert(new.record.id.clone(), new);
+        true
+    }
+
+    /// Records newer than a revision, oldest first.
+    #[must_use]
+    pub fn after(&self, revision: u64) -> Vec<Versioned> {
+        let mut newer: Vec<_> =
+            self.records.values().filter(|known| known.revision > revision).cloned().collect();
+        newer.sort_by_key(|known| known.revision);
+        newer
+    }
+
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<&Versioned> {
+        self.records.get(id)
+    }
+
+    /// Whether a key is known to be withdrawn.
+    #[must_use]
+    pub fn is_withdrawn(&self, id: &str) -> bool {
+        self.records.get(id).is_some_and(|known| known.record.withdrawn)
+    }
+
+    /// Checks a key's text.
+    ///
+    /// # Errors
+    /// `InvalidKey` or `KeyWithdrawn`; either way nothing ran.
+    pub fn check(&self, text: &str) -> Result<&Versioned, error::Refusal> {
+        let invalid = || error::Refusal::not_run(error::Kind::InvalidKey);
+        let known = id_of(text).and_then(|id| self.records.get(id)).ok_or_else(invalid)?;
+        let equal: bool = known.record.digest.ct_eq(&digest(text)).into();
+        if !equal {
+            return Err(invalid());
+        }
+        if known.record.withdrawn {
+            return Err(error::Refusal::not_run(error::Kind::KeyWithdrawn));
+        }
+        Ok(known)
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,55 @@
+//! briarwinch routes language-model traffic with service levels and priorities.
+//!
+//! Callers reach an *entry*; the entry asks a few *sides* (one process beside each endpoint
+//! instance) when the first token would start, and submits to the best. The side's queue decides
+//! what runs next. What must last stands in the platform's object API; everything else a daemon
+//! knows it learns from its peers. `docs/DESIGN.md` has the whole of it.
+//!
+//! ```
+//! let text = r#"{
+//!     "classes": { "lookup": { "latency_target_ms": 800, "priority": 3 } },
+//!     "services": { "loket": { "kind": "plain", "default_class": "lookup" } },
+//!     "accounts": { "court": { "share": 2 } },
+//! }"#;
+//! let config = briarwinch::config::Config::parse(text)?;
+//! assert_eq!(config.services.len(), 1);
+//! # Ok::<(), briarwinch::jsonc::Mistake>(())
+//! ```
+
+pub mod admin;
+pub mod answer;
+pub mod billing;
+pub mod bound;
+pub mod claims;
+pub mod cli;
+pub mod config;
+pub mod control;
+pub mod daemon;
+pub mod duties;
+pub mod entry;
+pub mod error;
+pub mod explain;
+pub mod fairness;
+pub mod jsonc;
+pub mod keys;
+pub mod lease;
+pub mod link;
+pub mod logging;
+pub mod membership;
+pub mod metric;
+pub mod openai;
+pub mod operator;
+pub mod orders;
+pub mod pace;
+pub mod placement;
+pub mod platform;
+pub mod queue;
+pub mod retry;
+pub mod settings;
+pub mod side;
+pub mod spread;
+pub mod sse;
+pub mod store;
+pub mod trace;
+pub mod usage;
+pub mod wire;
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,214 @@
+//! A sealed TCP link between two of the system's processes: greeting, outgoing buffer, reading.
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::Notify;
+
+use crate::wire;
+
+/// Longest time to connect and greet.
+pub const OPEN_MS: u64 = 1_000;
+/// Longest time in which a peer takes none of the bytes written to it.
+const WRITE_MS: u64 = 5_000;
+const READ_BYTES: usize = 64 << 10;
+
+fn broken(reject: wire::Reject) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, reject)
+}
+
+fn timed_out() -> io::Error {
+    io::Error::from(io::ErrorKind::TimedOut)
+}
+
+/// The reading half of a link.
+#[derive(Debug)]
+pub struct Inbox {
+    stream: OwnedReadHalf,
+    opener: wire::Opener,
+    buffer: Vec<u8>,
+}
+
+impl Inbox {
+    /// The next message; `None` when the other end has closed.
+    ///
+    /// # Errors
+    /// When the connection broke or the bytes are no frame of this link.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> io::Result<Option<T>> {
+        loop {
+            if let Some(message) = self.opener.next().map_err(broken)? {
+                return Ok(Some(message));
+            }
+            let count = self.stream.read(&mut self.buffer).await?;
+            if count == 0 {
+                return Ok(None);
+            }
+            self.opener.push(&self.buffer[..count]);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct OutboxState {
+    sealer: wire::Sealer,
+    buffer: Vec<u8>,
+    closed: bool,
+}
+
+/// The writing half of a link: messages are sealed into one buffer, and all that has gathered is
+/// written at once.
+#[derive(Clone, Debug)]
+pub struct Outbox {
+    state: Rc<RefCell<OutboxState>>,
+    wake: Rc<Notify>,
+}
+
+impl Outbox {
+    fn new(sealer: wire::Sealer) -> Self {
+        let state = OutboxState { sealer, buffer: Vec::new(), closed: false };
+        Self { state: Rc::new(RefCell::new(state)), wake: Rc::new(Notify::new()) }
+    }
+
+    /// Appends a message; says whether the link is still open.
+    pub fn send<T: Serialize>(&self, message: &T) -> bool {
+        let mut state = self.state.borrow_mut();
+        if state.closed {
+            return false;
+        }
+        let OutboxState { sealer, buffer, .. } = &mut *state;
+        let sealed = sealer.seal(message, buffer).is_ok();
+        self.wake.notify_one();
+        sealed
+    }
+
+    /// Closes the link; what was not yet written is dropped.
+    pub fn close(&self) {
+        self.state.borrow_mut().closed = true;
+        self.wake.notify_one();
+    }
+
+    /// Whether both are the same link.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        Rc::ptr_eq(&self.state, &other.state)
+    }
+
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.state.borrow().closed
+    }
+
+    /// Bytes that wait to be written.
+    #[must_use]
+    pub fn backlog_bytes(&self) -> usize {
+        self.state.borrow().buffer.len()
+    }
+
+    async fn write_all(&self, mut stream: OwnedWriteHalf) -> io::Result<()> {
+        let mut batch = Vec::new();
+        loop {
+            std::mem::swap(&mut batch, &mut self.state.borrow_mut().buffer);
+            if batch.is_empty() {
+                if self.is_closed() {
+                    return stream.shutdown().await;
+                }
+                self.wake.notified().await;
+                continue;
+            }
+            // A peer that is frozen takes no bytes and closes nothing. Without a bound the link
+            // would look open for as long as the kernel retransmits, and its streams would hang.
+            let limit = Duration::from_millis(WRITE_MS);
+            tokio::time::timeout(limit, stream.write_all(&batch)).await.map_err(|_| timed_out())??;
+            batch.clear();
+        }
+    }
+}
+
+/// Both halves of a link.
+#[derive(Debug)]
+pub struct Link {
+    pub inbox: Inbox,
+    pub outbox: Outbox,
+    /// Name that the other end gave.
+    pub peer: CompactString,
+}
+
+/// Which end of a connection this is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Client,
+    Server,
+}
+
+/// Connects to a peer and greets it.
+///
+/// # Errors
+/// When it does not answer in time or is not of this fleet.
+pub async fn connect(
+    addr: std::net::SocketAddr,
+    secret: &wire::Secret,
+    me: &CompactString,
+) -> io::Result<Link> {
+    let open = async {
+        let stream = TcpStream::connect(addr).await?;
+        greet(stream, secret, me, End::Client).await
+    };
+    tokio::time::timeout(Duration::from_millis(OPEN_MS), open).await.map_err(|_| timed_out())?
+}
+
+/// Greets a peer that has connected.
+///
+/// # Errors
+/// When it does not greet in time or is not of this fleet.
+pub async fn accept(
+    stream: TcpStream,
+    secret: &wire::Secret,
+    me: &CompactString,
+) -> io::Result<Link> {
+    let greeting = greet(stream, secret, me, End::Server);
+    tokio::time::timeout(Duration::from_millis(OPEN_MS), greeting).await.map_err(|_| timed_out())?
+}
+
+async fn greet(
+    stream: TcpStream,
+    secret: &wire::Secret,
+    me: &CompactString,
+    end: End,
+) -> io::Result<Link> {
+    stream.set_nodelay(true)?;
+    let (read, mut write) = stream.into_split();
+    let mine = wire::Greeting { daemon: me.clone(), nonce: rand::random(), version: wire::VERSION };
+    let mut bytes = Vec::new();
+    wire::Sealer::new(secret.clone()).seal(&mine, &mut bytes).map_err(broken)?;
+    write.write_all(&bytes).await?;
+    let opener = wire::Opener::new(secret.clone());
+    let mut inbox = Inbox { stream: read, opener, buffer: vec![0; READ_BYTES] };
+    let theirs: wire::Greeting =
+        inbox.next().await?.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
+    let (client, server) = match end {
+        End::Client => (mine.nonce, theirs.nonce),
+        End::Server => (theirs.nonce, mine.nonce),
+    };
+    let (to_server, to_client) = (secret.link(client, server), secret.link(server, client));
+    let (outgoing, incoming) = match end {
+        End::Client => (to_server, to_client),
+        End::Server => (to_client, to_server),
+    };
+    inbox.opener = inbox.opener.rekey(incoming);
+    let outbox = Outbox::new(wire::Sealer::new(outgoing));
+    let writer = outbox.clone();
+    tokio::task::spawn_local(async move {
+        // Whatever ends the writing ends the link; the reader notices by the closed socket.
+        let _ = writer.write_all(write).await;
+        writer.close();
+    });
+    Ok(Link { inbox, outbox, peer: theirs.daemon })
+}
--- /dev/null
+++ b/src/metric.rs
@@ -0,0 +1,18 @@
+//! The metrics recorder. `docs/METRICS.md` lists every name, its unit and its labels.
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// Bounds of histograms of seconds.
+const SECONDS: [f64; 12] =
+    [0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.41, 0.8, 1.5, 3.0, 10.0, 60.0];
+
+/// Installs the recorder of this process.
+///
+/// # Errors
+/// When one is installed already.
+pub fn install() -> anyhow::Result<PrometheusHandle> {
+    PrometheusBuilder::new()
+        .set_buckets(&SECONDS)
+        .and_then(PrometheusBuilder::install_recorder)
+        .map_err(|error| anyhow::anyhow!("cannot install metrics: {error}"))
+}
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,457 @@
+//! The operator's commands: check, diff, apply, keys, status, explain, duties, claims.
+
+use std::path::Path;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::store::{self, Condition, Failure, ObjectStore};
+use crate::{admin, claims, cli, config, explain, jsonc, keys, platform};
+
+/// How a command ended badly.
+#[derive(Debug, derive_more::Display, derive_more::From)]
+pub enum Problem {
+    #[display("{_0}")]
+    Mistake(jsonc::Mistake),
+    #[from(ignore)]
+    #[display("{_0}")]
+    Raced(String),
+    #[from(ignore)]
+    #[display("{_0}")]
+    NoAnswer(String),
+    #[display("{_0:#}")]
+    Other(anyhow::Error),
+}
+
+impl Problem {
+    /// The process's exit code.
+    #[must_use]
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Other(_) => 1,
+            Self::Mistake(_) => 3,
+            Self::Raced(_) => 4,
+            Self::NoAnswer(_) => 5,
+        }
+    }
+}
+
+impl From<Failure> for Problem {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Conflict => Self::Raced("somebody else changed it first".to_owned()),
+            Failure::NoAnswer | Failure::Down => Self::NoAnswer(failure.to_string()),
+        }
+    }
+}
+
+/// Runs a command; gives what to print.
+///
+/// # Errors
+/// When the command did not do what was asked.
+pub async fn run(line: &cli::Operator) -> Result<String, Problem> {
+    let output = line.output;
+    match &line.command {
+        cli::Command::Check { file } => check(file, output),
+        cli::Command::Diff { file } => diff(line, file).await,
+        cli::Command::Apply { file, expect } => apply(line, file, *expect).await,
+        cli::Command::Keys { command } => match command {
+            cli::KeyCommand::Grant { account } => grant(line, account).await,
+            cli::KeyCommand::Withdraw { id } => withdraw(line, id).await,
+            cli::KeyCommand::List => list_keys(line).await,
+        },
+        cli::Command::Status => status(line).await,
+        cli::Command::Explain { request } => explain_request(line, request).await,
+        cli::Command::Duties => duties(line).await,
+        cli::Command::Claims { command } => match command {
+            cli::ClaimCommand::List => list_claims(line).await,
+            cli::ClaimCommand::Resolve { key, outcome } => resolve(line, key, *outcome).await,
+        },
+    }
+}
+
+fn print<T: Serialize>(output: cli::Output, value: &T, text: impl FnOnce() -> String) -> String {
+    match output {
+        cli::Output::Text => text(),
+        cli::Output::Json => serde_json::to_string_pretty(value).unwrap_or_default(),
+    }
+}
+
+async fn open(line: &cli::Operator) -> Result<platform::Platform, Problem> {
+    Ok(platform::Platform::open(&line.platform).await?)
+}
+
+fn read(file: &Path) -> Result<String, Problem> {
+    std::fs::read_to_string(file)
+        .map_err(|error| Problem::Other(anyhow::anyhow!("cannot read {}: {error}", file.display())))
+}
+
+#[derive(Serialize)]
+struct Checked {
+    classes: usize,
+    services: usize,
+    accounts: usize,
+}
+
+fn check(file: &Path, output: cli::Output) -> Result<String, Problem> {
+    let config = config::Config::parse(&read(file)?)?;
+    let checked = Checked {
+        classes: config.classes.len(),
+        services: config.services.len(),
+        accounts: config.accounts.len(),
+    };
+    Ok(print(output, &checked, || {
+        format!(
+            "{}: {} classes, {} services, {} client accounts; no mistakes",
+            file.display(),
+            checked.classes,
+            checked.services,
+            checked.accounts
+        )
+    }))
+}
+
+async fn diff(line: &cli::Operator, file: &Path) -> Result<String, Problem> {
+    let new = read(file)?;
+    config::Config::parse(&new)?;
+    let object = open(line).await?.get(store::CONFIG_KEY).await?;
+    let old = object.as_ref().map_or("", |object| &object.value);
+    let lines = changed_lines(old, &new);
+    Ok(print(line.output, &lines, || {
+        if lines.is_empty() { "no change".to_owned() } else { lines.join("\n") }
+    }))
+}
+
+/// Lines that only one text has, `-` for the old and `+` for the new, in the texts' order.
+fn changed_lines(old: &str, new: &str) -> Vec<String> {
+    let (old, new): (Vec<&str>, Vec<&str>) = (old.lines().collect(), new.lines().collect());
+    let same_head = old.iter().zip(&new).take_while(|(a, b)| a == b).count();
+    let rest = old.len().min(new.len()) - same_head;
+    let same_tail =
+        old.iter().rev().zip(new.iter().rev()).take(rest).take_while(|(a, b)| a == b).count();
+    let removed = old[same_head..old.len() - same_tail].iter().map(|text| format!("-{text}"));
+    let added = new[same_head..new.len() - same_tail].iter().map(|text| format!("+{text}"));
+    removed.chain(added).collect()
+}
+
+#[derive(Serialize)]
+struct Applied {
+    version: u64,
+}
+
+async fn apply(
+    line: &cli::Operator,
+    file: &Path,
+    expect: Option<u64>,
+) -> Result<String, Problem> {
+    let text = read(file)?;
+    config::Config::parse(&text)?;
+    let platform = open(line).await?;
+    let before = platform.get(store::CONFIG_KEY).await?;
+    let version = before.as_ref().map_or(0, |object| object.version);
+    if let Some(expected) = expect.filter(|expected| *expected != version) {
+        return Err(raced(expected, before.as_ref()));
+    }
+    let condition = if version == 0 { Condition::Absent } else { Condition::Version(version) };
+    let applied = match platform.put(store::CONFIG_KEY, text.clone(), condition).await {
+        Ok(version) => version,
+        // Another operator may have been quicker, or this write's answer was lost: reading tells.
+        Err(Failure::Conflict | Failure::NoAnswer) => {
+            let now = platform.get(store::CONFIG_KEY).await?;
+            match now {
+                Some(object) if object.value == text && object.version > version => object.version,
+                now => return Err(raced(version, now.as_ref())),
+            }
+        }
+        Err(failure) => return Err(failure.into()),
+    };
+    let result = Applied { version: applied };
+    Ok(print(line.output, &result, || format!("in force as version {applied}")))
+}
+
+fn raced(expected: u64, now: Option<&store::Object>) -> Problem {
+    let version = now.map_or(0, |object| object.version);
+    Problem::Raced(format!(
+        "the text was changed by somebody else: expected version {expected}, found {version}; \
+         see `briarwinch diff` and apply again"
+    ))
+}
+
+#[derive(Serialize)]
+struct Granted {
+    id: String,
+    account: String,
+    key: String,
+}
+
+async fn grant(line: &cli::Operator, account: &str) -> Result<String, Problem> {
+    let made = keys::make(account)
+        .map_err(|error| Problem::Other(anyhow::anyhow!("no random bytes: {error}")))?;
+    let platform = open(line).await?;
+    let object_key = format!("{}{}", store::KEYS_PREFIX, made.record.id);
+    let value = serde_json::to_string(&made.record).map_err(anyhow::Error::from)?;
+    if let Err(failure) = platform.put(&object_key, value.clone(), Condition::Absent).await {
+        let stands = platform.get(&object_key).await?;
+        if stands.is_none_or(|object| object.value != value) {
+            return Err(failure.into());
+        }
+    }
+    let granted = Granted {
+        id: made.record.id.to_string(),
+        account: account.to_owned(),
+        key: made.text,
+    };
+    Ok(print(line.output, &granted, || granted.key.clone()))
+}
+
+async fn withdraw(line: &cli::Operator, id: &str) -> Result<String, Problem> {
+    let platform = open(line).await?;
+    let object_key = format!("{}{id}", store::KEYS_PREFIX);
+    loop {
+        let object = platform
+            .get(&object_key)
+            .await?
+            .ok_or_else(|| Problem::Other(anyhow::anyhow!("no key has the id {id}")))?;
+        let mut record: keys::Record =
+            serde_json::from_str(&object.value).map_err(anyhow::Error::from)?;
+        if !record.withdrawn {
+            record.withdrawn = true;
+            let value = serde_json::to_string(&record).map_err(anyhow::Error::from)?;
+            match platform.put(&object_key, value, Condition::Version(object.version)).await {
+                Ok(_) => {}
+                // Read again: it may be withdrawn by now, by this write or by another operator.
+                Err(Failure::Conflict | Failure::NoAnswer) => continue,
+                Err(failure) => return Err(failure.into()),
+            }
+        }
+        let account = record.account.clone();
+        return Ok(print(line.output, &record.id, || format!("withdrawn: {id} of {account}")));
+    }
+}
+
+#[derive(Serialize)]
+struct KeyLine {
+    id: String,
+    account: String,
+    withdrawn: bool,
+}
+
+async fn list_keys(line: &cli::Operator) -> Result<String, Problem> {
+    let listing = open(line).await?.list(store::KEYS_PREFIX).await?;
+    let lines: Vec<KeyLine> = listing
+        .objects
+        .iter()
+        .filter_map(|object| serde_json::from_str::<keys::Record>(&object.value).ok())
+        .map(|record| KeyLine {
+            id: record.id.to_string(),
+            account: record.account.to_string(),
+            withdrawn: record.withdrawn,
+        })
+        .collect();
+    Ok(print(line.output, &lines, || {
+        let mut text = format!("{:<14} {:<24} state", "id", "account");
+        for key in &lines {
+            let state = if key.withdrawn { "withdrawn" } else { "granted" };
+            text.push_str(&format!("\n{:<14} {:<24} {state}", key.id, key.account));
+        }
+        text
+    }))
+}
+
+async fn fetch<T: DeserializeOwned>(base: &str, path: &str) -> Result<Option<T>, Problem> {
+    let url = format!("{}{path}", base.trim_end_matches('/'));
+    let lost = |error: String| Problem::NoAnswer(format!("{url} does not answer: {error}"));
+    let http = ntex::client::Client::new().await;
+    let response = http.get(&url).send().await.map_err(|error| lost(error.to_string()))?;
+    if response.status() == ntex::http::StatusCode::NOT_FOUND {
+        return Ok(None);
+    }
+    let body =
+        response.body().limit(64 << 20).await.map_err(|error| lost(error.to_string()))?;
+    serde_json::from_slice(&body).map(Some).map_err(|error| lost(error.to_string()))
+}
+
+async fn read_status(line: &cli::Operator) -> Result<admin::Status, Problem> {
+    fetch(&line.admin, "/status")
+        .await?
+        .ok_or_else(|| Problem::NoAnswer(format!("{} has no status", line.admin)))
+}
+
+async fn status(line: &cli::Operator) -> Result<String, Problem> {
+    let status = read_status(line).await?;
+    Ok(print(line.output, &status, || status_text(&status)))
+}
+
+fn status_text(status: &admin::Status) -> String {
+    let mut text = format!(
+        "{} in {}: {}, store {}\nconfiguration {}, keys {} (revision {}), list {}",
+        status.daemon,
+        status.zone,
+        match (status.ready, status.draining) {
+            (_, true) => "draining",
+            (true, false) => "ready",
+            (false, false) => "starting",
+        },
+        if status.store_up { "up" } else { "down" },
+        status.config_version,
+        status.keys,
+        status.keys_revision,
+        status.roster_revision,
+    );
+    if let Some(refused) = &status.config_refused {
+        text.push_str(&format!("\nconfiguration refused: {refused}"));
+    }
+    text.push_str(&format!("\n\n{:<20} {:<6} {:<14} {:<9} endpoints", "daemon", "role", "zone", "state"));
+    for member in &status.members {
+        let endpoints: Vec<String> = member
+            .endpoints
+            .iter()
+            .map(|endpoint| match endpoint.out_because.as_str() {
+                "" => format!("{} ({})", endpoint.id, endpoint.service),
+                why => format!("{} ({}) OUT: {why}", endpoint.id, endpoint.service),
+            })
+            .collect();
+        text.push_str(&format!(
+            "\n{:<20} {:<6} {:<14} {:<9} {}",
+            member.id,
+            member.role,
+            member.zone,
+            member.state,
+            endpoints.join(", ")
+        ));
+    }
+    text.push_str("\n\n");
+    text.push_str(&duties_text(status));
+    text
+}
+
+fn duties_text(status: &admin::Status) -> String {
+    let mut text = format!("{:<32} {:<16} {:<7} note", "duty", "holder", "epoch");
+    for duty in &status.duties {
+        text.push_str(&format!(
+            "\n{:<32} {:<16} {:<7} {}",
+            duty.duty, duty.holder, duty.epoch, duty.note
+        ));
+    }
+    text
+}
+
+async fn duties(line: &cli::Operator) -> Result<String, Problem> {
+    let status = read_status(line).await?;
+    Ok(print(line.output, &status.duties, || duties_text(&status)))
+}
+
+async fn explain_request(line: &cli::Operator, request: &str) -> Result<String, Problem> {
+    let status = read_status(line).await?;
+    let entries = status.members.iter().filter(|member| member.role == "entry");
+    let path = format!("/explain/{request}");
+    for entry in entries {
+        let base = format!("http://{}", entry.admin_addr);
+        // An entry that has gone cannot tell; another may have carried the request.
+        if let Ok(Some(story)) = fetch::<explain::Story>(&base, &path).await {
+            return Ok(print(line.output, &story, || story_text(&story, &entry.id)));
+        }
+    }
+    Err(Problem::Other(anyhow::anyhow!("no entry remembers the request {request}")))
+}
+
+fn story_text(story: &explain::Story, entry: &str) -> String {
+    let mut text = format!(
+        "request {} by entry {entry}\n  account {}, key {}, class {}, service {}, configuration {}\n  trace {}",
+        story.request,
+        story.account,
+        story.key,
+        story.class,
+        story.service,
+        story.config_version,
+        story.trace_id,
+    );
+    for (number, attempt) in story.attempts.iter().enumerate() {
+        text.push_str(&format!("\n  try {}:", number + 1));
+        for asked in &attempt.asked {
+            let offer = match asked.first_token_ms {
+                Some(wait_ms) => format!("first token in {wait_ms} ms"),
+                None => "no answer".to_owned(),
+            };
+            let prefix = if asked.knows_prefix { ", knows the prompt's head" } else { "" };
+            text.push_str(&format!("\n    asked {} in {}: {offer}{prefix}", asked.endpoint, asked.zone));
+        }
+        let chosen = attempt.chosen.as_deref().unwrap_or("none");
+        text.push_str(&format!("\n    chose {chosen}: {}", attempt.outcome));
+    }
+    let first = story.first_token_ms.map_or("none".to_owned(), |ms| format!("after {ms} ms"));
+    let queue = story.queue_ms.map_or("unknown".to_owned(), |ms| format!("{ms} ms"));
+    text.push_str(&format!(
+        "\n  waited {queue} at the endpoint, first token {first}, {} tokens, {} bytes, {} ms in all\n  status {}, outcome {}{}",
+        story.tokens,
+        story.body_bytes,
+        story.total_ms,
+        story.status,
+        story.outcome,
+        if story.ran.is_empty() { String::new() } else { format!(", ran: {}", story.ran) },
+    ));
+    text
+}
+
+#[derive(Serialize)]
+struct ClaimLine {
+    key: String,
+    state: &'static str,
+    holder: String,
+}
+
+async fn list_claims(line: &cli::Operator) -> Result<String, Problem> {
+    let listing = open(line).await?.list("claims/").await?;
+    let lines: Vec<ClaimLine> = listing
+        .objects
+        .iter()
+        .filter_map(|object| {
+            let record: claims::Record = serde_json::from_str(&object.value).ok()?;
+            let state = match record.state {
+                claims::State::Running => "running",
+                claims::State::Unknown => "unknown",
+                claims::State::Done(_) => return None,
+            };
+            let holder = record.holder.daemon.to_string();
+            Some(ClaimLine { key: object.key.to_string(), state, holder })
+        })
+        .collect();
+    Ok(print(line.output, &lines, || {
+        let mut text = format!("{:<64} {:<8} holder", "key", "state");
+        for claim in &lines {
+            text.push_str(&format!("\n{:<64} {:<8} {}", claim.key, claim.state, claim.holder));
+        }
+        text
+    }))
+}
+
+async fn resolve(
+    line: &cli::Operator,
+    key: &str,
+    outcome: cli::ClaimOutcome,
+) -> Result<String, Problem> {
+    let platform = open(line).await?;
+    let object = platform
+        .get(key)
+        .await?
+        .ok_or_else(|| Problem::Other(anyhow::anyhow!("there is no claim {key}")))?;
+    let mut record: claims::Record =
+        serde_json::from_str(&object.value).map_err(anyhow::Error::from)?;
+    if matches!(record.state, claims::State::Done(_)) {
+        return Err(Problem::Other(anyhow::anyhow!("the claim is done already")));
+    }
+    match outcome {
+        cli::ClaimOutcome::NotRun => platform.delete(key, object.version).await?,
+        cli::ClaimOutcome::Ran => {
+            let body = serde_json::json!({"resolved": "an operator found that the call ran"});
+            record.state = claims::State::Done(claims::SavedAnswer {
+                status: 200,
+                headers: Vec::new(),
+                body: Some(body.to_string().into_bytes()),
+            });
+            let value = serde_json::to_string(&record).map_err(anyhow::Error::from)?;
+            platform.put(key, value, Condition::Version(object.version)).await?;
+        }
+    }
+    Ok(print(line.output, &key, || format!("resolved: {key}")))
+}
--- /dev/null
+++ b/src/pace.rs
@@ -0,0 +1,64 @@
+//! How fast an endpoint works, as its side observes it: the ground for the side's offers.
+
+/// Weight of the newest observation.
+const NEWEST: f64 = 0.1;
+/// Assumed before anything was observed.
+const FIRST_SERVICE_MS: f64 = 1000.0;
+const FIRST_START_MS: f64 = 50.0;
+/// Assumed output before any request of an account ended.
+const FIRST_OUTPUT_TOKENS: f64 = 128.0;
+
+/// Moving averages over the requests of one endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    service_ms: f64,
+    start_ms: f64,
+    output_tokens: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            service_ms: FIRST_SERVICE_MS,
+            start_ms: FIRST_START_MS,
+            output_tokens: FIRST_OUTPUT_TOKENS,
+        }
+    }
+}
+
+impl Pace {
+    /// A request's first token came this long after it was sent to the endpoint.
+    pub fn first_token(&mut self, after_ms: u64) {
+        self.start_ms += (after_ms as f64 - self.start_ms) * NEWEST;
+    }
+
+    /// A request held its slot this long and produced this many tokens.
+    pub fn finished(&mut self, service_ms: u64, output_tokens: u64) {
+        self.service_ms += (service_ms as f64 - self.service_ms) * NEWEST;
+        self.output_tokens += (output_tokens as f64 - self.output_tokens) * NEWEST;
+    }
+
+    /// Expected wait for a slot behind `ahead` others.
+    #[must_use]
+    pub fn wait_ms(&self, ahead: usize, running: usize, slots: usize) -> u32 {
+        let slots = slots.max(1);
+        if running + ahead < slots {
+            return 0;
+        }
+        // All slots are busy: on average one comes free each `service / slots`.
+        let turns = (running + ahead + 1 - slots) as f64;
+        (turns * self.service_ms / slots as f64) as u32
+    }
+
+    /// Expected time from the slot to the first token.
+    #[must_use]
+    pub fn start_ms(&self) -> u32 {
+        self.start_ms as u32
+    }
+
+    /// Expected output of a request that may have at most `most_tokens`.
+    #[must_use]
+    pub fn output_tokens(&self, most_tokens: u32) -> u64 {
+        (self.output_tokens as u64).clamp(1, u64::from(most_tokens.max(1)))
+    }
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,209 @@
+//! Adapter to the platform's interfaces by HTTP. `docs/PLATFORM.md` has the forms assumed; another
+//! form is another adapter.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use ntex::client;
+use ntex::http::{Method, StatusCode};
+use ntex::time::Millis;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::store::{self, Condition, Failure, ObjectStore};
+use crate::{orders, usage};
+
+/// Longest wait for an answer of the platform.
+const CALL_MS: u32 = 2_000;
+/// Longest wait of a watch at the platform.
+pub const WATCH_MS: u32 = 10_000;
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Whether an instance or endpoint is live.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    Starting,
+    Live,
+    Leaving,
+}
+
+/// One line of the platform's lagging list.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Instance {
+    /// Name of a daemon or of an endpoint.
+    pub id: CompactString,
+    pub standing: Standing,
+}
+
+/// The platform's lagging list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Roster {
+    pub revision: u64,
+    pub instances: Vec<Instance>,
+}
+
+/// An endpoint as the endpoint interface shows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointLine {
+    pub id: CompactString,
+    pub service: CompactString,
+    pub standing: Standing,
+}
+
+/// Endpoints of an availability zone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointList {
+    pub endpoints: Vec<EndpointLine>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Written {
+    version: u64,
+}
+
+/// The platform, reached by HTTP.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    http: client::Client,
+    url: String,
+}
+
+impl Platform {
+    /// Opens a client; no connection is made yet.
+    ///
+    /// # Errors
+    /// When the HTTP client cannot be made.
+    pub async fn open(url: &str) -> anyhow::Result<Self> {
+        let http = client::ClientBuilder::new()
+            .response_timeout(Millis(CALL_MS))
+            .response_payload_limit(MAX_ANSWER_BYTES)
+            .response_payload_timeout(Millis(CALL_MS))
+            .connector::<()>(client::Connector::new().limit(64))
+            .disable_redirects()
+            .build(ntex::SharedCfg::default())
+            .await
+            .map_err(|error| anyhow::anyhow!("cannot make an HTTP client: {error:?}"))?;
+        Ok(Self { http, url: url.trim_end_matches('/').to_owned() })
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+        wait_ms: u32,
+    ) -> Result<Option<T>, Failure> {
+        let request = self
+            .http
+            .request(method, format!("{}{path}", self.url))
+            .timeout(Millis(wait_ms))
+            .send_body(body);
+        // The client's own timeout covers the head; the outer one covers connecting as well, so
+        // that a platform that accepts and then hangs cannot hold a caller.
+        let outer = Duration::from_millis(u64::from(wait_ms) + 500);
+        let response = tokio::time::timeout(outer, request)
+            .await
+            .map_err(|_| Failure::NoAnswer)?
+            .map_err(|error| match error {
+                client::error::ClientError::Connect(_) => Failure::Down,
+                _ => Failure::NoAnswer,
+            })?;
+        match response.status() {
+            StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::CONFLICT => Err(Failure::Conflict),
+            status if status.is_success() => {
+                let bytes = tokio::time::timeout(outer, response.body())
+                    .await
+                    .map_err(|_| Failure::NoAnswer)?
+                    .map_err(|_| Failure::NoAnswer)?;
+                serde_json::from_slice(&bytes).map(Some).map_err(|_| Failure::NoAnswer)
+            }
+            StatusCode::SERVICE_UNAVAILABLE => Err(Failure::Down),
+            _ => Err(Failure::NoAnswer),
+        }
+    }
+
+    async fn must<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+        wait_ms: u32,
+    ) -> Result<T, Failure> {
+        self.call(method, path, body, wait_ms).await?.ok_or(Failure::NoAnswer)
+    }
+
+    /// Waits for changes under a prefix after a revision; an empty listing when none came in time.
+    ///
+    /// # Errors
+    /// When the store is down or gives no answer.
+    pub async fn watch(&self, prefix: &str, after: u64) -> Result<store::Listing, Failure> {
+        let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={WATCH_MS}");
+        self.must(Method::GET, &path, String::new(), WATCH_MS + CALL_MS).await
+    }
+
+    /// Reads the lagging list of instances and endpoints.
+    ///
+    /// # Errors
+    /// When the platform is down or gives no answer.
+    pub async fn roster(&self) -> Result<Roster, Failure> {
+        self.must(Method::GET, "/instances", String::new(), CALL_MS).await
+    }
+
+    /// Reads the endpoints of an availability zone.
+    ///
+    /// # Errors
+    /// When the platform is down or gives no answer.
+    pub async fn endpoints(&self, zone: &str) -> Result<EndpointList, Failure> {
+        self.must(Method::GET, &format!("/endpoints/{zone}"), String::new(), CALL_MS).await
+    }
+
+    /// Sends an order for endpoints of a zone; no longer than the order may take.
+    ///
+    /// # Errors
+    /// `Conflict` when the platform has seen a greater fencing number.
+    pub async fn order(&self, zone: &str, order: &orders::Order) -> Result<(), Failure> {
+        let body = serde_json::to_string(order).map_err(|_| Failure::Down)?;
+        let path = format!("/endpoints/{zone}/orders");
+        let _: serde_json::Value =
+            self.must(Method::POST, &path, body, orders::SEND_MS as u32).await?;
+        Ok(())
+    }
+
+    /// Reports a sealed window.
+    ///
+    /// # Errors
+    /// `Conflict` when the window was reported with other figures.
+    pub async fn report(&self, report: &usage::Report) -> Result<(), Failure> {
+        let body = serde_json::to_string(report).map_err(|_| Failure::Down)?;
+        let _: serde_json::Value = self.must(Method::POST, "/usage", body, CALL_MS).await?;
+        Ok(())
+    }
+}
+
+impl ObjectStore for Platform {
+    async fn get(&self, key: &str) -> Result<Option<store::Object>, Failure> {
+        self.call(Method::GET, &format!("/objects/{key}"), String::new(), CALL_MS).await
+    }
+
+    async fn put(&self, key: &str, value: String, condition: Condition) -> Result<u64, Failure> {
+        let version = match condition {
+            Condition::Absent => 0,
+            Condition::Version(version) => version,
+        };
+        let path = format!("/objects/{key}?if_version={version}");
+        let written: Written = self.must(Method::PUT, &path, value, CALL_MS).await?;
+        Ok(written.version)
+    }
+
+    async fn delete(&self, key: &str, version: u64) -> Result<(), Failure> {
+        let path = format!("/objects/{key}?if_version={version}");
+        let _: serde_json::Value = self.must(Method::DELETE, &path, String::new(), CALL_MS).await?;
+        Ok(())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<store::Listing, Failure> {
+        self.must(Method::GET, &format!("/list?prefix={prefix}"), String::new(), CALL_MS).await
+    }
+}
--- /dev/null
+++ b/src/side/run.rs
@@ -0,0 +1,488 @@
+//! Runs: a request from its submit to the end of its answer.
+//!
+//! A run belongs to the side, not to the link it came by. When the link is lost the run goes on for
+//! a while, and whoever submits the same request again reads on where the answer stopped.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+
+use compact_str::CompactString;
+use tokio::sync::Notify;
+use tokio::task;
+
+use super::{RunKey, Side, endpoint};
+use crate::{answer, config, error, link, queue, trace, wire};
+
+mod call;
+
+/// Body bytes a reader may be behind before the endpoint is no longer read.
+const MAX_BEHIND_BYTES: u64 = 1 << 20;
+/// Longest time a run of this side lasts, whatever its caller said.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+/// How far past its latency target an unprotected class waits, if its text says nothing.
+const DEFAULT_WAIT_TARGETS: u64 = 20;
+
+/// Where a run is.
+#[derive(Debug)]
+enum Phase {
+    Queued(queue::Ticket),
+    Running,
+    Ended,
+}
+
+/// Who reads a run's answer.
+#[derive(Debug)]
+struct Subscriber {
+    outbox: link::Outbox,
+    reader: answer::Reader,
+}
+
+impl Subscriber {
+    fn is(&self, stream: wire::StreamId, outbox: &link::Outbox) -> bool {
+        self.reader.stream == stream && self.outbox.is_same(outbox)
+    }
+}
+
+/// One request held by this side.
+#[derive(Debug)]
+pub struct Run {
+    key: RunKey,
+    submit: wire::Submit,
+    phase: RefCell<Phase>,
+    answer: RefCell<answer::Answer>,
+    subscriber: RefCell<Option<Subscriber>>,
+    /// Wakes the run's task: it was stopped, or its reader has caught up.
+    wake: Notify,
+    stopped: RefCell<Option<error::Refusal>>,
+    arrived_ms: u64,
+    deadline_ms: u64,
+    /// Since when nobody reads it.
+    alone_since_ms: Cell<Option<u64>>,
+    /// Bytes of the call have left for the endpoint.
+    sent: Cell<bool>,
+    queue_span: RefCell<Option<trace::Span>>,
+}
+
+impl Run {
+    /// Nothing is left to be sent to its caller.
+    pub(super) fn is_delivered(&self) -> bool {
+        let ended = matches!(*self.phase.borrow(), Phase::Ended);
+        let read = self.subscriber.borrow().as_ref().is_none_or(|s| s.reader.is_done());
+        ended && read
+    }
+
+    fn account(&self) -> &CompactString {
+        &self.submit.account
+    }
+
+    /// Sends the reader all that is there and its credit allows.
+    fn flush(&self) {
+        let mut subscriber = self.subscriber.borrow_mut();
+        let Some(subscriber) = subscriber.as_mut() else { return };
+        let answer = self.answer.borrow();
+        while let Some(frame) = subscriber.reader.next(&answer) {
+            if !subscriber.outbox.send(&frame) {
+                return;
+            }
+        }
+        drop(answer);
+        if self.submit.idempotency.is_none() {
+            // Nobody can come back for it but the entry that reads it, and that one only for what
+            // a lost link swallowed; a link's buffers hold less than this.
+            let keep_from = subscriber.reader.offset.saturating_sub(MAX_BEHIND_BYTES);
+            self.answer.borrow_mut().let_go(keep_from);
+        }
+    }
+
+    /// The reader is so far behind that the endpoint should not be read on.
+    fn is_behind(&self) -> bool {
+        let subscriber = self.subscriber.borrow();
+        let Some(subscriber) = subscriber.as_ref() else { return false };
+        let ahead = self.answer.borrow().length().saturating_sub(subscriber.reader.offset);
+        ahead > MAX_BEHIND_BYTES
+    }
+
+    fn end(&self, ending: answer::Ending) {
+        *self.phase.borrow_mut() = Phase::Ended;
+        let mut answer = self.answer.borrow_mut();
+        if answer.ending.is_none() {
+            answer.ending = Some(ending);
+        }
+        drop(answer);
+        self.flush();
+    }
+}
+
+fn send_refusal(outbox: &link::Outbox, stream: wire::StreamId, refusal: error::Refusal) {
+    let code = refusal.kind.answer().code;
+    metrics::counter!("briarwinch_side_refusals_total", "kind" => code).increment(1);
+    outbox.send(&wire::ToEntry::Refused(wire::Refused { stream, refusal }));
+}
+
+impl Side {
+    /// Takes in a request, or takes up a run again.
+    pub(super) fn submit(self: &Rc<Self>, submit: wire::Submit, outbox: &link::Outbox) {
+        if let Some(run) = self.known_run(&submit) {
+            return self.take_up(&run, &submit, outbox);
+        }
+        let stream = submit.stream;
+        if submit.take_up {
+            let refusal = error::Refusal::unknown(error::Kind::LinkLost);
+            return send_refusal(outbox, stream, refusal.detail("The run is no longer held."));
+        }
+        if let Err(refusal) = self.start(submit, outbox) {
+            send_refusal(outbox, stream, refusal);
+        }
+    }
+
+    fn known_run(&self, submit: &wire::Submit) -> Option<Rc<Run>> {
+        let by_request = self.by_request.borrow().get(&submit.request).copied();
+        let by_idempotency = || {
+            let digest = submit.idempotency?;
+            self.by_idempotency.borrow().get(&digest).copied()
+        };
+        let key = by_request.or_else(by_idempotency)?;
+        self.runs.borrow().get(key).cloned()
+    }
+
+    fn take_up(&self, run: &Rc<Run>, submit: &wire::Submit, outbox: &link::Outbox) {
+        let stream = submit.stream;
+        if run.submit.account != submit.account || run.submit.request_digest != submit.request_digest
+        {
+            let refusal = error::Refusal::not_run(error::Kind::IdempotencyMismatch);
+            return send_refusal(outbox, stream, refusal);
+        }
+        if !run.answer.borrow().reaches_back_to(submit.from_offset) {
+            let refusal = error::Refusal::unknown(error::Kind::LinkLost);
+            return send_refusal(outbox, stream, refusal.detail("The answer is no longer held."));
+        }
+        run.answer.borrow_mut().replayed |= submit.request != run.submit.request;
+        let reader = answer::Reader::new(stream, submit.from_offset, submit.credit_bytes.into());
+        let new = Subscriber { outbox: outbox.clone(), reader };
+        let former = run.subscriber.replace(Some(new));
+        run.alone_since_ms.set(None);
+        if let Some(former) = former.filter(|former| !former.reader.is_done()) {
+            let refusal = error::Refusal::unknown(error::Kind::Superseded);
+            send_refusal(&former.outbox, former.reader.stream, refusal);
+        }
+        metrics::counter!("briarwinch_runs_taken_up_total").increment(1);
+        run.flush();
+        run.wake.notify_waiters();
+    }
+
+    fn start(
+        self: &Rc<Self>,
+        submit: wire::Submit,
+        outbox: &link::Outbox,
+    ) -> Result<(), error::Refusal> {
+        let refuse = error::Refusal::not_run;
+        let endpoint =
+            self.endpoint(submit.endpoint).ok_or_else(|| refuse(error::Kind::NoEndpoint))?;
+        if endpoint.service != submit.service {
+            return Err(refuse(error::Kind::NoEndpoint));
+        }
+        if self.is_leaving(endpoint) {
+            return Err(refuse(error::Kind::Draining));
+        }
+        self.follow_config(endpoint);
+        let snapshot = self.hub.snapshot.load();
+        if snapshot.keys.is_withdrawn(&submit.key) {
+            return Err(refuse(error::Kind::KeyWithdrawn));
+        }
+        let in_force =
+            snapshot.config.as_ref().ok_or_else(|| refuse(error::Kind::NotReady))?;
+        let config = &in_force.model;
+        // The entry's configuration may be newer by the time it takes to spread; another side may
+        // have it already.
+        let class = config.class(&submit.class).ok_or_else(|| refuse(error::Kind::NotReady))?;
+        let now_ms = self.now_ms();
+        let expected_ms = endpoint.first_token_ms(class);
+        let longest_wait_ms = longest_wait_ms(&config.class_at(class).text);
+        if let Some(longest_ms) = longest_wait_ms.filter(|most| u64::from(expected_ms) > *most) {
+            let refusal = refuse(error::Kind::TooLate);
+            return Err(refusal.retry_after_ms(expected_ms.saturating_sub(longest_ms as u32).max(1)));
+        }
+        let share = config.account(&submit.account).map_or(1, |key| config.account_at(key).share);
+        let run = self.insert(submit, outbox, now_ms);
+        let give_up_at_ms =
+            longest_wait_ms.map_or(run.deadline_ms, |most| run.deadline_ms.min(now_ms + most));
+        let output = endpoint.pace.borrow().output_tokens(run.submit.max_tokens);
+        let job = queue::Job {
+            id: slotmap::Key::data(&run.key).as_ffi(),
+            class,
+            account: run.account().clone(),
+            share,
+            estimate_tokens: u64::from(run.submit.prompt_tokens) + output,
+            target_at_ms: now_ms + u64::from(run.submit.target_ms),
+            give_up_at_ms,
+        };
+        self.place(endpoint, &run, job);
+        self.pump(endpoint);
+        Ok(())
+    }
+
+    fn insert(&self, submit: wire::Submit, outbox: &link::Outbox, now_ms: u64) -> Rc<Run> {
+        let reader = answer::Reader::new(submit.stream, 0, submit.credit_bytes.into());
+        let subscriber = Subscriber { outbox: outbox.clone(), reader };
+        let (request, idempotency) = (submit.request.clone(), submit.idempotency);
+        let deadline_ms = now_ms + u64::from(submit.deadline_ms).min(MAX_DEADLINE_MS);
+        let span = trace::Span::start("queue", submit.trace);
+        let mut made = None;
+        let key = self.runs.borrow_mut().insert_with_key(|key| {
+            let run = Rc::new(Run {
+                key,
+                submit,
+                phase: RefCell::new(Phase::Running),
+                answer: RefCell::default(),
+                subscriber: RefCell::new(Some(subscriber)),
+                wake: Notify::new(),
+                stopped: RefCell::default(),
+                arrived_ms: now_ms,
+                deadline_ms,
+                alone_since_ms: Cell::new(None),
+                sent: Cell::new(false),
+                queue_span: RefCell::new(Some(span)),
+            });
+            made = Some(Rc::clone(&run));
+            run
+        });
+        self.by_request.borrow_mut().insert(request, key);
+        if let Some(digest) = idempotency {
+            self.by_idempotency.borrow_mut().insert(digest, key);
+        }
+        made.expect("insert_with_key calls its closure")
+    }
+
+    /// Puts a job into the queue; refuses it, or the one it displaces.
+    fn place(&self, endpoint: &endpoint::Endpoint, run: &Run, job: queue::Job) {
+        let pushed = endpoint.queue.borrow_mut().push(job);
+        match pushed {
+            queue::Pushed::Waits(ticket) => *run.phase.borrow_mut() = Phase::Queued(ticket),
+            queue::Pushed::WaitsInsteadOf(ticket, evicted) => {
+                *run.phase.borrow_mut() = Phase::Queued(ticket);
+                self.refuse_job(endpoint, &evicted, error::Kind::QueueFull);
+            }
+            queue::Pushed::Refused(job) => {
+                self.refuse_job(endpoint, &job, error::Kind::QueueFull);
+            }
+        }
+    }
+
+    /// Gives a job that is no longer queued its final answer, with when to come back.
+    fn refuse_job(&self, endpoint: &endpoint::Endpoint, job: &queue::Job, kind: error::Kind) {
+        let Some(run) = self.run_of(job) else { return };
+        let retry_after_ms = endpoint.first_token_ms(job.class).max(1);
+        let refusal = error::Refusal::not_run(kind).retry_after_ms(retry_after_ms);
+        self.finish(&run, answer::Ending::Refused(refusal));
+    }
+
+    fn run_of(&self, job: &queue::Job) -> Option<Rc<Run>> {
+        let key = RunKey::from(slotmap::KeyData::from_ffi(job.id));
+        self.runs.borrow().get(key).cloned()
+    }
+
+    /// Brings an endpoint's queue to the configuration in force.
+    pub(super) fn follow_config(&self, endpoint: &endpoint::Endpoint) {
+        let snapshot = self.hub.snapshot.load();
+        let Some((jobs, config)) = endpoint.follow(&snapshot) else { return };
+        for mut job in jobs {
+            let Some(run) = self.run_of(&job) else { continue };
+            match config.class(&run.submit.class) {
+                Some(class) => {
+                    job.class = class;
+                    self.place(endpoint, &run, job);
+                }
+                None => self.finish(
+                    &run,
+                    answer::Ending::Refused(error::Refusal::not_run(error::Kind::UnknownClass)),
+                ),
+            }
+        }
+    }
+
+    /// Starts requests while slots are free.
+    pub(super) fn pump(self: &Rc<Self>, endpoint: &endpoint::Endpoint) {
+        let expired = endpoint.queue.borrow_mut().expire(self.now_ms());
+        for job in expired {
+            self.refuse_job(endpoint, &job, error::Kind::TooLate);
+        }
+        while endpoint.running.get() < endpoint.slots() {
+            let Some(started) = endpoint.queue.borrow_mut().pop() else { break };
+            let Some(run) = self.run_of(&started.job) else { continue };
+            *run.phase.borrow_mut() = Phase::Running;
+            endpoint.running.set(endpoint.running.get() + 1);
+            endpoint.prefixes.borrow_mut().note(run.submit.prefix);
+            if let Some(span) = run.queue_span.borrow_mut().take() {
+                span.end(&self.spans, &run.submit.request);
+            }
+            task::spawn_local(call::run(Rc::clone(self), run, started));
+        }
+    }
+
+    /// Ends a run that is not running any more.
+    fn finish(&self, run: &Rc<Run>, ending: answer::Ending) {
+        run.end(ending);
+        let keep = run.submit.idempotency.is_some() && run.sent.get();
+        if !keep && run.is_delivered() {
+            self.forget(run);
+        } else if run.alone_since_ms.get().is_none() {
+            run.alone_since_ms.set(Some(self.now_ms()));
+        }
+    }
+
+    fn forget(&self, run: &Run) {
+        self.runs.borrow_mut().remove(run.key);
+        self.by_request.borrow_mut().remove(&run.submit.request);
+        if let Some(digest) = run.submit.idempotency {
+            let mut by_idempotency = self.by_idempotency.borrow_mut();
+            if by_idempotency.get(&digest) == Some(&run.key) {
+                by_idempotency.remove(&digest);
+            }
+        }
+    }
+
+    /// Stops a run for a reason of the router's own.
+    pub(super) fn stop(self: &Rc<Self>, run: &Rc<Run>, kind: error::Kind) {
+        let queued = match *run.phase.borrow() {
+            Phase::Queued(ticket) => Some(ticket),
+            Phase::Running => None,
+            Phase::Ended => return,
+        };
+        if let Some(ticket) = queued {
+            if let Some(endpoint) = self.endpoint(run.submit.endpoint) {
+                endpoint.queue.borrow_mut().remove(ticket);
+            }
+            return self.finish(run, answer::Ending::Refused(error::Refusal::not_run(kind)));
+        }
+        if run.sent.get() && !run.submit.repeatable {
+            // The call is out and cannot be taken back: its outcome is awaited and kept, whoever
+            // still wants it. Only the caller is told.
+            if kind == error::Kind::KeyWithdrawn {
+                let refusal = error::Refusal::unknown(kind);
+                if let Some(subscriber) = run.subscriber.borrow_mut().take() {
+                    send_refusal(&subscriber.outbox, subscriber.reader.stream, refusal);
+                }
+            }
+            return;
+        }
+        *run.stopped.borrow_mut() = Some(error::Refusal::unknown(kind));
+        run.wake.notify_waiters();
+    }
+
+    /// The caller has hung up.
+    pub(super) fn cancel(self: &Rc<Self>, stream: wire::StreamId, outbox: &link::Outbox) {
+        let Some(run) = self.run_read_by(stream, outbox) else { return };
+        *run.subscriber.borrow_mut() = None;
+        if run.submit.idempotency.is_some() {
+            // With an idempotency key the caller may be on its way back through another entry.
+            run.alone_since_ms.set(Some(self.now_ms()));
+            return;
+        }
+        self.stop(&run, error::Kind::Superseded);
+        if matches!(*run.phase.borrow(), Phase::Ended) {
+            self.forget(&run);
+        }
+    }
+
+    /// The reader has taken bytes off its stream.
+    pub(super) fn credit(&self, credit: wire::Credit, outbox: &link::Outbox) {
+        let Some(run) = self.run_read_by(credit.stream, outbox) else { return };
+        if let Some(subscriber) = run.subscriber.borrow_mut().as_mut() {
+            subscriber.reader.credit_bytes += u64::from(credit.bytes);
+        }
+        run.flush();
+        run.wake.notify_waiters();
+        if run.is_delivered() && run.submit.idempotency.is_none() {
+            self.forget(&run);
+        }
+    }
+
+    fn run_read_by(&self, stream: wire::StreamId, outbox: &link::Outbox) -> Option<Rc<Run>> {
+        let reads = |run: &&Rc<Run>| {
+            run.subscriber.borrow().as_ref().is_some_and(|reader| reader.is(stream, outbox))
+        };
+        self.runs.borrow().values().find(reads).cloned()
+    }
+
+    /// A link is gone: its runs go on alone for a while.
+    pub(super) fn link_lost(&self, outbox: &link::Outbox) {
+        let now_ms = self.now_ms();
+        for run in self.runs.borrow().values() {
+            let mut subscriber = run.subscriber.borrow_mut();
+            if subscriber.as_ref().is_some_and(|reader| reader.outbox.is_same(outbox)) {
+                *subscriber = None;
+                run.alone_since_ms.set(Some(now_ms));
+            }
+        }
+    }
+
+    /// Ends runs whose key was withdrawn, whose deadline has passed, or whom nobody came back for;
+    /// lets go of ended ones.
+    pub(super) fn sweep_once(self: &Rc<Self>) {
+        let now_ms = self.now_ms();
+        let runs: Vec<Rc<Run>> = self.runs.borrow().values().cloned().collect();
+        let snapshot = self.hub.snapshot.load_full();
+        let revision = snapshot.keys.revision();
+        let keys_changed = self.keys_revision.replace(revision) != revision;
+        let mut kept_bytes = 0;
+        for run in &runs {
+            let ended = matches!(*run.phase.borrow(), Phase::Ended);
+            kept_bytes += run.answer.borrow().held_bytes();
+            let alone_ms = run.alone_since_ms.get().map_or(0, |since| now_ms - since);
+            let left_alone = alone_ms > self.settings.linger_ms;
+            if ended {
+                // An answer that nobody can come back for goes with its last reader.
+                let wanted = run.submit.idempotency.is_some() || !run.is_delivered();
+                if left_alone || !wanted {
+                    self.forget(run);
+                }
+            } else if keys_changed && snapshot.keys.is_withdrawn(&run.submit.key) {
+                self.stop(run, error::Kind::KeyWithdrawn);
+            } else if now_ms >= run.deadline_ms {
+                self.stop(run, error::Kind::DeadlineExceeded);
+            } else if left_alone {
+                self.stop(run, error::Kind::LinkLost);
+            }
+        }
+        self.trim_kept(&runs, kept_bytes);
+        for endpoint in &self.endpoints {
+            self.follow_config(endpoint);
+            self.pump(endpoint);
+            let waiting = endpoint.queue.borrow().len() as f64;
+            metrics::gauge!("briarwinch_queue_jobs", "endpoint" => endpoint.id.to_string())
+                .set(waiting);
+        }
+        metrics::gauge!("briarwinch_kept_answer_bytes").set(kept_bytes as f64);
+        let draining = self.hub.draining.load(Ordering::Relaxed);
+        metrics::gauge!("briarwinch_draining").set(f64::from(u8::from(draining)));
+    }
+
+    /// Lets go of ended answers, those left alone longest first, when they hold too much memory.
+    fn trim_kept(&self, runs: &[Rc<Run>], mut kept_bytes: usize) {
+        if kept_bytes <= self.settings.kept_bytes {
+            return;
+        }
+        let mut ended: Vec<&Rc<Run>> = runs.iter().filter(|run| run.is_delivered()).collect();
+        ended.sort_by_key(|run| run.alone_since_ms.get());
+        for run in ended {
+            if kept_bytes <= self.settings.kept_bytes {
+                return;
+            }
+            kept_bytes -= run.answer.borrow().held_bytes();
+            self.forget(run);
+        }
+    }
+}
+
+/// How long a request of a class waits for a slot at most; `None`: as long as its caller.
+fn longest_wait_ms(class: &config::ClassText) -> Option<u64> {
+    let default_ms = u64::from(class.latency_target_ms) * DEFAULT_WAIT_TARGETS;
+    match (class.max_wait_ms, class.protected) {
+        // A protected class is never given up on for being late: while lower classes still get
+        // their share, that would be shedding it for them.
+        (_, true) => None,
+        (Some(most_ms), false) => Some(u64::from(most_ms)),
+        (None, false) => Some(default_ms),
+    }
+}
--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,206 @@
+//! A model engine: batches continuously, streams tokens at a set rate, notices hang-ups, and keeps
+//! a record of what it was sent.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use ntex::util::{Bytes, Stream};
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
+
+use crate::{serve, tokens};
+
+#[derive(Clone, Debug, clap::Args)]
+pub struct Options {
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Time between two tokens of a stream
+    #[arg(long, default_value_t = 10)]
+    token_ms: u64,
+    /// Time to the first token of a prompt of 1000 tokens
+    #[arg(long, default_value_t = 40)]
+    prefill_ms: u64,
+    /// Requests that run at the same time; more wait
+    #[arg(long, default_value_t = 64)]
+    slots: usize,
+    #[arg(long, default_value_t = 1)]
+    workers: usize,
+}
+
+#[derive(Clone)]
+struct Shared {
+    options: Options,
+    slots: Arc<tokio::sync::Semaphore>,
+    record: Arc<Mutex<Record>>,
+    running: Arc<AtomicUsize>,
+    cancelled: Arc<AtomicU64>,
+    generated: Arc<AtomicU64>,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    runs: HashMap<String, u32>,
+    key_seen: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Body {
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    content: String,
+}
+
+pub async fn run(options: Options) -> anyhow::Result<()> {
+    let listener = serve::bind(options.listen)?;
+    let workers = options.workers;
+    let shared = Shared {
+        slots: Arc::new(tokio::sync::Semaphore::new(options.slots)),
+        options,
+        record: Arc::default(),
+        running: Arc::default(),
+        cancelled: Arc::default(),
+        generated: Arc::default(),
+    };
+    HttpServer::new(async move || {
+        App::new()
+            .state(shared.clone())
+            .state(web::types::PayloadConfig::new(4 << 20))
+            .route("/v1/chat/completions", web::post().to(complete))
+            .route("/v1/completions", web::post().to(complete))
+            .route("/record", web::get().to(record))
+    })
+    .workers(workers)
+    .listen(listener)?
+    .run()
+    .await?;
+    Ok(())
+}
+
+async fn record(shared: web::types::State<Shared>) -> HttpResponse {
+    let record = shared.record.lock().expect("no holder of this lock panics");
+    HttpResponse::Ok().json(&json!({
+        "runs": record.runs,
+        "key_seen": record.key_seen,
+        "running": shared.running.load(Ordering::Relaxed),
+        "cancelled": shared.cancelled.load(Ordering::Relaxed),
+        "generated": shared.generated.load(Ordering::Relaxed),
+    }))
+}
+
+fn note(shared: &Shared, request: &HttpRequest, body: &str) {
+    let mut record = shared.record.lock().expect("no holder of this lock panics");
+    let headers = request.headers().iter().filter_map(|(_, value)| value.to_str().ok());
+    record.key_seen |= serve::holds_key(body)
+        || serve::holds_key(&request.uri().to_string())
+        || headers.into_iter().any(serve::holds_key);
+    let id = request.headers().get("x-request-id").and_then(|value| value.to_str().ok());
+    if let Some(id) = id {
+        *record.runs.entry(id.to_owned()).or_default() += 1;
+    }
+}
+
+async fn complete(
+    request: HttpRequest,
+    body: String,
+    shared: web::types::State<Shared>,
+) -> HttpResponse {
+    note(&shared, &request, &body);
+    let Ok(body) = serde_json::from_str::<Body>(&body) else {
+        return HttpResponse::BadRequest().json(&json!({"error": {"message": "not a completion"}}));
+    };
+    let prompt = body.messages.last().map_or(body.prompt, |message| message.content.clone());
+    let count = body.max_tokens.unwrap_or(16);
+    let permit = Arc::clone(&shared.slots).acquire_owned().await.expect("never closed");
+    shared.running.fetch_add(1, Ordering::Relaxed);
+    let running = Running { shared: (*shared).clone(), whole: false, _permit: permit };
+    let prefill_ms = shared.options.prefill_ms * (prompt.len() as u64 / 4 + 1) / 1000;
+    sleep(Duration::from_millis(prefill_ms)).await;
+    if body.stream {
+        let tokens = TokenStream {
+            running,
+            prompt,
+            count,
+            place: 0,
+            next: Box::pin(sleep(Duration::ZERO)),
+        };
+        return HttpResponse::Ok().content_type("text/event-stream").streaming(tokens);
+    }
+    sleep(Duration::from_millis(shared.options.token_ms * u64::from(count))).await;
+    finish_whole(running, &prompt, count)
+}
+
+fn finish_whole(mut running: Running, prompt: &str, count: u32) -> HttpResponse {
+    running.whole = true;
+    running.shared.generated.fetch_add(u64::from(count), Ordering::Relaxed);
+    HttpResponse::Ok().json(&json!({
+        "object": "chat.completion",
+        "choices": [{"index": 0, "finish_reason": "stop",
+            "message": {"role": "assistant", "content": tokens::answer(prompt, count)}}],
+        "usage": {"prompt_tokens": prompt.len() / 4, "completion_tokens": count},
+    }))
+}
+
+struct Running {
+    shared: Shared,
+    whole: bool,
+    _permit: tokio::sync::OwnedSemaphorePermit,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.shared.running.fetch_sub(1, Ordering::Relaxed);
+        if !self.whole {
+            self.shared.cancelled.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+struct TokenStream {
+    running: Running,
+    prompt: String,
+    count: u32,
+    place: u32,
+    next: Pin<Box<Sleep>>,
+}
+
+impl Stream for TokenStream {
+    type Item = Result<Bytes, Infallible>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.running.whole {
+            return Poll::Ready(None);
+        }
+        if self.next.as_mut().poll(context).is_pending() {
+            return Poll::Pending;
+        }
+        let place = self.place;
+        if place == self.count {
+            self.running.whole = true;
+            return Poll::Ready(Some(Ok(Bytes::from_static(b"data: [DONE]\n\n"))));
+        }
+        self.place += 1;
+        let at = Instant::now() + Duration::from_millis(self.running.shared.options.token_ms);
+        self.next = Box::pin(sleep_until(at));
+        self.running.shared.generated.fetch_add(1, Ordering::Relaxed);
+        let chunk = json!({"object": "chat.completion.chunk", "choices": [{"index": 0,
+            "delta": {"content": tokens::token(&self.prompt, place)}, "finish_reason": null}]});
+        Poll::Ready(Some(Ok(Bytes::from(format!("data: {chunk}\n\n")))))
+    }
+}
--- /dev/null
+++ b/standin/src/service.rs
@@ -0,0 +1,95 @@
+//! A plain service that counts how often each call ran, by idempotency key.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use serde_json::json;
+
+use crate::serve;
+
+#[derive(Clone, Debug, clap::Args)]
+pub struct Options {
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// How long a call takes
+    #[arg(long, default_value_t = 5)]
+    call_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    /// Runs by idempotency key.
+    keys: HashMap<String, u32>,
+    /// Runs by request id.
+    runs: HashMap<String, u32>,
+    key_seen: bool,
+    calls: u64,
+}
+
+#[derive(Clone)]
+struct Shared {
+    options: Options,
+    record: Arc<Mutex<Record>>,
+}
+
+pub async fn run(options: Options) -> anyhow::Result<()> {
+    let listener = serve::bind(options.listen)?;
+    let shared = Shared { options, record: Arc::default() };
+    HttpServer::new(async move || {
+        App::new()
+            .state(shared.clone())
+            .state(web::types::PayloadConfig::new(4 << 20))
+            .route("/record", web::get().to(record))
+            .default_service(web::route().to(call))
+    })
+    .workers(1)
+    .listen(listener)?
+    .run()
+    .await?;
+    Ok(())
+}
+
+async fn record(shared: web::types::State<Shared>) -> HttpResponse {
+    let record = shared.record.lock().expect("no holder of this lock panics");
+    HttpResponse::Ok().json(&json!({
+        "keys": record.keys,
+        "runs": record.runs,
+        "key_seen": record.key_seen,
+        "calls": record.calls,
+    }))
+}
+
+async fn call(
+    request: HttpRequest,
+    body: String,
+    shared: web::types::State<Shared>,
+) -> HttpResponse {
+    let text = |name: &str| {
+        request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+    };
+    let number = {
+        let mut record = shared.record.lock().expect("no holder of this lock panics");
+        record.calls += 1;
+        let headers = request.headers().iter().filter_map(|(_, value)| value.to_str().ok());
+        record.key_seen |= serve::holds_key(&body)
+            || serve::holds_key(&request.uri().to_string())
+            || headers.into_iter().any(serve::holds_key);
+        if let Some(id) = text("x-request-id") {
+            *record.runs.entry(id).or_default() += 1;
+        }
+        if let Some(key) = text("idempotency-key") {
+            *record.keys.entry(key).or_default() += 1;
+        }
+        record.calls
+    };
+    tokio::time::sleep(Duration::from_millis(shared.options.call_ms)).await;
+    HttpResponse::Ok().json(&json!({
+        "number": number,
+        "method": request.method().as_str(),
+        "path": request.uri().to_string(),
+        "body": body,
+    }))
+}
