--- a/demo.sh
+++ b/demo.sh
@@ -133,8 +133,10 @@
 fi
 
 "$bin/briarwinch-standin" load --target "$(IFS=,; echo "${entries[*]}")" --key "$key1,$key2" \
-  --plan examples/demo-load.jsonc --seconds 10 --rate 60 --seed 7 2>"$work/load.err" | tee "$work/load.out"
-head -5 "$work/load.err" >&2
+  --plan examples/demo-load.jsonc --seconds 10 --rate 60 --seed 7 >"$work/load.out" 2>"$work/load.err" ||
+  { cat "$work/load.err" >&2; exit 1; }
+cat "$work/load.out"
+head -5 "$work/load.err"
 read -r whole sent < <(sed -n 's/^answers whole \([0-9]*\) of \([0-9]*\)$/\1 \2/p' "$work/load.out")
 echo "demo: answers whole $whole of $sent"
 [ "$whole" = "$sent" ] && [ "$sent" -gt 0 ]
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -59,14 +59,18 @@
     /// The body from an offset, at most `most` bytes of it.
     #[must_use]
     pub fn piece(&self, offset: u64, most: usize) -> &[u8] {
-        let Some(skip) = offset.checked_sub(self.begin) else { return &[] };
+        let Some(skip) = offset.checked_sub(self.begin) else {
+            return &[];
+        };
         let rest = self.body.get(skip as usize..).unwrap_or(&[]);
         &rest[..rest.len().min(most)]
     }
 
     /// Lets go of the body before an offset.
     pub fn let_go(&mut self, offset: u64) {
-        let count = offset.saturating_sub(self.begin).min(self.body.len() as u64) as usize;
+        let count = offset
+            .saturating_sub(self.begin)
+            .min(self.body.len() as u64) as usize;
         self.body.drain(..count);
         self.body.shrink_to_fit();
         self.begin += count as u64;
@@ -89,7 +93,13 @@
 impl Reader {
     #[must_use]
     pub fn new(stream: wire::StreamId, offset: u64, credit_bytes: u64) -> Self {
-        Self { stream, offset, credit_bytes, has_top: offset > 0, has_ending: false }
+        Self {
+            stream,
+            offset,
+            credit_bytes,
+            has_top: offset > 0,
+            has_ending: false,
+        }
     }
 
     /// The reader has all there will ever be.
@@ -119,7 +129,11 @@
             let offset = self.offset;
             self.offset += piece.len() as u64;
             self.credit_bytes -= piece.len() as u64;
-            return Some(wire::ToEntry::Data(wire::Data { stream, offset, bytes: piece.to_vec() }));
+            return Some(wire::ToEntry::Data(wire::Data {
+                stream,
+                offset,
+                bytes: piece.to_vec(),
+            }));
         }
         if self.offset < answer.length() {
             return None;
@@ -133,9 +147,10 @@
                 tokens: *tokens,
                 queue_ms: *queue_ms,
             }),
-            Ending::Refused(refusal) => {
-                wire::ToEntry::Refused(wire::Refused { stream, refusal: refusal.clone() })
-            }
+            Ending::Refused(refusal) => wire::ToEntry::Refused(wire::Refused {
+                stream,
+                refusal: refusal.clone(),
+            }),
         })
     }
 }
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -74,7 +74,10 @@
     Replay(SavedAnswer),
     /// It may not be sent. When `open`, the creation was never answered and may yet take effect;
     /// it has to be released later.
-    Refuse { refusal: error::Refusal, open: Option<Claim> },
+    Refuse {
+        refusal: error::Refusal,
+        open: Option<Claim>,
+    },
 }
 
 /// Object key of a claim.
@@ -97,7 +100,13 @@
     let mut sent = false;
     for _ in 0..TRIES {
         match store.put(&key, text(&record), Condition::Absent).await {
-            Ok(version) => return Outcome::Go(Claim { key, record, version }),
+            Ok(version) => {
+                return Outcome::Go(Claim {
+                    key,
+                    record,
+                    version,
+                });
+            }
             Err(Failure::Conflict) => {}
             Err(Failure::NoAnswer) => sent = true,
             // The store said that it did nothing; but an earlier try may still be open.
@@ -111,19 +120,30 @@
                     return refuse(error::Kind::ClaimUnresolved, None);
                 };
                 if found.nonce == record.nonce && found.holder == record.holder {
-                    return Outcome::Go(Claim { key, record, version: object.version });
+                    return Outcome::Go(Claim {
+                        key,
+                        record,
+                        version: object.version,
+                    });
                 }
                 return examine(&found, &record, is_alive);
             }
             Ok(None) | Err(_) => {}
         }
     }
-    let open = sent.then(|| Claim { key, record, version: 0 });
+    let open = sent.then(|| Claim {
+        key,
+        record,
+        version: 0,
+    });
     refuse(error::Kind::StoreUnavailable, open)
 }
 
 fn refuse(kind: error::Kind, open: Option<Claim>) -> Outcome {
-    Outcome::Refuse { refusal: error::Refusal::not_run(kind), open }
+    Outcome::Refuse {
+        refusal: error::Refusal::not_run(kind),
+        open,
+    }
 }
 
 fn examine(found: &Record, wanted: &Record, is_alive: impl Fn(&Holder) -> bool) -> Outcome {
@@ -135,11 +155,17 @@
         State::Running if is_alive(&found.holder) => {
             let refusal =
                 error::Refusal::unknown(error::Kind::ClaimRunning).retry_after_ms(RUNNING_RETRY_MS);
-            Outcome::Refuse { refusal, open: None }
+            Outcome::Refuse {
+                refusal,
+                open: None,
+            }
         }
         State::Running | State::Unknown => {
             let refusal = error::Refusal::unknown(error::Kind::ClaimUnresolved);
-            Outcome::Refuse { refusal, open: None }
+            Outcome::Refuse {
+                refusal,
+                open: None,
+            }
         }
     }
 }
@@ -155,7 +181,9 @@
                 return true;
             }
             Err(Failure::Conflict | Failure::NoAnswer) => {
-                let Ok(Some(object)) = store.get(&claim.key).await else { continue };
+                let Ok(Some(object)) = store.get(&claim.key).await else {
+                    continue;
+                };
                 let found = serde_json::from_str::<Record>(&object.value).ok();
                 if found.as_ref() == Some(&claim.record) {
                     claim.version = object.version;
@@ -179,8 +207,12 @@
 /// Takes a claim back whose call was never sent. Says whether the store has none of it.
 pub async fn release(store: &impl ObjectStore, claim: &Claim) -> bool {
     for _ in 0..TRIES {
-        let Ok(found) = store.get(&claim.key).await else { continue };
-        let Some(object) = found else { return claim.version != 0 };
+        let Ok(found) = store.get(&claim.key).await else {
+            continue;
+        };
+        let Some(object) = found else {
+            return claim.version != 0;
+        };
         let own = serde_json::from_str::<Record>(&object.value).is_ok_and(|found| {
             found.nonce == claim.record.nonce
                 && found.holder == claim.record.holder
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,10 +24,20 @@
 #[command(name = "briarwinch", version)]
 pub struct Operator {
     /// The platform, as `http://IP:PORT`
-    #[arg(long, global = true, env = "BRIARWINCH_PLATFORM", default_value = "http://127.0.0.1:7700")]
+    #[arg(
+        long,
+        global = true,
+        env = "BRIARWINCH_PLATFORM",
+        default_value = "http://127.0.0.1:7700"
+    )]
     pub platform: String,
     /// The operators' listener of any daemon, as `http://IP:PORT`
-    #[arg(long, global = true, env = "BRIARWINCH_ADMIN", default_value = "http://127.0.0.1:7701")]
+    #[arg(
+        long,
+        global = true,
+        env = "BRIARWINCH_ADMIN",
+        default_value = "http://127.0.0.1:7701"
+    )]
     pub admin: String,
     #[arg(long, global = true, value_enum, default_value_t = Output::Text)]
     pub output: Output,
--- a/src/config.rs
+++ b/src/config.rs
@@ -120,7 +120,10 @@
 
 impl Default for Billing {
     fn default() -> Self {
-        Self { window_s: 3600, grace_s: 60 }
+        Self {
+            window_s: 3600,
+            grace_s: 60,
+        }
     }
 }
 
@@ -200,7 +203,11 @@
     pub fn parse(text: &str) -> Result<Self, jsonc::Mistake> {
         if text.len() > MAX_TEXT_BYTES {
             let sentence = format!("the text is longer than {MAX_TEXT_BYTES} bytes");
-            return Err(jsonc::Mistake { line: 1, column: 1, sentence });
+            return Err(jsonc::Mistake {
+                line: 1,
+                column: 1,
+                sentence,
+            });
         }
         let document = jsonc::Document::parse(text)?;
         let text: Text = document.read()?;
@@ -218,8 +225,11 @@
         let services = check_services(&text, &class_names, needs)?;
         let accounts = check_accounts(&text, &class_names)?;
         check_billing(text.billing)?;
-        let classes =
-            text.classes.into_iter().map(|(name, text)| Class { name, text }).collect();
+        let classes = text
+            .classes
+            .into_iter()
+            .map(|(name, text)| Class { name, text })
+            .collect();
         Ok(Self {
             classes,
             services,
@@ -276,7 +286,10 @@
     names: impl Iterator<Item = &'a CompactString>,
     key: impl Fn(usize) -> K,
 ) -> HashMap<CompactString, K> {
-    names.enumerate().map(|(at, name)| (name.clone(), key(at))).collect()
+    names
+        .enumerate()
+        .map(|(at, name)| (name.clone(), key(at)))
+        .collect()
 }
 
 fn check_names(text: &Text) -> Result<(), Broken> {
@@ -291,7 +304,8 @@
         }
         for name in names {
             let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-            if name.is_empty() || name.chars().count() > MAX_NAME_CHARS || !name.chars().all(plain) {
+            if name.is_empty() || name.chars().count() > MAX_NAME_CHARS || !name.chars().all(plain)
+            {
                 let sentence = format!(
                     "`{name}` is no name: 1 to {MAX_NAME_CHARS} letters, digits, `-`, `_` or `.`"
                 );
@@ -304,13 +318,19 @@
 
 fn check_classes(text: &Text) -> Result<(), Broken> {
     if text.classes.is_empty() {
-        return Err((crate::path!["classes"], "at least one class is needed".to_owned()));
+        return Err((
+            crate::path!["classes"],
+            "at least one class is needed".to_owned(),
+        ));
     }
     let mut guaranteed_ppm = 0_u64;
     for (name, class) in &text.classes {
         let at = |field: &str| crate::path!["classes", name.as_str(), field];
         if class.latency_target_ms == 0 {
-            return Err((at("latency_target_ms"), "the latency target is zero".to_owned()));
+            return Err((
+                at("latency_target_ms"),
+                "the latency target is zero".to_owned(),
+            ));
         }
         if class.guaranteed_ppm == 0 {
             let sentence = "a class without a guaranteed share could wait forever";
@@ -398,7 +418,10 @@
         let at = |field: &str| crate::path!["services", name.as_str(), field];
         let default_class = find_class(classes, &service.default_class, at("default_class"))?;
         if service.slots == 0 {
-            return Err((at("slots"), "an endpoint needs at least one slot".to_owned()));
+            return Err((
+                at("slots"),
+                "an endpoint needs at least one slot".to_owned(),
+            ));
         }
         if (service.max_queue as usize) < text.classes.len() {
             let sentence = "the queue needs at least one place for each class";
@@ -408,7 +431,12 @@
             return Err((at("endpoints"), "`least` is greater than `most`".to_owned()));
         }
         let text = service.clone();
-        services.push(Service { name: name.clone(), text, default_class, needs });
+        services.push(Service {
+            name: name.clone(),
+            text,
+            default_class,
+            needs,
+        });
     }
     Ok(services)
 }
@@ -440,7 +468,10 @@
 
 fn check_billing(billing: Billing) -> Result<(), Broken> {
     if billing.window_s == 0 {
-        return Err((crate::path!["billing", "window_s"], "the window is zero".to_owned()));
+        return Err((
+            crate::path!["billing", "window_s"],
+            "the window is zero".to_owned(),
+        ));
     }
     Ok(())
 }
@@ -450,5 +481,8 @@
     name: &CompactString,
     path: jsonc::Path,
 ) -> Result<ClassKey, Broken> {
-    classes.get(name).copied().ok_or_else(|| (path, format!("`{name}` is no class of this text")))
+    classes
+        .get(name)
+        .copied()
+        .ok_or_else(|| (path, format!("`{name}` is no class of this text")))
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -86,7 +86,10 @@
     /// Counts usage into the billing window of this moment.
     pub fn count(&self, line: &usage::Line, figures: usage::Figures) {
         let snapshot = self.snapshot.load();
-        let window_s = snapshot.config.as_ref().map_or(3600, |c| c.model.billing.window_s);
+        let window_s = snapshot
+            .config
+            .as_ref()
+            .map_or(3600, |c| c.model.billing.window_s);
         let window = usage::Window(unix_ms() / 1000 / window_s);
         if let Ok(mut sheet) = self.sheet.lock() {
             sheet.add(window, line, figures);
@@ -97,7 +100,9 @@
 /// Milliseconds since 1970.
 #[must_use]
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |age| age.as_millis() as u64)
 }
 
 /// What a daemon says of itself.
@@ -138,13 +143,17 @@
     log: slog::Logger,
     sockets: bound::Pair,
 ) -> anyhow::Result<()> {
-    std::thread::Builder::new().name("control".to_owned()).spawn(move || {
-        let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
-        let outcome = runner.block_on(run(settings, identity, hub, log.clone(), sockets));
-        if let Err(error) = outcome {
-            slog::crit!(log, "control thread ended"; "error" => format!("{error:#}"));
-        }
-    })?;
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let runner = ntex::rt::System::build()
+                .disable_signals()
+                .build(ntex::rt::DefaultRuntime);
+            let outcome = runner.block_on(run(settings, identity, hub, log.clone(), sockets));
+            if let Err(error) = outcome {
+                slog::crit!(log, "control thread ended"; "error" => format!("{error:#}"));
+            }
+        })?;
     Ok(())
 }
 
@@ -180,11 +189,7 @@
     Ok(())
 }
 
-fn first_record(
-    settings: &settings::Daemon,
-    identity: &Identity,
-    boot: u64,
-) -> membership::Member {
+fn first_record(settings: &settings::Daemon, identity: &Identity, boot: u64) -> membership::Member {
     membership::Member {
         id: settings.id.clone(),
         version: unix_ms() * 1000,
@@ -215,7 +220,10 @@
     /// Notes whether the store answered.
     pub fn store_answered<T>(&self, outcome: &Result<T, store::Failure>) {
         self.hub.store_calls.fetch_add(1, Ordering::Relaxed);
-        let up = !matches!(outcome, Err(store::Failure::Down | store::Failure::NoAnswer));
+        let up = !matches!(
+            outcome,
+            Err(store::Failure::Down | store::Failure::NoAnswer)
+        );
         if self.hub.store_up.swap(up, Ordering::Relaxed) != up {
             slog::warn!(self.log, "store"; "up" => up);
         }
@@ -224,7 +232,11 @@
     /// Whether this daemon reads the store for its zone.
     #[must_use]
     pub fn is_reader(&self) -> bool {
-        membership::is_reader(&self.shared.borrow().fleet, &self.me.borrow(), READERS_PER_ZONE)
+        membership::is_reader(
+            &self.shared.borrow().fleet,
+            &self.me.borrow(),
+            READERS_PER_ZONE,
+        )
     }
 
     fn write_own_record(&self) {
@@ -239,7 +251,10 @@
             shared.fleet.take(me.clone())
         };
         if changed {
-            self.publish(spread::Changed { members: true, ..Default::default() });
+            self.publish(spread::Changed {
+                members: true,
+                ..Default::default()
+            });
         }
     }
 
@@ -290,7 +305,9 @@
         // in force. It waits until it heard a peer or, where there is none, the store itself.
         let informed = self.heard_peer.get() || self.read_store.get();
         let has_config = self.shared.borrow().config.is_some();
-        self.hub.ready.store(informed && has_config, Ordering::Release);
+        self.hub
+            .ready
+            .store(informed && has_config, Ordering::Release);
     }
 
     fn send_digests(&self, count: usize) {
@@ -311,18 +328,28 @@
             .collect();
         let mut random = rand::rng();
         if known.is_empty() {
-            let seeds = self.settings.seeds.iter().copied().filter(|addr| *addr != own);
+            let seeds = self
+                .settings
+                .seeds
+                .iter()
+                .copied()
+                .filter(|addr| *addr != own);
             return seeds.choose_multiple(&mut random, count);
         }
         known.into_iter().choose_multiple(&mut random, count)
     }
 
     fn send_digest(&self, addr: SocketAddr, is_answer: bool) {
-        let digest = self.shared.borrow().digest(self.settings.peer_addr, is_answer);
+        let digest = self
+            .shared
+            .borrow()
+            .digest(self.settings.peer_addr, is_answer);
         let Ok(bytes) = wire::seal_datagram(&self.secret, &wire::Datagram::Digest(digest)) else {
             return;
         };
-        self.hub.bytes_out.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        self.hub
+            .bytes_out
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
         // A datagram that does not leave is like one that was lost: the next second repairs it.
         let _ = self.socket.try_send_to(&bytes, addr);
     }
@@ -361,7 +388,9 @@
 async fn read_store(control: &Rc<Control>) {
     let listed = control.platform.list(store::SHARED_PREFIX).await;
     control.store_answered(&listed);
-    let Ok(listing) = listed else { return wait_for_store().await };
+    let Ok(listing) = listed else {
+        return wait_for_store().await;
+    };
     control.read_store.set(true);
     let mut after = listing.revision;
     control.take(|shared| shared.take_objects(listing.objects));
@@ -373,7 +402,9 @@
     loop {
         let watched = control.platform.watch(store::SHARED_PREFIX, after).await;
         control.store_answered(&watched);
-        let Ok(listing) = watched else { return wait_for_store().await };
+        let Ok(listing) = watched else {
+            return wait_for_store().await;
+        };
         if listing.revision < after {
             // The store answers from an older state than it listed; start over with a listing.
             return wait_for_store().await;
@@ -414,7 +445,10 @@
 async fn compare_digests(control: Rc<Control>) {
     loop {
         let jitter_ms = rand::random_range(0..DIGEST_MS / 5);
-        time::sleep(Duration::from_millis(DIGEST_MS - DIGEST_MS / 10 + jitter_ms)).await;
+        time::sleep(Duration::from_millis(
+            DIGEST_MS - DIGEST_MS / 10 + jitter_ms,
+        ))
+        .await;
         if control.hub.draining.load(Ordering::Acquire) {
             control.set_state(membership::State::Draining);
         }
@@ -425,7 +459,9 @@
 async fn receive_datagrams(control: Rc<Control>) {
     let mut buffer = vec![0; wire::MAX_DATAGRAM_BYTES + 1];
     loop {
-        let Ok((count, _)) = control.socket.recv_from(&mut buffer).await else { continue };
+        let Ok((count, _)) = control.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
         match wire::open_datagram(&control.secret, &buffer[..count]) {
             Ok(wire::Datagram::Digest(digest)) => receive_digest(&control, &digest),
             Ok(_) => count_reject(wire::Reject::Message),
@@ -470,7 +506,10 @@
     }
     let control = Rc::clone(control);
     task::spawn_local(async move {
-        let pulled = time::timeout(Duration::from_millis(2 * link::OPEN_MS), pull(&control, addr));
+        let pulled = time::timeout(
+            Duration::from_millis(2 * link::OPEN_MS),
+            pull(&control, addr),
+        );
         if let Ok(Ok(())) = pulled.await {
             control.heard_peer.set(true);
             control.update_ready();
@@ -485,7 +524,9 @@
     loop {
         let pull = control.shared.borrow().pull();
         link.outbox.send(&pull);
-        let Some(news) = link.inbox.next::<wire::News>().await? else { break };
+        let Some(news) = link.inbox.next::<wire::News>().await? else {
+            break;
+        };
         let more = news.more_keys;
         control.take(|shared| shared.take_news(news));
         if !more {
--- a/src/duties.rs
+++ b/src/duties.rs
@@ -119,10 +119,16 @@
     let read = control.platform.get(key).await;
     control.store_answered(&read);
     let seen = match read {
-        Ok(None) => lease::Seen { version: 0, record: None },
+        Ok(None) => lease::Seen {
+            version: 0,
+            record: None,
+        },
         Ok(Some(object)) => {
             let record = serde_json::from_str(&object.value).ok();
-            lease::Seen { version: object.version, record }
+            lease::Seen {
+                version: object.version,
+                record,
+            }
         }
         Err(_) => return,
     };
@@ -151,7 +157,9 @@
 }
 
 fn show(control: &control::Control, duty: &Duty, contender: &lease::Contender, note: &str) {
-    let Some(record) = contender.holder() else { return };
+    let Some(record) = contender.holder() else {
+        return;
+    };
     let status = Status {
         duty: duty.key(),
         holder: record.holder.clone(),
@@ -159,7 +167,9 @@
         held_here: contender.epoch(control.hub.now_ms()).is_some(),
         note: note.to_owned(),
     };
-    let Ok(mut duties) = control.hub.duties.lock() else { return };
+    let Ok(mut duties) = control.hub.duties.lock() else {
+        return;
+    };
     match duties.iter_mut().find(|known| known.duty == status.duty) {
         Some(known) => *known = status,
         None => duties.push(status),
--- a/src/entry/asks.rs
+++ b/src/entry/asks.rs
@@ -47,7 +47,10 @@
 impl Asks {
     pub(super) async fn bind(ip: IpAddr) -> Self {
         let socket = UdpSocket::bind(SocketAddr::new(ip, 0)).await.ok();
-        Self { socket, pending: RefCell::default() }
+        Self {
+            socket,
+            pending: RefCell::default(),
+        }
     }
 }
 
@@ -64,8 +67,16 @@
         for place in places {
             let nonce = rand::random();
             let target = placement::Target::of(place);
-            let ask = wire::Ask { nonce, endpoint: place.endpoint, ..ask.clone() };
-            let pending = Pending { target, sent_ms, round: Rc::clone(&round) };
+            let ask = wire::Ask {
+                nonce,
+                endpoint: place.endpoint,
+                ..ask.clone()
+            };
+            let pending = Pending {
+                target,
+                sent_ms,
+                round: Rc::clone(&round),
+            };
             self.asks.pending.borrow_mut().insert(nonce, pending);
             let sealed = wire::seal_datagram(&self.common.secret, &wire::Datagram::Ask(ask));
             if let (Some(socket), Ok(bytes)) = (&self.asks.socket, sealed) {
@@ -94,9 +105,14 @@
     }
 
     fn take_offer(&self, offer: wire::Offer) {
-        let Some(pending) = self.asks.pending.borrow_mut().remove(&offer.nonce) else { return };
+        let Some(pending) = self.asks.pending.borrow_mut().remove(&offer.nonce) else {
+            return;
+        };
         self.silent.borrow_mut().answered(pending.target);
-        pending.round.offers.borrow_mut().push(Answered { target: pending.target, offer });
+        pending.round.offers.borrow_mut().push(Answered {
+            target: pending.target,
+            offer,
+        });
         pending.round.arrived.notify_one();
     }
 }
@@ -115,10 +131,14 @@
 
 /// Receives offers for as long as the thread lives.
 pub(super) async fn receive(worker: Rc<Worker>) {
-    let Some(socket) = &worker.asks.socket else { return };
+    let Some(socket) = &worker.asks.socket else {
+        return;
+    };
     let mut buffer = vec![0; wire::MAX_DATAGRAM_BYTES + 1];
     loop {
-        let Ok((count, _)) = socket.recv_from(&mut buffer).await else { continue };
+        let Ok((count, _)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
         match wire::open_datagram(&worker.common.secret, &buffer[..count]) {
             Ok(wire::Datagram::Offer(offer)) => worker.take_offer(offer),
             Ok(_) => control::count_reject(wire::Reject::Message),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,8 +25,8 @@
 use tokio::{task, time};
 
 use crate::{
-    admin, bound, control, explain, logging, membership, metric, placement, retry, settings, spread,
-    trace, wire,
+    admin, bound, control, explain, logging, membership, metric, placement, retry, settings,
+    spread, trace, wire,
 };
 
 /// How long an idle connection of a caller is kept.
@@ -83,8 +83,20 @@
     settings.listen_addr = listener.local_addr()?;
     let sockets = bound::Daemon::bind(&mut settings.daemon)?;
     let daemon = settings.daemon.clone();
-    admin::spawn(&daemon, Arc::clone(&hub), Some(Arc::clone(&ring)), metrics, sockets.admin)?;
-    control::spawn(daemon, identity, Arc::clone(&hub), log.clone(), sockets.peer)?;
+    admin::spawn(
+        &daemon,
+        Arc::clone(&hub),
+        Some(Arc::clone(&ring)),
+        metrics,
+        sockets.admin,
+    )?;
+    control::spawn(
+        daemon,
+        identity,
+        Arc::clone(&hub),
+        log.clone(),
+        sockets.peer,
+    )?;
     bound::announce(&settings.daemon, settings.listen_addr);
     let common = Arc::new(Common {
         secret: wire::Secret::fleet(&settings.daemon.fleet_secret),
@@ -114,7 +126,9 @@
     let shared = Arc::clone(common);
     let server = HttpServer::new(async move || {
         let worker = Worker::open(Arc::clone(&shared)).await;
-        App::new().state(worker).default_service(web::route().to(intake::handle))
+        App::new()
+            .state(worker)
+            .default_service(web::route().to(intake::handle))
     })
     .workers(workers)
     .disable_signals()
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -27,7 +27,12 @@
     let opened = open(worker, &request, &mut story).await;
     match opened {
         Ok((reader, head)) => {
-            let parts = respond::Parts { request, active, story, span };
+            let parts = respond::Parts {
+                request,
+                active,
+                story,
+                span,
+            };
             respond::answer(worker, parts, reader, head).await
         }
         Err(refusal) => {
@@ -92,8 +97,12 @@
 }
 
 fn check_dependencies(worker: &Worker, request: &intake::Request) -> Result<(), error::Refusal> {
-    let Some(in_force) = &request.snapshot.config else { return Ok(()) };
-    let Some(service) = in_force.model.service(&request.service) else { return Ok(()) };
+    let Some(in_force) = &request.snapshot.config else {
+        return Ok(());
+    };
+    let Some(service) = in_force.model.service(&request.service) else {
+        return Ok(());
+    };
     let region = &worker.common.settings.daemon.region;
     for needed in &in_force.model.service_at(service).needs {
         let name = &in_force.model.service_at(*needed).name;
@@ -121,15 +130,14 @@
     }
 }
 
-fn submit(
-    worker: &Worker,
-    request: &intake::Request,
-    target: placement::Target,
-) -> wire::Submit {
+fn submit(worker: &Worker, request: &intake::Request, target: placement::Target) -> wire::Submit {
     let now_ms = worker.now_ms();
     let left = |at_ms: u64| u32::try_from(at_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX);
     wire::Submit {
-        stream: wire::StreamId { slot: 0, generation: 0 },
+        stream: wire::StreamId {
+            slot: 0,
+            generation: 0,
+        },
         endpoint: target.endpoint,
         request: request.id.clone(),
         service: request.service.clone(),
@@ -180,7 +188,10 @@
     };
     let offers = worker.ask(&asked, &ask).await;
     span.end(&worker.common.spans, &request.id);
-    attempt.asked = asked.iter().map(|place| asked_line(place, &offers)).collect();
+    attempt.asked = asked
+        .iter()
+        .map(|place| asked_line(place, &offers))
+        .collect();
     let best = best(&asked, &offers, &daemon.zone)?;
     attempt.chosen = Some(best.id.clone());
     Some(placement::Target::of(best))
@@ -195,9 +206,8 @@
 ) -> Vec<&'a membership::Place> {
     let now_ms = worker.now_ms();
     let silent = worker.silent.borrow();
-    let avoid = |target| {
-        tried.contains(&target) || (without_silent && silent.is_silent(target, now_ms))
-    };
+    let avoid =
+        |target| tried.contains(&target) || (without_silent && silent.is_silent(target, now_ms));
     // With an idempotency key the answer may be held somewhere already: all are asked.
     let width = match request.idempotency {
         Some(_) => MAX_HOLDERS_ASKED,
@@ -223,7 +233,11 @@
         (!answered.offer.leaving)
             .then(|| (1 + placement::cost_ms(&answered.offer, same_zone), *place))
     };
-    offers.iter().filter_map(cost).min_by_key(|(cost_ms, _)| *cost_ms).map(|(_, place)| place)
+    offers
+        .iter()
+        .filter_map(cost)
+        .min_by_key(|(cost_ms, _)| *cost_ms)
+        .map(|(_, place)| place)
 }
 
 fn asked_line(place: &membership::Place, offers: &[asks::Answered]) -> explain::Asked {
--- a/src/entry/respond.rs
+++ b/src/entry/respond.rs
@@ -38,14 +38,20 @@
 impl Closing {
     fn first_token(&mut self) {
         let now_ms = self.worker.now_ms();
-        let Some(parts) = self.parts.as_mut() else { return };
+        let Some(parts) = self.parts.as_mut() else {
+            return;
+        };
         if parts.story.first_token_ms.is_some() {
             return;
         }
         let after_ms = now_ms - parts.request.arrived_ms;
         parts.story.first_token_ms = Some(after_ms);
         let class = parts.request.class.to_string();
-        let in_time = if now_ms <= parts.request.target_at_ms { "yes" } else { "no" };
+        let in_time = if now_ms <= parts.request.target_at_ms {
+            "yes"
+        } else {
+            "no"
+        };
         metrics::counter!("briarwinch_first_tokens_total", "class" => class.clone(), "in_time" => in_time)
             .increment(1);
         metrics::histogram!("briarwinch_first_token_seconds", "class" => class)
@@ -53,7 +59,9 @@
     }
 
     fn end(&mut self, status: u16, outcome: Result<wire::End, &error::Refusal>, bytes: u64) {
-        let Some(mut parts) = self.parts.take() else { return };
+        let Some(mut parts) = self.parts.take() else {
+            return;
+        };
         let story = &mut parts.story;
         story.status = status;
         story.body_bytes = bytes;
@@ -103,12 +111,20 @@
     head: wire::Head,
 ) -> HttpResponse {
     let id = parts.request.id.clone();
-    let closing = Closing { worker: Rc::clone(worker), parts: Some(parts) };
-    let is_stream = head.headers.iter().any(|field| {
-        field.name == "content-type" && field.value.starts_with("text/event-stream")
-    });
+    let closing = Closing {
+        worker: Rc::clone(worker),
+        parts: Some(parts),
+    };
+    let is_stream = head
+        .headers
+        .iter()
+        .any(|field| field.name == "content-type" && field.value.starts_with("text/event-stream"));
     if is_stream {
-        let body = StreamedBody { closing, reader, status: head.status };
+        let body = StreamedBody {
+            closing,
+            reader,
+            status: head.status,
+        };
         return response(&head, &id).streaming(body);
     }
     whole(closing, reader, &head, &id).await
@@ -187,7 +203,8 @@
                     return Poll::Ready(None);
                 }
                 Some(Err(refusal)) => {
-                    this.closing.end(this.status, Err(&refusal), this.reader.received);
+                    this.closing
+                        .end(this.status, Err(&refusal), this.reader.received);
                     let event = format!("event: error\ndata: {}\n\n", refusal.body());
                     return Poll::Ready(Some(Ok(Bytes::from(event))));
                 }
@@ -217,8 +234,7 @@
 /// A refusal as an HTTP answer.
 pub(super) fn bare_refusal(refusal: &error::Refusal, id: &str) -> HttpResponse {
     let answer = refusal.kind.answer();
-    let status =
-        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = HttpResponse::build(status);
     response.set_header(RAN_HEADER, refusal.ran.to_string());
     if !id.is_empty() {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -56,7 +56,9 @@
 
 impl Ring {
     pub fn push(&self, story: Story) {
-        let Ok(mut stories) = self.stories.lock() else { return };
+        let Ok(mut stories) = self.stories.lock() else {
+            return;
+        };
         if stories.len() == REMEMBERED {
             stories.pop_front();
         }
@@ -66,6 +68,10 @@
     #[must_use]
     pub fn find(&self, request: &str) -> Option<Story> {
         let stories = self.stories.lock().ok()?;
-        stories.iter().rev().find(|story| story.request == request).cloned()
+        stories
+            .iter()
+            .rev()
+            .find(|story| story.request == request)
+            .cloned()
     }
 }
--- a/src/fairness.rs
+++ b/src/fairness.rs
@@ -37,23 +37,30 @@
 impl Counters {
     /// A request of the account begins to wait.
     pub fn wait(&mut self, account: &CompactString) {
-        let least = self.waiting.first().map_or(self.floor, |(counter, _)| *counter);
+        let least = self
+            .waiting
+            .first()
+            .map_or(self.floor, |(counter, _)| *counter);
         let counter = self.accounts.entry(account.clone()).or_default();
         if counter.waiting == 0 {
             if counter.running == 0 {
                 counter.virtual_tokens = counter.virtual_tokens.max(least);
             }
-            self.waiting.insert((counter.virtual_tokens, account.clone()));
+            self.waiting
+                .insert((counter.virtual_tokens, account.clone()));
         }
         counter.waiting += 1;
     }
 
     /// A waiting request of the account starts or is given up.
     pub fn leave(&mut self, account: &CompactString) {
-        let Some(counter) = self.accounts.get_mut(account) else { return };
+        let Some(counter) = self.accounts.get_mut(account) else {
+            return;
+        };
         counter.waiting = counter.waiting.saturating_sub(1);
         if counter.waiting == 0 {
-            self.waiting.remove(&(counter.virtual_tokens, account.clone()));
+            self.waiting
+                .remove(&(counter.virtual_tokens, account.clone()));
             self.floor = self.floor.max(counter.virtual_tokens);
         }
         self.forget_idle(account);
@@ -73,7 +80,13 @@
     }
 
     /// The request has had this much service in all; more than charged is charged now.
-    pub fn progress(&mut self, account: &CompactString, share: u32, charge: &mut Charge, tokens: u64) {
+    pub fn progress(
+        &mut self,
+        account: &CompactString,
+        share: u32,
+        charge: &mut Charge,
+        tokens: u64,
+    ) {
         if tokens > charge.tokens {
             self.add(account, share, tokens - charge.tokens);
             charge.tokens = tokens;
@@ -84,7 +97,9 @@
     pub fn finish(&mut self, account: &CompactString, share: u32, mut charge: Charge, tokens: u64) {
         self.progress(account, share, &mut charge, tokens);
         let back = (charge.tokens - tokens) * SCALE / u64::from(share.max(1));
-        self.shift(account, |virtual_tokens| virtual_tokens.saturating_sub(back));
+        self.shift(account, |virtual_tokens| {
+            virtual_tokens.saturating_sub(back)
+        });
         if let Some(counter) = self.accounts.get_mut(account) {
             counter.running = counter.running.saturating_sub(1);
         }
@@ -104,23 +119,31 @@
 
     fn add(&mut self, account: &CompactString, share: u32, tokens: u64) {
         let more = tokens * SCALE / u64::from(share.max(1));
-        self.shift(account, |virtual_tokens| virtual_tokens.saturating_add(more));
+        self.shift(account, |virtual_tokens| {
+            virtual_tokens.saturating_add(more)
+        });
     }
 
     fn shift(&mut self, account: &CompactString, to: impl Fn(u64) -> u64) {
-        let Some(counter) = self.accounts.get_mut(account) else { return };
+        let Some(counter) = self.accounts.get_mut(account) else {
+            return;
+        };
         let before = counter.virtual_tokens;
         counter.virtual_tokens = to(before);
         if counter.waiting > 0 {
             self.waiting.remove(&(before, account.clone()));
-            self.waiting.insert((counter.virtual_tokens, account.clone()));
+            self.waiting
+                .insert((counter.virtual_tokens, account.clone()));
         }
     }
 
     /// Drops an account that is idle and not ahead of the floor, so that memory follows the
     /// accounts in use and not all that ever came.
     fn forget_idle(&mut self, account: &CompactString) {
-        let floor = self.waiting.first().map_or(self.floor, |(counter, _)| *counter);
+        let floor = self
+            .waiting
+            .first()
+            .map_or(self.floor, |(counter, _)| *counter);
         if let Some(counter) = self.accounts.get(account) {
             if counter.waiting == 0 && counter.running == 0 && counter.virtual_tokens <= floor {
                 self.accounts.remove(account);
--- a/src/link.rs
+++ b/src/link.rs
@@ -73,8 +73,15 @@
 
 impl Outbox {
     fn new(sealer: wire::Sealer) -> Self {
-        let state = OutboxState { sealer, buffer: Vec::new(), closed: false };
-        Self { state: Rc::new(RefCell::new(state)), wake: Rc::new(Notify::new()) }
+        let state = OutboxState {
+            sealer,
+            buffer: Vec::new(),
+            closed: false,
+        };
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            wake: Rc::new(Notify::new()),
+        }
     }
 
     /// Appends a message; says whether the link is still open.
@@ -126,7 +133,9 @@
             // A peer that is frozen takes no bytes and closes nothing. Without a bound the link
             // would look open for as long as the kernel retransmits, and its streams would hang.
             let limit = Duration::from_millis(WRITE_MS);
-            tokio::time::timeout(limit, stream.write_all(&batch)).await.map_err(|_| timed_out())??;
+            tokio::time::timeout(limit, stream.write_all(&batch))
+                .await
+                .map_err(|_| timed_out())??;
             batch.clear();
         }
     }
@@ -161,7 +170,9 @@
         let stream = TcpStream::connect(addr).await?;
         greet(stream, secret, me, End::Client).await
     };
-    tokio::time::timeout(Duration::from_millis(OPEN_MS), open).await.map_err(|_| timed_out())?
+    tokio::time::timeout(Duration::from_millis(OPEN_MS), open)
+        .await
+        .map_err(|_| timed_out())?
 }
 
 /// Greets a peer that has connected.
@@ -174,7 +185,9 @@
     me: &CompactString,
 ) -> io::Result<Link> {
     let greeting = greet(stream, secret, me, End::Server);
-    tokio::time::timeout(Duration::from_millis(OPEN_MS), greeting).await.map_err(|_| timed_out())?
+    tokio::time::timeout(Duration::from_millis(OPEN_MS), greeting)
+        .await
+        .map_err(|_| timed_out())?
 }
 
 async fn greet(
@@ -185,14 +198,26 @@
 ) -> io::Result<Link> {
     stream.set_nodelay(true)?;
     let (read, mut write) = stream.into_split();
-    let mine = wire::Greeting { daemon: me.clone(), nonce: rand::random(), version: wire::VERSION };
+    let mine = wire::Greeting {
+        daemon: me.clone(),
+        nonce: rand::random(),
+        version: wire::VERSION,
+    };
     let mut bytes = Vec::new();
-    wire::Sealer::new(secret.clone()).seal(&mine, &mut bytes).map_err(broken)?;
+    wire::Sealer::new(secret.clone())
+        .seal(&mine, &mut bytes)
+        .map_err(broken)?;
     write.write_all(&bytes).await?;
     let opener = wire::Opener::new(secret.clone());
-    let mut inbox = Inbox { stream: read, opener, buffer: vec![0; READ_BYTES] };
-    let theirs: wire::Greeting =
-        inbox.next().await?.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
+    let mut inbox = Inbox {
+        stream: read,
+        opener,
+        buffer: vec![0; READ_BYTES],
+    };
+    let theirs: wire::Greeting = inbox
+        .next()
+        .await?
+        .ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
     let (client, server) = match end {
         End::Client => (mine.nonce, theirs.nonce),
         End::Server => (theirs.nonce, mine.nonce),
@@ -210,5 +235,9 @@
         let _ = writer.write_all(write).await;
         writer.close();
     });
-    Ok(Link { inbox, outbox, peer: theirs.daemon })
+    Ok(Link {
+        inbox,
+        outbox,
+        peer: theirs.daemon,
+    })
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -84,7 +84,10 @@
             .build(ntex::SharedCfg::default())
             .await
             .map_err(|error| anyhow::anyhow!("cannot make an HTTP client: {error:?}"))?;
-        Ok(Self { http, url: url.trim_end_matches('/').to_owned() })
+        Ok(Self {
+            http,
+            url: url.trim_end_matches('/').to_owned(),
+        })
     }
 
     async fn call<T: DeserializeOwned>(
@@ -117,7 +120,9 @@
                     .await
                     .map_err(|_| Failure::NoAnswer)?
                     .map_err(|_| Failure::NoAnswer)?;
-                serde_json::from_slice(&bytes).map(Some).map_err(|_| Failure::NoAnswer)
+                serde_json::from_slice(&bytes)
+                    .map(Some)
+                    .map_err(|_| Failure::NoAnswer)
             }
             StatusCode::SERVICE_UNAVAILABLE => Err(Failure::Down),
             _ => Err(Failure::NoAnswer),
@@ -131,7 +136,9 @@
         body: String,
         wait_ms: u32,
     ) -> Result<T, Failure> {
-        self.call(method, path, body, wait_ms).await?.ok_or(Failure::NoAnswer)
+        self.call(method, path, body, wait_ms)
+            .await?
+            .ok_or(Failure::NoAnswer)
     }
 
     /// Waits for changes under a prefix after a revision; an empty listing when none came in time.
@@ -140,7 +147,8 @@
     /// When the store is down or gives no answer.
     pub async fn watch(&self, prefix: &str, after: u64) -> Result<store::Listing, Failure> {
         let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={WATCH_MS}");
-        self.must(Method::GET, &path, String::new(), WATCH_MS + CALL_MS).await
+        self.must(Method::GET, &path, String::new(), WATCH_MS + CALL_MS)
+            .await
     }
 
     /// Reads the lagging list of instances and endpoints.
@@ -148,7 +156,8 @@
     /// # Errors
     /// When the platform is down or gives no answer.
     pub async fn roster(&self) -> Result<Roster, Failure> {
-        self.must(Method::GET, "/instances", String::new(), CALL_MS).await
+        self.must(Method::GET, "/instances", String::new(), CALL_MS)
+            .await
     }
 
     /// Reads the endpoints of an availability zone.
@@ -156,7 +165,13 @@
     /// # Errors
     /// When the platform is down or gives no answer.
     pub async fn endpoints(&self, zone: &str) -> Result<EndpointList, Failure> {
-        self.must(Method::GET, &format!("/endpoints/{zone}"), String::new(), CALL_MS).await
+        self.must(
+            Method::GET,
+            &format!("/endpoints/{zone}"),
+            String::new(),
+            CALL_MS,
+        )
+        .await
     }
 
     /// Sends an order for endpoints of a zone; no longer than the order may take.
@@ -166,8 +181,9 @@
     pub async fn order(&self, zone: &str, order: &orders::Order) -> Result<(), Failure> {
         let body = serde_json::to_string(order).map_err(|_| Failure::Down)?;
         let path = format!("/endpoints/{zone}/orders");
-        let _: serde_json::Value =
-            self.must(Method::POST, &path, body, orders::SEND_MS as u32).await?;
+        let _: serde_json::Value = self
+            .must(Method::POST, &path, body, orders::SEND_MS as u32)
+            .await?;
         Ok(())
     }
 
@@ -184,7 +200,13 @@
 
 impl ObjectStore for Platform {
     async fn get(&self, key: &str) -> Result<Option<store::Object>, Failure> {
-        self.call(Method::GET, &format!("/objects/{key}"), String::new(), CALL_MS).await
+        self.call(
+            Method::GET,
+            &format!("/objects/{key}"),
+            String::new(),
+            CALL_MS,
+        )
+        .await
     }
 
     async fn put(&self, key: &str, value: String, condition: Condition) -> Result<u64, Failure> {
@@ -199,11 +221,19 @@
 
     async fn delete(&self, key: &str, version: u64) -> Result<(), Failure> {
         let path = format!("/objects/{key}?if_version={version}");
-        let _: serde_json::Value = self.must(Method::DELETE, &path, String::new(), CALL_MS).await?;
+        let _: serde_json::Value = self
+            .must(Method::DELETE, &path, String::new(), CALL_MS)
+            .await?;
         Ok(())
     }
 
     async fn list(&self, prefix: &str) -> Result<store::Listing, Failure> {
-        self.must(Method::GET, &format!("/list?prefix={prefix}"), String::new(), CALL_MS).await
+        self.must(
+            Method::GET,
+            &format!("/list?prefix={prefix}"),
+            String::new(),
+            CALL_MS,
+        )
+        .await
     }
 }
--- a/src/side/asks.rs
+++ b/src/side/asks.rs
@@ -14,10 +14,14 @@
 pub(super) async fn serve(side: Rc<Side>, socket: UdpSocket) {
     let mut buffer = vec![0; wire::MAX_DATAGRAM_BYTES + 1];
     loop {
-        let Ok((count, from)) = socket.recv_from(&mut buffer).await else { continue };
+        let Ok((count, from)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
         match wire::open_datagram(&side.secret, &buffer[..count]) {
             Ok(wire::Datagram::Ask(ask)) => {
-                let Some(offer) = side.offer(&ask) else { continue };
+                let Some(offer) = side.offer(&ask) else {
+                    continue;
+                };
                 let sealed = wire::seal_datagram(&side.secret, &wire::Datagram::Offer(offer));
                 if let Ok(bytes) = sealed {
                     // A lost offer is one offer fewer to choose from.
--- a/src/side/endpoint.rs
+++ b/src/side/endpoint.rs
@@ -23,7 +23,9 @@
         *self.seen.entry(prefix).or_default() += 1;
         self.order.push_back(prefix);
         if self.order.len() > PREFIXES {
-            let Some(oldest) = self.order.pop_front() else { return };
+            let Some(oldest) = self.order.pop_front() else {
+                return;
+            };
             if let Some(count) = self.seen.get_mut(&oldest) {
                 *count -= 1;
                 if *count == 0 {
@@ -96,7 +98,9 @@
         self.slots.set(text.map_or(1, |text| text.slots as usize));
         let places = text.map_or(0, |text| text.max_queue as usize);
         let rules = queue::ClassRule::of(&in_force.model);
-        let mut old = self.queue.replace(queue::Queue::new(in_force.version, rules, places));
+        let mut old = self
+            .queue
+            .replace(queue::Queue::new(in_force.version, rules, places));
         Some((old.drain(), Arc::clone(&in_force.model)))
     }
 
@@ -105,6 +109,7 @@
     pub fn first_token_ms(&self, class: config::ClassKey) -> u32 {
         let ahead = self.queue.borrow().ahead_of(class);
         let pace = self.pace.borrow();
-        pace.wait_ms(ahead, self.running.get(), self.slots()).saturating_add(pace.start_ms())
+        pace.wait_ms(ahead, self.running.get(), self.slots())
+            .saturating_add(pace.start_ms())
     }
 }
--- a/src/side/mod.rs
+++ b/src/side/mod.rs
@@ -24,7 +24,8 @@
 use tokio::{task, time};
 
 use crate::{
-    admin, bound, claims, control, error, logging, membership, metric, platform, settings, trace, wire,
+    admin, bound, claims, control, error, logging, membership, metric, platform, settings, trace,
+    wire,
 };
 
 /// Connections to an endpoint at most; above any number of slots.
@@ -82,11 +83,23 @@
     };
     let daemon = settings.daemon.clone();
     admin::spawn(&daemon, Arc::clone(&hub), None, metrics, sockets.admin)?;
-    control::spawn(daemon, identity, Arc::clone(&hub), log.clone(), sockets.peer)?;
+    control::spawn(
+        daemon,
+        identity,
+        Arc::clone(&hub),
+        log.clone(),
+        sockets.peer,
+    )?;
     bound::announce(&settings.daemon, settings.work_addr);
     let side = open(settings, Arc::clone(&hub), log, boot).await?;
-    task::spawn_local(asks::serve(Rc::clone(&side), UdpSocket::from_std(work.udp)?));
-    task::spawn_local(entries::serve(Rc::clone(&side), TcpListener::from_std(work.tcp)?));
+    task::spawn_local(asks::serve(
+        Rc::clone(&side),
+        UdpSocket::from_std(work.udp)?,
+    ));
+    task::spawn_local(entries::serve(
+        Rc::clone(&side),
+        TcpListener::from_std(work.tcp)?,
+    ));
     task::spawn_local(sweep(Rc::clone(&side)));
     logging::stop_signal().await;
     side.drain().await;
@@ -107,7 +120,11 @@
         .build(ntex::SharedCfg::default())
         .await
         .map_err(|error| anyhow::anyhow!("cannot make an HTTP client: {error:?}"))?;
-    let endpoints = settings.endpoints.iter().map(endpoint::Endpoint::new).collect();
+    let endpoints = settings
+        .endpoints
+        .iter()
+        .map(endpoint::Endpoint::new)
+        .collect();
     Ok(Rc::new(Side {
         secret: wire::Secret::fleet(&settings.daemon.fleet_secret),
         spans: logging::span_sink(&settings.daemon),
@@ -135,7 +152,10 @@
     }
 
     fn holder(&self) -> claims::Holder {
-        claims::Holder { daemon: self.settings.daemon.id.clone(), boot: self.boot }
+        claims::Holder {
+            daemon: self.settings.daemon.id.clone(),
+            boot: self.boot,
+        }
     }
 
     /// Whether a claim's holder may still be running its call.
@@ -143,7 +163,9 @@
         if holder.daemon == self.settings.daemon.id {
             return holder.boot == self.boot;
         }
-        let Ok(shared) = self.hub.shared.lock() else { return true };
+        let Ok(shared) = self.hub.shared.lock() else {
+            return true;
+        };
         shared.fleet.find(&holder.daemon).is_some_and(|member| {
             member.boot == holder.boot && member.state != membership::State::Gone
         })
--- a/src/side/run.rs
+++ b/src/side/run.rs
@@ -68,7 +68,11 @@
     /// Nothing is left to be sent to its caller.
     pub(super) fn is_delivered(&self) -> bool {
         let ended = matches!(*self.phase.borrow(), Phase::Ended);
-        let read = self.subscriber.borrow().as_ref().is_none_or(|s| s.reader.is_done());
+        let read = self
+            .subscriber
+            .borrow()
+            .as_ref()
+            .is_none_or(|s| s.reader.is_done());
         ended && read
     }
 
@@ -79,7 +83,9 @@
     /// Sends the reader all that is there and its credit allows.
     fn flush(&self) {
         let mut subscriber = self.subscriber.borrow_mut();
-        let Some(subscriber) = subscriber.as_mut() else { return };
+        let Some(subscriber) = subscriber.as_mut() else {
+            return;
+        };
         let answer = self.answer.borrow();
         while let Some(frame) = subscriber.reader.next(&answer) {
             if !subscriber.outbox.send(&frame) {
@@ -98,8 +104,14 @@
     /// The reader is so far behind that the endpoint should not be read on.
     fn is_behind(&self) -> bool {
         let subscriber = self.subscriber.borrow();
-        let Some(subscriber) = subscriber.as_ref() else { return false };
-        let ahead = self.answer.borrow().length().saturating_sub(subscriber.reader.offset);
+        let Some(subscriber) = subscriber.as_ref() else {
+            return false;
+        };
+        let ahead = self
+            .answer
+            .borrow()
+            .length()
+            .saturating_sub(subscriber.reader.offset);
         ahead > MAX_BEHIND_BYTES
     }
 
@@ -148,18 +160,26 @@
 
     fn take_up(&self, run: &Rc<Run>, submit: &wire::Submit, outbox: &link::Outbox) {
         let stream = submit.stream;
-        if run.submit.account != submit.account || run.submit.request_digest != submit.request_digest
+        if run.submit.account != submit.account
+            || run.submit.request_digest != submit.request_digest
         {
             let refusal = error::Refusal::not_run(error::Kind::IdempotencyMismatch);
             return send_refusal(outbox, stream, refusal);
         }
         if !run.answer.borrow().reaches_back_to(submit.from_offset) {
             let refusal = error::Refusal::unknown(error::Kind::LinkLost);
-            return send_refusal(outbox, stream, refusal.detail("The answer is no longer held."));
+            return send_refusal(
+                outbox,
+                stream,
+                refusal.detail("The answer is no longer held."),
+            );
         }
         run.answer.borrow_mut().replayed |= submit.request != run.submit.request;
         let reader = answer::Reader::new(stream, submit.from_offset, submit.credit_bytes.into());
-        let new = Subscriber { outbox: outbox.clone(), reader };
+        let new = Subscriber {
+            outbox: outbox.clone(),
+            reader,
+        };
         let former = run.subscriber.replace(Some(new));
         run.alone_since_ms.set(None);
         if let Some(former) = former.filter(|former| !former.reader.is_done()) {
@@ -177,8 +197,9 @@
         outbox: &link::Outbox,
     ) -> Result<(), error::Refusal> {
         let refuse = error::Refusal::not_run;
-        let endpoint =
-            self.endpoint(submit.endpoint).ok_or_else(|| refuse(error::Kind::NoEndpoint))?;
+        let endpoint = self
+            .endpoint(submit.endpoint)
+            .ok_or_else(|| refuse(error::Kind::NoEndpoint))?;
         if endpoint.service != submit.service {
             return Err(refuse(error::Kind::NoEndpoint));
         }
@@ -190,20 +211,28 @@
         if snapshot.keys.is_withdrawn(&submit.key) {
             return Err(refuse(error::Kind::KeyWithdrawn));
         }
-        let in_force =
-            snapshot.config.as_ref().ok_or_else(|| refuse(error::Kind::NotReady))?;
+        let in_force = snapshot
+            .config
+            .as_ref()
+            .ok_or_else(|| refuse(error::Kind::NotReady))?;
         let config = &in_force.model;
         // The entry's configuration may be newer by the time it takes to spread; another side may
         // have it already.
-        let class = config.class(&submit.class).ok_or_else(|| refuse(error::Kind::NotReady))?;
+        let class = config
+            .class(&submit.class)
+            .ok_or_else(|| refuse(error::Kind::NotReady))?;
         let now_ms = self.now_ms();
         let expected_ms = endpoint.first_token_ms(class);
         let longest_wait_ms = longest_wait_ms(&config.class_at(class).text);
         if let Some(longest_ms) = longest_wait_ms.filter(|most| u64::from(expected_ms) > *most) {
             let refusal = refuse(error::Kind::TooLate);
-            return Err(refusal.retry_after_ms(expected_ms.saturating_sub(longest_ms as u32).max(1)));
+            return Err(
+                refusal.retry_after_ms(expected_ms.saturating_sub(longest_ms as u32).max(1))
+            );
         }
-        let share = config.account(&submit.account).map_or(1, |key| config.account_at(key).share);
+        let share = config
+            .account(&submit.account)
+            .map_or(1, |key| config.account_at(key).share);
         let run = self.insert(submit, outbox, now_ms);
         let give_up_at_ms =
             longest_wait_ms.map_or(run.deadline_ms, |most| run.deadline_ms.min(now_ms + most));
@@ -224,7 +253,10 @@
 
     fn insert(&self, submit: wire::Submit, outbox: &link::Outbox, now_ms: u64) -> Rc<Run> {
         let reader = answer::Reader::new(submit.stream, 0, submit.credit_bytes.into());
-        let subscriber = Subscriber { outbox: outbox.clone(), reader };
+        let subscriber = Subscriber {
+            outbox: outbox.clone(),
+            reader,
+        };
         let (request, idempotency) = (submit.request.clone(), submit.idempotency);
         let deadline_ms = now_ms + u64::from(submit.deadline_ms).min(MAX_DEADLINE_MS);
         let span = trace::Span::start("queue", submit.trace);
@@ -285,9 +317,13 @@
     /// Brings an endpoint's queue to the configuration in force.
     pub(super) fn follow_config(&self, endpoint: &endpoint::Endpoint) {
         let snapshot = self.hub.snapshot.load();
-        let Some((jobs, config)) = endpoint.follow(&snapshot) else { return };
+        let Some((jobs, config)) = endpoint.follow(&snapshot) else {
+            return;
+        };
         for mut job in jobs {
-            let Some(run) = self.run_of(&job) else { continue };
+            let Some(run) = self.run_of(&job) else {
+                continue;
+            };
             match config.class(&run.submit.class) {
                 Some(class) => {
                     job.class = class;
@@ -308,8 +344,12 @@
             self.refuse_job(endpoint, &job, error::Kind::TooLate);
         }
         while endpoint.running.get() < endpoint.slots() {
-            let Some(started) = endpoint.queue.borrow_mut().pop() else { break };
-            let Some(run) = self.run_of(&started.job) else { continue };
+            let Some(started) = endpoint.queue.borrow_mut().pop() else {
+                break;
+            };
+            let Some(run) = self.run_of(&started.job) else {
+                continue;
+            };
             *run.phase.borrow_mut() = Phase::Running;
             endpoint.running.set(endpoint.running.get() + 1);
             endpoint.prefixes.borrow_mut().note(run.submit.prefix);
@@ -372,7 +412,9 @@
 
     /// The caller has hung up.
     pub(super) fn cancel(self: &Rc<Self>, stream: wire::StreamId, outbox: &link::Outbox) {
-        let Some(run) = self.run_read_by(stream, outbox) else { return };
+        let Some(run) = self.run_read_by(stream, outbox) else {
+            return;
+        };
         *run.subscriber.borrow_mut() = None;
         if run.submit.idempotency.is_some() {
             // With an idempotency key the caller may be on its way back through another entry.
@@ -387,7 +429,9 @@
 
     /// The reader has taken bytes off its stream.
     pub(super) fn credit(&self, credit: wire::Credit, outbox: &link::Outbox) {
-        let Some(run) = self.run_read_by(credit.stream, outbox) else { return };
+        let Some(run) = self.run_read_by(credit.stream, outbox) else {
+            return;
+        };
         if let Some(subscriber) = run.subscriber.borrow_mut().as_mut() {
             subscriber.reader.credit_bytes += u64::from(credit.bytes);
         }
@@ -400,7 +444,10 @@
 
     fn run_read_by(&self, stream: wire::StreamId, outbox: &link::Outbox) -> Option<Rc<Run>> {
         let reads = |run: &&Rc<Run>| {
-            run.subscriber.borrow().as_ref().is_some_and(|reader| reader.is(stream, outbox))
+            run.subscriber
+                .borrow()
+                .as_ref()
+                .is_some_and(|reader| reader.is(stream, outbox))
         };
         self.runs.borrow().values().find(reads).cloned()
     }
@@ -410,7 +457,10 @@
         let now_ms = self.now_ms();
         for run in self.runs.borrow().values() {
             let mut subscriber = run.subscriber.borrow_mut();
-            if subscriber.as_ref().is_some_and(|reader| reader.outbox.is_same(outbox)) {
+            if subscriber
+                .as_ref()
+                .is_some_and(|reader| reader.outbox.is_same(outbox))
+            {
                 *subscriber = None;
                 run.alone_since_ms.set(Some(now_ms));
             }
--- a/src/usage.rs
+++ b/src/usage.rs
@@ -11,7 +11,16 @@
 
 /// Number of a billing window: seconds since 1970 over the window's length.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
     derive_more::Display,
 )]
 pub struct Window(pub u64);
@@ -25,7 +34,15 @@
 
 /// How much.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, derive_more::Add,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    derive_more::Add,
     derive_more::AddAssign,
 )]
 pub struct Figures {
@@ -77,7 +94,11 @@
 
 impl From<Totals> for Vec<Entry> {
     fn from(totals: Totals) -> Self {
-        totals.lines.into_iter().map(|(line, figures)| Entry { line, figures }).collect()
+        totals
+            .lines
+            .into_iter()
+            .map(|(line, figures)| Entry { line, figures })
+            .collect()
     }
 }
 
@@ -99,7 +120,10 @@
             .lines
             .iter()
             .map(|(line, figures)| {
-                (line.clone(), figures.less(former.lines.get(line).copied().unwrap_or_default()))
+                (
+                    line.clone(),
+                    figures.less(former.lines.get(line).copied().unwrap_or_default()),
+                )
             })
             .filter(|(_, figures)| !figures.is_zero())
             .collect();
@@ -108,7 +132,9 @@
 
     #[must_use]
     pub fn sum(&self) -> Figures {
-        self.lines.values().fold(Figures::default(), |sum, figures| sum + *figures)
+        self.lines
+            .values()
+            .fold(Figures::default(), |sum, figures| sum + *figures)
     }
 
     #[must_use]
@@ -142,7 +168,9 @@
         while self.windows.len() > WINDOWS_APART {
             // Windows this old are sealed or are sealed together with the next: folding the oldest
             // into its successor moves its figures between windows that one seal covers anyway.
-            let Some((_, oldest)) = self.windows.pop_first() else { return };
+            let Some((_, oldest)) = self.windows.pop_first() else {
+                return;
+            };
             match self.windows.first_entry() {
                 Some(mut next) => next.get_mut().merge(&oldest),
                 None => return,
@@ -191,7 +219,12 @@
         let figures = ran.beyond(before);
         let mut cumulative = before.clone();
         cumulative.merge(&figures);
-        Self { window, figures, cumulative, nonce }
+        Self {
+            window,
+            figures,
+            cumulative,
+            nonce,
+        }
     }
 
     /// The report of this window: the same whoever sends it.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -365,7 +365,12 @@
 impl Opener {
     #[must_use]
     pub fn new(secret: Secret) -> Self {
-        Self { secret, number: 0, pending: Vec::new(), consumed: 0 }
+        Self {
+            secret,
+            number: 0,
+            pending: Vec::new(),
+            consumed: 0,
+        }
     }
 
     /// Takes in received bytes.
@@ -383,12 +388,16 @@
     /// When the bytes are no frame of this link; the link must then be closed.
     pub fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Reject> {
         let rest = &self.pending[self.consumed..];
-        let Some(head) = rest.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+        let Some(head) = rest.first_chunk::<LENGTH_BYTES>() else {
+            return Ok(None);
+        };
         let length = u32::from_le_bytes(*head) as usize;
         if !(TAG_BYTES..=MAX_FRAME_BYTES).contains(&length) {
             return Err(Reject::Size);
         }
-        let Some(sealed) = rest.get(LENGTH_BYTES..LENGTH_BYTES + length) else { return Ok(None) };
+        let Some(sealed) = rest.get(LENGTH_BYTES..LENGTH_BYTES + length) else {
+            return Ok(None);
+        };
         let message = open(&self.secret, self.number, sealed)?;
         self.number += 1;
         self.consumed += LENGTH_BYTES + length;
@@ -398,7 +407,11 @@
     /// Goes on under another key with the bytes not yet read.
     #[must_use]
     pub fn rekey(self, secret: Secret) -> Self {
-        Self { secret, number: 0, ..self }
+        Self {
+            secret,
+            number: 0,
+            ..self
+        }
     }
 }
 
