--- a/src/claims.rs
+++ b/src/claims.rs
@@ -114,21 +114,18 @@
         }
         // Whoever made the claim, perhaps this call's own write with its answer lost, is found by
         // reading. Sending without reading here is how a payment would be made twice.
-        match store.get(&key).await {
-            Ok(Some(object)) => {
-                let Ok(found) = serde_json::from_str::<Record>(&object.value) else {
-                    return refuse(error::Kind::ClaimUnresolved, None);
-                };
-                if found.nonce == record.nonce && found.holder == record.holder {
-                    return Outcome::Go(Claim {
-                        key,
-                        record,
-                        version: object.version,
-                    });
-                }
-                return examine(&found, &record, is_alive);
+        if let Ok(Some(object)) = store.get(&key).await {
+            let Ok(found) = serde_json::from_str::<Record>(&object.value) else {
+                return refuse(error::Kind::ClaimUnresolved, None);
+            };
+            if found.nonce == record.nonce && found.holder == record.holder {
+                return Outcome::Go(Claim {
+                    key,
+                    record,
+                    version: object.version,
+                });
             }
-            Ok(None) | Err(_) => {}
+            return examine(&found, &record, is_alive);
         }
     }
     let open = sent.then(|| Claim {
--- a/src/duties.rs
+++ b/src/duties.rs
@@ -90,11 +90,11 @@
         if control.hub.draining.load(Ordering::Acquire) {
             contender.release();
         }
-        if !control.hub.ready.load(Ordering::Acquire) || !contends(&control, &duty) {
-            if contender.epoch(control.hub.now_ms()).is_none() {
-                time::sleep(Duration::from_millis(IDLE_MS)).await;
-                continue;
-            }
+        if (!control.hub.ready.load(Ordering::Acquire) || !contends(&control, &duty))
+            && contender.epoch(control.hub.now_ms()).is_none()
+        {
+            time::sleep(Duration::from_millis(IDLE_MS)).await;
+            continue;
         }
         match contender.step(control.hub.now_ms()) {
             lease::Step::Read => read(&control, &mut contender, &key).await,
--- a/src/fairness.rs
+++ b/src/fairness.rs
@@ -144,10 +144,12 @@
             .waiting
             .first()
             .map_or(self.floor, |(counter, _)| *counter);
-        if let Some(counter) = self.accounts.get(account) {
-            if counter.waiting == 0 && counter.running == 0 && counter.virtual_tokens <= floor {
-                self.accounts.remove(account);
-            }
+        if let Some(counter) = self.accounts.get(account)
+            && counter.waiting == 0
+            && counter.running == 0
+            && counter.virtual_tokens <= floor
+        {
+            self.accounts.remove(account);
         }
     }
 }
--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -91,10 +91,10 @@
         serde_path_to_error::deserialize(&value).map_err(|error| {
             let mut path = steps(error.path());
             let sentence = error.into_inner().to_string();
-            if let Some(name) = unknown_field(&sentence) {
-                if !matches!(path.last(), Some(Step::Field(last)) if last == name) {
-                    path.push(Step::from(name));
-                }
+            if let Some(name) = unknown_field(&sentence)
+                && !matches!(path.last(), Some(Step::Field(last)) if last == name)
+            {
+                path.push(Step::from(name));
             }
             self.mistake(&path, sentence)
         })
--- a/src/link.rs
+++ b/src/link.rs
@@ -44,7 +44,7 @@
     /// When the connection broke or the bytes are no frame of this link.
     pub async fn next<T: DeserializeOwned>(&mut self) -> io::Result<Option<T>> {
         loop {
-            if let Some(message) = self.opener.next().map_err(broken)? {
+            if let Some(message) = self.opener.read().map_err(broken)? {
                 return Ok(Some(message));
             }
             let count = self.stream.read(&mut self.buffer).await?;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -8,7 +8,6 @@
 use crate::{settings, trace};
 
 /// Opens a log of JSON lines on standard error.
-#[must_use]
 pub fn open(daemon: &str) -> slog::Logger {
     let lines = slog_json::Json::new(io::stderr())
         .add_default_keys()
--- a/src/side/run/call.rs
+++ b/src/side/run/call.rs
@@ -370,10 +370,10 @@
     if is_stream {
         counter.push(piece);
         let tokens = u64::from(run.submit.prompt_tokens) + u64::from(counter.tokens());
-        if let Some(endpoint) = side.endpoint(run.submit.endpoint) {
-            if endpoint.version() == started.version() {
-                endpoint.queue.borrow_mut().progress(started, tokens);
-            }
+        if let Some(endpoint) = side.endpoint(run.submit.endpoint)
+            && endpoint.version() == started.version()
+        {
+            endpoint.queue.borrow_mut().progress(started, tokens);
         }
     }
     run.flush();
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -198,7 +198,7 @@
                 self.refused = Some(Refused {
                     version: text.version,
                     mistake,
-                })
+                });
             }
         }
         self.newest = Some(text);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -386,7 +386,7 @@
     ///
     /// # Errors
     /// When the bytes are no frame of this link; the link must then be closed.
-    pub fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Reject> {
+    pub fn read<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Reject> {
         let rest = &self.pending[self.consumed..];
         let Some(head) = rest.first_chunk::<LENGTH_BYTES>() else {
             return Ok(None);
--- /dev/null
+++ b/tests/processes/fleet.rs
@@ -0,0 +1,507 @@
+//! Starts a fleet of real processes for a test, and ends it.
+
+use std::cell::Cell;
+use std::io::{BufRead, BufReader, Read};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+
+/// Bound of every wait; far above what any of them takes.
+const LONGEST: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(20);
+
+/// Where the binaries are: beside the test's own.
+pub fn binary(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("a running test has a path");
+    let folder = own
+        .parent()
+        .and_then(|deps| deps.parent())
+        .expect("target/PROFILE/deps");
+    folder.join(name)
+}
+
+/// Waits until `condition` gives something.
+pub fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + LONGEST;
+    loop {
+        if let Some(found) = condition() {
+            return found;
+        }
+        assert!(Instant::now() < end, "waited in vain for: {what}");
+        std::thread::sleep(POLL);
+    }
+}
+
+/// A process of this test; ended when dropped.
+pub struct Process {
+    child: Child,
+    pub first_line: String,
+}
+
+impl Process {
+    pub fn spawn(name: &str, arguments: &[&str]) -> Self {
+        let mut child = Command::new(binary(name))
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap_or_else(|error| panic!("cannot start {name}: {error}"));
+        let mut output = BufReader::new(child.stdout.take().expect("piped"));
+        let mut first_line = String::new();
+        output
+            .read_line(&mut first_line)
+            .expect("the process prints its address");
+        // Whatever else it prints is read, so that it is never blocked by a full pipe.
+        std::thread::spawn(move || {
+            let _ = std::io::copy(&mut output, &mut std::io::sink());
+        });
+        Self { child, first_line }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        signal::kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process lives");
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for its end; the exit code.
+    pub fn wait(&mut self) -> i32 {
+        wait_for("a process ends", || {
+            self.child.try_wait().expect("own child")
+        })
+        .code()
+        .unwrap_or(-1)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A stand-in with its address.
+pub struct Standin {
+    pub process: Process,
+    pub url: String,
+}
+
+impl Standin {
+    pub fn spawn(arguments: &[&str]) -> Self {
+        let process = Process::spawn("briarwinch-standin", arguments);
+        let addr = process
+            .first_line
+            .trim()
+            .strip_prefix("listening ")
+            .expect("its address");
+        Self {
+            url: format!("http://{addr}"),
+            process,
+        }
+    }
+
+    /// What it has recorded.
+    pub fn record(&self) -> Value {
+        get_json(&format!("{}/record", self.url))
+    }
+}
+
+/// A daemon with its addresses.
+pub struct Daemon {
+    pub process: Process,
+    pub peer_addr: String,
+    pub admin_url: String,
+    pub work_addr: String,
+    pub id: String,
+}
+
+impl Daemon {
+    fn spawn(binary: &str, settings: &Value) -> Self {
+        let folder = std::env::temp_dir();
+        let name = format!(
+            "briarwinch-test-{}-{:x}.jsonc",
+            std::process::id(),
+            rand::random::<u64>()
+        );
+        let file = folder.join(name);
+        std::fs::write(&file, settings.to_string()).expect("the folder for temporary files");
+        let process = Process::spawn(binary, &["--settings", &file.display().to_string()]);
+        std::fs::remove_file(&file).expect("written above");
+        let line: Value = serde_json::from_str(&process.first_line).expect("a line of JSON");
+        let text = |name: &str| line[name].as_str().expect("an address").to_owned();
+        Self {
+            peer_addr: text("peer_addr"),
+            admin_url: format!("http://{}", text("admin_addr")),
+            work_addr: text("work_addr"),
+            id: text("daemon"),
+            process,
+        }
+    }
+
+    pub fn url(&self) -> String {
+        format!("http://{}", self.work_addr)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        ureq::get(&format!("{}/ready", self.admin_url))
+            .call()
+            .is_ok()
+    }
+
+    pub fn status(&self) -> Value {
+        get_json(&format!("{}/status", self.admin_url))
+    }
+
+    pub fn metrics(&self) -> String {
+        let answer = ureq::get(&format!("{}/metrics", self.admin_url)).call();
+        answer.expect("metrics").into_string().expect("text")
+    }
+
+    /// The value of a metric summed over its labels.
+    pub fn metric(&self, name: &str) -> f64 {
+        let text = self.metrics();
+        let lines = text
+            .lines()
+            .filter(|line| line.starts_with(name) && !line.starts_with('#'));
+        lines
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+}
+
+pub fn get_json(url: &str) -> Value {
+    let answer = ureq::get(url)
+        .call()
+        .unwrap_or_else(|error| panic!("{url}: {error}"));
+    answer.into_json().expect("JSON")
+}
+
+/// A status and what came with it.
+pub struct Answer {
+    pub status: u16,
+    pub ran: Option<String>,
+    pub request: Option<String>,
+    pub replayed: bool,
+    pub retry_after: Option<String>,
+    pub text: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or_else(|error| panic!("{error}: {}", self.text))
+    }
+
+    pub fn code(&self) -> String {
+        self.json()["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+}
+
+/// Sends a request; any status is an answer.
+pub fn send(request: ureq::Request, body: &str) -> Answer {
+    try_send(request, body).expect("an answer")
+}
+
+/// Sends a request; `None` when the connection broke before the answer was whole.
+pub fn try_send(request: ureq::Request, body: &str) -> Option<Answer> {
+    let response = match request.timeout(LONGEST).send_string(body) {
+        Ok(response) | Err(ureq::Error::Status(_, response)) => response,
+        Err(ureq::Error::Transport(_)) => return None,
+    };
+    let header = |name: &str| response.header(name).map(str::to_owned);
+    let (status, ran, request) = (
+        response.status(),
+        header("briarwinch-ran"),
+        header("briarwinch-request"),
+    );
+    let (replayed, retry_after) = (
+        header("briarwinch-replayed").is_some(),
+        header("retry-after"),
+    );
+    let mut text = String::new();
+    response.into_reader().read_to_string(&mut text).ok()?;
+    Some(Answer {
+        status,
+        ran,
+        request,
+        replayed,
+        retry_after,
+        text,
+    })
+}
+
+/// The configuration that the tests use unless they say otherwise.
+pub fn config() -> Value {
+    json!({
+        "classes": {
+            "hearing-summary": {"latency_target_ms": 2000, "priority": 90, "protected": true},
+            "payment": {"latency_target_ms": 2000, "priority": 80},
+            "lookup": {"latency_target_ms": 5000, "priority": 10},
+        },
+        "services": {
+            "juru-tulis": {
+                "kind": "engine", "models": ["juru-tulis"], "default_class": "lookup",
+            },
+            "loket": {"kind": "plain", "default_class": "lookup", "repeatable": false},
+        },
+        "accounts": {"court": {"share": 2}, "press": {}},
+        "billing": {"window_s": 2, "grace_s": 1},
+    })
+}
+
+/// How a fleet is made up.
+#[derive(Clone)]
+pub struct Shape {
+    pub entries: usize,
+    pub engines: usize,
+    pub token_ms: u64,
+    pub engine_slots: usize,
+    pub config: Value,
+    pub lag_ms: u64,
+    pub drain_ms: u64,
+    pub linger_ms: u64,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            engines: 2,
+            token_ms: 10,
+            engine_slots: 64,
+            config: config(),
+            lag_ms: 500,
+            drain_ms: 30_000,
+            linger_ms: 10_000,
+        }
+    }
+}
+
+/// A running fleet: platform, engines and a plain service with a side each, entries.
+pub struct Fleet {
+    pub platform: Standin,
+    pub engines: Vec<Standin>,
+    pub service: Standin,
+    /// One an engine, then the service's.
+    pub sides: Vec<Daemon>,
+    pub entries: Vec<Daemon>,
+    pub shape: Shape,
+    seeds: Vec<String>,
+    made: Cell<u32>,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until it serves.
+    pub fn start(shape: Shape) -> Self {
+        let lag = shape.lag_ms.to_string();
+        let platform = Standin::spawn(&["platform", "--lag-ms", &lag]);
+        let token_ms = shape.token_ms.to_string();
+        let slots = shape.engine_slots.to_string();
+        let engine = || Standin::spawn(&["engine", "--token-ms", &token_ms, "--slots", &slots]);
+        let mut fleet = Self {
+            platform,
+            engines: (0..shape.engines).map(|_| engine()).collect(),
+            service: Standin::spawn(&["service"]),
+            sides: Vec::new(),
+            entries: Vec::new(),
+            shape,
+            seeds: Vec::new(),
+            made: Cell::new(0),
+        };
+        for number in 0..fleet.shape.entries {
+            let entry = fleet.spawn_entry(&format!("entry-{number}"));
+            fleet.seeds.push(entry.peer_addr.clone());
+            fleet.entries.push(entry);
+        }
+        for number in 0..fleet.shape.engines {
+            let url = fleet.engines[number].url.clone();
+            let side = fleet.spawn_side(&format!("side-{number}"), "juru-tulis", &url);
+            fleet.sides.push(side);
+        }
+        let url = fleet.service.url.clone();
+        let side = fleet.spawn_side("side-loket", "loket", &url);
+        fleet.sides.push(side);
+        let config = fleet.shape.config.to_string();
+        assert_eq!(fleet.apply(&config).0, 0, "the configuration is accepted");
+        fleet.wait_until_whole();
+        fleet
+    }
+
+    /// Waits until every daemon is ready and every entry knows all sides.
+    pub fn wait_until_whole(&self) {
+        let daemons = self.entries.len() + self.sides.len();
+        wait_for("all daemons know each other", || {
+            self.entries
+                .iter()
+                .chain(&self.sides)
+                .all(|daemon| {
+                    let status = daemon.status();
+                    let members = status["members"].as_array().map_or(0, Vec::len);
+                    status["ready"] == true && members >= daemons
+                })
+                .then_some(())
+        });
+    }
+
+    pub fn daemon_settings(&self, id: &str) -> Value {
+        json!({
+            "id": id, "region": "jawa", "zone": "jkt",
+            "peer_addr": "127.0.0.1:0", "admin_addr": "127.0.0.1:0",
+            "platform_url": self.platform.url, "fleet_secret": "a secret of the tests",
+            "seeds": self.seeds, "drain_ms": self.shape.drain_ms,
+        })
+    }
+
+    pub fn spawn_entry(&self, id: &str) -> Daemon {
+        let settings = json!({
+            "daemon": self.daemon_settings(id),
+            "listen_addr": "127.0.0.1:0",
+            "max_body_bytes": 100_000,
+            "request_arrival_ms": 2000,
+        });
+        Daemon::spawn("briarwinch-entry", &settings)
+    }
+
+    pub fn spawn_side(&self, id: &str, service: &str, url: &str) -> Daemon {
+        let settings = json!({
+            "daemon": self.daemon_settings(id),
+            "work_addr": "127.0.0.1:0",
+            "linger_ms": self.shape.linger_ms,
+            "endpoints": [{"id": format!("{service}-of-{id}"), "service": service, "url": url}],
+        });
+        Daemon::spawn("briarwinch-side", &settings)
+    }
+
+    /// Runs the operator's tool; its exit code and output.
+    pub fn operate(&self, arguments: &[&str]) -> (i32, String) {
+        let output = Command::new(binary("briarwinch"))
+            .args([
+                "--platform",
+                &self.platform.url,
+                "--admin",
+                &self.entries[0].admin_url,
+            ])
+            .args(arguments)
+            .output()
+            .expect("the operator's tool starts");
+        let text = [output.stdout, output.stderr].concat();
+        let text = String::from_utf8(text).expect("text").trim().to_owned();
+        (output.status.code().unwrap_or(-1), text)
+    }
+
+    pub fn apply(&self, text: &str) -> (i32, String) {
+        let name = format!(
+            "briarwinch-text-{}-{:x}.jsonc",
+            std::process::id(),
+            rand::random::<u64>()
+        );
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, text).expect("the folder for temporary files");
+        let outcome = self.operate(&["apply", &file.display().to_string()]);
+        std::fs::remove_file(&file).expect("written above");
+        outcome
+    }
+
+    /// Grants a key and waits until all entries know it.
+    pub fn grant(&self, account: &str) -> String {
+        let (code, key) = self.operate(&["keys", "grant", account]);
+        assert_eq!(code, 0, "{key}");
+        for entry in &self.entries {
+            wait_for("an entry knows the key", || {
+                let models = ureq::get(&format!("{}/v1/models", entry.url()));
+                models
+                    .set("authorization", &format!("Bearer {key}"))
+                    .call()
+                    .is_ok()
+                    .then_some(())
+            });
+        }
+        key
+    }
+
+    pub fn withdraw(&self, key: &str) {
+        let id = key.split('_').nth(1).expect("bw_ID_SECRET");
+        let (code, text) = self.operate(&["keys", "withdraw", id]);
+        assert_eq!(code, 0, "{text}");
+    }
+
+    /// Tells the platform how to fail.
+    pub fn fail_platform(&self, faults: &Value) {
+        let url = format!("{}/control/faults", self.platform.url);
+        ureq::post(&url)
+            .send_json(faults)
+            .expect("the stand-in obeys");
+    }
+
+    /// A number unlike any before in this fleet.
+    pub fn fresh(&self) -> u32 {
+        self.made.set(self.made.get() + 1);
+        self.made.get()
+    }
+}
+
+/// A chat request to an entry.
+pub fn chat(entry: &Daemon, key: &str) -> ureq::Request {
+    ureq::post(&format!("{}/v1/chat/completions", entry.url()))
+        .set("authorization", &format!("Bearer {key}"))
+        .set("content-type", "application/json")
+}
+
+/// The body of a chat request.
+pub fn chat_body(prompt: &str, tokens: u32, stream: bool) -> String {
+    json!({"model": "juru-tulis", "stream": stream, "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}]})
+    .to_string()
+}
+
+/// A payment at the plain service.
+pub fn payment(entry: &Daemon, key: &str, idempotency: &str) -> ureq::Request {
+    ureq::post(&format!("{}/services/loket/payments", entry.url()))
+        .set("authorization", &format!("Bearer {key}"))
+        .set("idempotency-key", idempotency)
+}
+
+/// The token at a place of the stand-in engine's answer to a prompt.
+pub fn token(prompt: &str, place: u32) -> String {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    prompt.hash(&mut hasher);
+    place.hash(&mut hasher);
+    format!(" w{:05x}", hasher.finish() & 0xf_ffff)
+}
+
+/// The tokens in a streamed answer so far, and whether it ended as a whole one does.
+pub fn stream_tokens(text: &str) -> (Vec<String>, bool) {
+    let mut tokens = Vec::new();
+    for data in text.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            return (tokens, true);
+        }
+        let Ok(chunk) = serde_json::from_str::<Value>(data) else {
+            continue;
+        };
+        if let Some(token) = chunk["choices"][0]["delta"]["content"].as_str() {
+            tokens.push(token.to_owned());
+        }
+    }
+    (tokens, false)
+}
+
+/// Checks that a streamed answer is exactly the one to this prompt.
+pub fn assert_whole(text: &str, prompt: &str, count: u32) {
+    let expected: Vec<String> = (0..count).map(|place| token(prompt, place)).collect();
+    assert_eq!(
+        stream_tokens(text),
+        (expected, true),
+        "the whole answer to its own request"
+    );
+}
--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,8 @@
+//! Tests with the real processes: the daemons, the operator's tool and the stand-ins.
+//!
+//! Ports are chosen by the system and read from what each process prints. Tests wait for
+//! conditions, with a bound far above what is expected, and never for a fixed time.
+
+mod bad_input;
+mod fleet;
+mod path;
