Say not run for queued requests of a withdrawn key; take unknown endpoints for fast

Cause 1: the entry ended streams of a withdrawn key by itself and could not know whether they ran; and a running request's slot went to a queued one of the same key. Now the side, asked by a Revoke frame, stops waiting requests first and says which ran. Cause 2: an endpoint without observations was taken to need 50 ms to its first token; at low load it was never chosen again.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -5,6 +5,9 @@
 
 use crate::{error, wire};
 
+/// Least that is let go of at once: each time moves all that is kept.
+const LET_GO_BYTES: usize = 256 << 10;
+
 /// How an answer ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -66,13 +69,15 @@
         &rest[..rest.len().min(most)]
     }
 
-    /// Lets go of the body before an offset.
+    /// Lets go of the body before an offset, once that is worth moving the rest.
     pub fn let_go(&mut self, offset: u64) {
         let count = offset
             .saturating_sub(self.begin)
             .min(self.body.len() as u64) as usize;
+        if count < LET_GO_BYTES {
+            return;
+        }
         self.body.drain(..count);
-        self.body.shrink_to_fit();
         self.begin += count as u64;
     }
 }
--- a/src/entry/reader.rs
+++ b/src/entry/reader.rs
@@ -20,6 +20,8 @@
 /// Tries to take up a run whose link was lost, and the pause before each.
 const TAKE_UP_TRIES: u32 = 6;
 const TAKE_UP_PAUSE_MS: u64 = 60;
+/// How long a side has to say whether a request ran whose key was withdrawn.
+const REVOKE_MS: u64 = 1_000;
 
 type TakingUp = Pin<Box<dyn Future<Output = Result<links::Stream, error::Refusal>>>>;
 
@@ -42,6 +44,8 @@
     uncredited: u32,
     keys_revision: u64,
     key_wait: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    /// Runs out when the side has not answered a revocation.
+    revoked: Option<Pin<Box<time::Sleep>>>,
 }
 
 impl std::fmt::Debug for Reader {
@@ -92,6 +96,7 @@
             uncredited: 0,
             keys_revision: 0,
             key_wait: None,
+            revoked: None,
         })
     }
 
@@ -209,16 +214,30 @@
         self.source = Source::Ended;
     }
 
-    /// Ends the stream when its key has been withdrawn; otherwise sees to it that the stream is
-    /// woken when keys change.
+    /// Has the side end the stream: only the side knows whether the request has run.
+    fn revoke(&mut self) {
+        if let (Source::Open(stream), None) = (&self.source, &self.revoked) {
+            stream.send(&wire::ToSide::Revoke(stream.id));
+        }
+        let limit = Duration::from_millis(REVOKE_MS);
+        self.revoked.get_or_insert_with(|| Box::pin(time::sleep(limit)));
+    }
+
+    /// Ends the stream when its key has been withdrawn and the side does not end it in time;
+    /// otherwise sees to it that the stream is woken when keys change.
     fn key_withdrawn(&mut self, context: &mut Context<'_>) -> Option<error::Refusal> {
         loop {
+            if let Some(limit) = &mut self.revoked {
+                let late = limit.as_mut().poll(context).is_ready();
+                return late.then(|| error::Refusal::unknown(error::Kind::KeyWithdrawn));
+            }
             let revision = self.worker.keys_revision.get();
             if self.keys_revision != revision {
                 self.keys_revision = revision;
                 let snapshot = self.worker.common.hub.snapshot.load();
                 if snapshot.keys.is_withdrawn(&self.again.key) {
-                    return Some(error::Refusal::unknown(error::Kind::KeyWithdrawn));
+                    drop(snapshot);
+                    self.revoke();
                 }
             }
             let worker = Rc::clone(&self.worker);
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -1,11 +1,17 @@
 //! How fast an endpoint works, as its side observes it: the ground for the side's offers.
+//!
+//! What is not known is taken for fast, and what was seen long ago counts less and less. An endpoint
+//! that looks slow gets no requests, so nothing would ever show that it is not slow any more; with
+//! time its offers become good enough for one request, and that one tells.
 
 /// Weight of the newest observation.
 const NEWEST: f64 = 0.1;
+/// In this time without a request an observation of the time to the first token loses half its
+/// weight.
+const START_HALF_LIFE_MS: f64 = 5_000.0;
 /// Assumed before anything was observed.
 const FIRST_SERVICE_MS: f64 = 1000.0;
-const FIRST_START_MS: f64 = 50.0;
-/// Assumed output before any request of an account ended.
+/// Assumed output before any request ended.
 const FIRST_OUTPUT_TOKENS: f64 = 128.0;
 
 /// Moving averages over the requests of one endpoint.
@@ -13,6 +19,8 @@
 pub struct Pace {
     service_ms: f64,
     start_ms: f64,
+    /// When the last first token came; `None`: none yet.
+    start_seen_ms: Option<u64>,
     output_tokens: f64,
 }
 
@@ -20,7 +28,8 @@
     fn default() -> Self {
         Self {
             service_ms: FIRST_SERVICE_MS,
-            start_ms: FIRST_START_MS,
+            start_ms: 0.0,
+            start_seen_ms: None,
             output_tokens: FIRST_OUTPUT_TOKENS,
         }
     }
@@ -28,8 +37,11 @@
 
 impl Pace {
     /// A request's first token came this long after it was sent to the endpoint.
-    pub fn first_token(&mut self, after_ms: u64) {
-        self.start_ms += (after_ms as f64 - self.start_ms) * NEWEST;
+    pub fn first_token(&mut self, after_ms: u64, now_ms: u64) {
+        let weight = if self.start_seen_ms.is_some() { NEWEST } else { 1.0 };
+        let known_ms = self.aged_start_ms(now_ms);
+        self.start_ms = known_ms + (after_ms as f64 - known_ms) * weight;
+        self.start_seen_ms = Some(now_ms);
     }
 
     /// A request held its slot this long and produced this many tokens.
@@ -52,8 +64,14 @@
 
     /// Expected time from the slot to the first token.
     #[must_use]
-    pub fn start_ms(&self) -> u32 {
-        self.start_ms as u32
+    pub fn start_ms(&self, now_ms: u64) -> u32 {
+        self.aged_start_ms(now_ms) as u32
+    }
+
+    fn aged_start_ms(&self, now_ms: u64) -> f64 {
+        let Some(seen_ms) = self.start_seen_ms else { return 0.0 };
+        let idle_ms = now_ms.saturating_sub(seen_ms) as f64;
+        self.start_ms * 0.5_f64.powf(idle_ms / START_HALF_LIFE_MS)
     }
 
     /// Expected output of a request that may have at most `most_tokens`.
--- a/src/side/endpoint.rs
+++ b/src/side/endpoint.rs
@@ -106,10 +106,10 @@
 
     /// Expected time to the first token for a request of this class that comes now.
     #[must_use]
-    pub fn first_token_ms(&self, class: config::ClassKey) -> u32 {
+    pub fn first_token_ms(&self, class: config::ClassKey, now_ms: u64) -> u32 {
         let ahead = self.queue.borrow().ahead_of(class);
         let pace = self.pace.borrow();
         pace.wait_ms(ahead, self.running.get(), self.slots())
-            .saturating_add(pace.start_ms())
+            .saturating_add(pace.start_ms(now_ms))
     }
 }
--- a/src/side/entries.rs
+++ b/src/side/entries.rs
@@ -36,6 +36,7 @@
         match link.inbox.next::<wire::ToSide>().await {
             Ok(Some(wire::ToSide::Submit(submit))) => side.submit(*submit, &link.outbox),
             Ok(Some(wire::ToSide::Cancel(stream))) => side.cancel(stream, &link.outbox),
+            Ok(Some(wire::ToSide::Revoke(stream))) => side.revoke(stream, &link.outbox),
             Ok(Some(wire::ToSide::Credit(credit))) => side.credit(credit, &link.outbox),
             Ok(None) => break,
             Err(error) => {
--- a/src/side/mod.rs
+++ b/src/side/mod.rs
@@ -10,7 +10,7 @@
 mod run;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -56,6 +56,8 @@
     by_request: RefCell<HashMap<CompactString, RunKey>>,
     by_idempotency: RefCell<HashMap<wire::IdempotencyDigest, RunKey>>,
     keys_revision: Cell<u64>,
+    /// Keys that an entry knew to be withdrawn before this side did.
+    revoked: RefCell<HashSet<CompactString>>,
 }
 
 /// Runs a side until it is told to stop and has drained.
@@ -139,6 +141,7 @@
         by_request: RefCell::default(),
         by_idempotency: RefCell::default(),
         keys_revision: Cell::new(0),
+        revoked: RefCell::default(),
     }))
 }
 
@@ -151,6 +154,10 @@
         self.endpoints.get(usize::from(index.0))
     }
 
+    fn is_withdrawn(&self, key: &str) -> bool {
+        self.revoked.borrow().contains(key) || self.hub.snapshot.load().keys.is_withdrawn(key)
+    }
+
     fn holder(&self) -> claims::Holder {
         claims::Holder {
             daemon: self.settings.daemon.id.clone(),
--- a/src/side/run.rs
+++ b/src/side/run.rs
@@ -208,7 +208,7 @@
         }
         self.follow_config(endpoint);
         let snapshot = self.hub.snapshot.load();
-        if snapshot.keys.is_withdrawn(&submit.key) {
+        if self.is_withdrawn(&submit.key) {
             return Err(refuse(error::Kind::KeyWithdrawn));
         }
         let in_force = snapshot
@@ -222,7 +222,7 @@
             .class(&submit.class)
             .ok_or_else(|| refuse(error::Kind::NotReady))?;
         let now_ms = self.now_ms();
-        let expected_ms = endpoint.first_token_ms(class);
+        let expected_ms = endpoint.first_token_ms(class, now_ms);
         let longest_wait_ms = longest_wait_ms(&config.class_at(class).text);
         if let Some(longest_ms) = longest_wait_ms.filter(|most| u64::from(expected_ms) > *most) {
             let refusal = refuse(error::Kind::TooLate);
@@ -304,7 +304,7 @@
     /// Gives a job that is no longer queued its final answer, with when to come back.
     fn refuse_job(&self, endpoint: &endpoint::Endpoint, job: &queue::Job, kind: error::Kind) {
         let Some(run) = self.run_of(job) else { return };
-        let retry_after_ms = endpoint.first_token_ms(job.class).max(1);
+        let retry_after_ms = endpoint.first_token_ms(job.class, self.now_ms()).max(1);
         let refusal = error::Refusal::not_run(kind).retry_after_ms(retry_after_ms);
         self.finish(&run, answer::Ending::Refused(refusal));
     }
@@ -427,6 +427,26 @@
         }
     }
 
+    /// The entry knows that the key has been withdrawn, perhaps before this side does.
+    pub(super) fn revoke(self: &Rc<Self>, stream: wire::StreamId, outbox: &link::Outbox) {
+        let Some(run) = self.run_read_by(stream, outbox) else {
+            return;
+        };
+        self.revoked.borrow_mut().insert(run.submit.key.clone());
+        self.stop_withdrawn();
+    }
+
+    /// Stops all runs whose key is withdrawn; those that wait first, else one of them would take
+    /// the slot that a running one leaves, and run.
+    fn stop_withdrawn(self: &Rc<Self>) {
+        let mut runs: Vec<Rc<Run>> = self.runs.borrow().values().cloned().collect();
+        runs.retain(|run| self.is_withdrawn(&run.submit.key));
+        runs.sort_by_key(|run| !matches!(*run.phase.borrow(), Phase::Queued(_)));
+        for run in runs {
+            self.stop(&run, error::Kind::KeyWithdrawn);
+        }
+    }
+
     /// The reader has taken bytes off its stream.
     pub(super) fn credit(&self, credit: wire::Credit, outbox: &link::Outbox) {
         let Some(run) = self.run_read_by(credit.stream, outbox) else {
@@ -471,10 +491,11 @@
     /// lets go of ended ones.
     pub(super) fn sweep_once(self: &Rc<Self>) {
         let now_ms = self.now_ms();
+        let revision = self.hub.snapshot.load().keys.revision();
+        if self.keys_revision.replace(revision) != revision {
+            self.stop_withdrawn();
+        }
         let runs: Vec<Rc<Run>> = self.runs.borrow().values().cloned().collect();
-        let snapshot = self.hub.snapshot.load_full();
-        let revision = snapshot.keys.revision();
-        let keys_changed = self.keys_revision.replace(revision) != revision;
         let mut kept_bytes = 0;
         for run in &runs {
             let ended = matches!(*run.phase.borrow(), Phase::Ended);
@@ -487,8 +508,6 @@
                 if left_alone || !wanted {
                     self.forget(run);
                 }
-            } else if keys_changed && snapshot.keys.is_withdrawn(&run.submit.key) {
-                self.stop(run, error::Kind::KeyWithdrawn);
             } else if now_ms >= run.deadline_ms {
                 self.stop(run, error::Kind::DeadlineExceeded);
             } else if left_alone {
--- a/src/side/run/call.rs
+++ b/src/side/run/call.rs
@@ -340,10 +340,9 @@
 
 fn first_token(side: &Side, run: &Run, sent_ms: u64) {
     if let Some(endpoint) = side.endpoint(run.submit.endpoint) {
-        endpoint
-            .pace
-            .borrow_mut()
-            .first_token(side.now_ms() - sent_ms);
+        let now_ms = side.now_ms();
+        let after_ms = now_ms - sent_ms;
+        endpoint.pace.borrow_mut().first_token(after_ms, now_ms);
     }
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -200,6 +200,8 @@
 pub enum ToSide {
     Submit(Box<Submit>),
     Cancel(StreamId),
+    /// The stream's key has been withdrawn: end it, and say whether it ran.
+    Revoke(StreamId),
     Credit(Credit),
 }
 
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -211,7 +211,8 @@
         if self.running.whole {
             return Poll::Ready(None);
         }
-        if self.next.as_mut().poll(context).is_pending() {
+        let paced = self.running.shared.options.token_ms > 0;
+        if paced && self.next.as_mut().poll(context).is_pending() {
             return Poll::Pending;
         }
         let place = self.place;
--- /dev/null
+++ b/tests/processes/billing.rs
@@ -0,0 +1,79 @@
+//! No billing window is reported twice with different figures.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Value, json};
+
+use crate::fleet::{self, Fleet, Shape};
+
+/// Output tokens in the reports, each window counted once; checks that a window reported more than
+/// once has the same figures each time.
+fn reported_tokens(fleet: &Fleet) -> u64 {
+    let record = fleet.platform.record();
+    let mut windows: BTreeMap<u64, Value> = BTreeMap::new();
+    for report in record["reports"].as_array().expect("a list") {
+        let window = report["window"].as_u64().expect("a window");
+        let figures = report["figures"].clone();
+        if let Some(before) = windows.insert(window, figures.clone()) {
+            assert_eq!(
+                before, figures,
+                "window {window} reported with other figures"
+            );
+        }
+    }
+    windows
+        .values()
+        .flat_map(|figures| figures.as_array().cloned().unwrap_or_default())
+        .map(|line| line["output_tokens"].as_u64().unwrap_or(0))
+        .sum()
+}
+
+/// The holder of the billing duty dies, answers of the store are lost, and the store is down for a
+/// while. Whoever reports next must report the same figures, and nothing that ran may be missing.
+#[test]
+fn reports_add_up_through_a_holders_death_and_lost_answers() {
+    let mut fleet = Fleet::start(Shape {
+        entries: 3,
+        engines: 1,
+        token_ms: 1,
+        ..Shape::default()
+    });
+    let key = fleet.grant("court");
+    let mut tokens = 0;
+    let mut ask = |entry: &fleet::Daemon, count: u32| {
+        let prompt = format!("billed {tokens}");
+        let answer = fleet::send(
+            fleet::chat(entry, &key),
+            &fleet::chat_body(&prompt, count, true),
+        );
+        fleet::assert_whole(&answer.text, &prompt, count);
+        tokens += u64::from(count);
+        tokens
+    };
+    for round in 0..4 {
+        ask(&fleet.entries[round % 3], 10);
+        fleet.fail_platform(&json!({"lose_answers": round}));
+    }
+    let expected = ask(&fleet.entries[2], 10);
+    fleet::wait_for("all is reported", || {
+        (reported_tokens(&fleet) == expected).then_some(())
+    });
+
+    let holder = fleet::wait_for("somebody holds the duty", || {
+        fleet.entries.iter().position(|entry| {
+            let duties = entry.status()["duties"].clone();
+            duties
+                .as_array()
+                .is_some_and(|list| list.iter().any(|duty| duty["held_here"] == true))
+        })
+    });
+    fleet.entries[holder].process.kill();
+    fleet.entries.remove(holder);
+    let expected = ask(&fleet.entries[0], 25);
+    fleet.fail_platform(&json!({"down": true}));
+    let expected = expected.max(ask(&fleet.entries[0], 25));
+    fleet.fail_platform(&json!({}));
+    fleet::wait_for("the next holder reports the rest", || {
+        (reported_tokens(&fleet) == expected).then_some(())
+    });
+}
--- /dev/null
+++ b/tests/processes/configuration.rs
@@ -0,0 +1,180 @@
+//! An accepted configuration is in force everywhere and never reverts.
+
+use serde_json::{Value, json};
+
+use crate::fleet::{self, Daemon, Fleet, Shape};
+
+fn version(daemon: &Daemon) -> u64 {
+    daemon.status()["config_version"]
+        .as_u64()
+        .expect("a version")
+}
+
+fn changed(target_ms: u32) -> Value {
+    let mut config = fleet::config();
+    config["classes"]["lookup"]["latency_target_ms"] = target_ms.into();
+    config
+}
+
+fn all(fleet: &Fleet) -> impl Iterator<Item = &Daemon> {
+    fleet.entries.iter().chain(&fleet.sides)
+}
+
+/// The store goes down right after it accepted a change, and so does the daemon that may have read
+/// it first. If only that one knew, the change would be lost until the store is back.
+#[test]
+fn accepted_change_spreads_without_the_store_and_its_reader() {
+    let mut fleet = Fleet::start(Shape {
+        entries: 3,
+        ..Shape::default()
+    });
+    let before = version(&fleet.entries[0]);
+    let (code, text) = fleet.apply(&changed(4321).to_string());
+    assert_eq!(code, 0, "{text}");
+    fleet::wait_for("somebody has read it", || {
+        all(&fleet)
+            .any(|daemon| version(daemon) > before)
+            .then_some(())
+    });
+    fleet.fail_platform(&json!({"down": true}));
+    let knew_first = fleet
+        .entries
+        .iter()
+        .position(|entry| version(entry) > before);
+    if let Some(first) = knew_first {
+        fleet.entries[first].process.kill();
+        fleet.entries.remove(first);
+    }
+    fleet::wait_for("it is in force everywhere", || {
+        all(&fleet)
+            .all(|daemon| version(daemon) > before)
+            .then_some(())
+    });
+}
+
+/// A daemon is restarted while the store answers from an old state, as a lagging replica does. By
+/// the store alone it would put the former configuration in force again.
+#[test]
+fn restarted_daemon_does_not_revert_to_an_old_read() {
+    let fleet = Fleet::start(Shape::default());
+    let old = version(&fleet.entries[0]);
+    assert_eq!(fleet.apply(&changed(4321).to_string()).0, 0);
+    let new = fleet::wait_for("the change is in force everywhere", || {
+        let new = version(&fleet.entries[0]);
+        (new > old && all(&fleet).all(|daemon| version(daemon) == new)).then_some(new)
+    });
+    fleet.fail_platform(&json!({"read_as_of": old}));
+    let restarted = fleet.spawn_entry("entry-restarted");
+    fleet::wait_for("it is ready", || restarted.is_ready().then_some(()));
+    assert_eq!(version(&restarted), new);
+    for daemon in all(&fleet) {
+        assert_eq!(version(daemon), new, "{}", daemon.id);
+    }
+}
+
+/// A text with a mistake gets into the store past the operator's tool. Every daemon refuses it by
+/// its version, keeps the last good one, and takes the next good one.
+#[test]
+fn invalid_text_in_the_store_is_refused_by_name() {
+    let fleet = Fleet::start(Shape::default());
+    let good = version(&fleet.entries[0]);
+    let url = format!(
+        "{}/objects/shared/config?if_version={good}",
+        fleet.platform.url
+    );
+    ureq::put(&url)
+        .send_string("{\"classes\": 7}")
+        .expect("the store takes any text");
+    fleet::wait_for("all refuse it", || {
+        all(&fleet)
+            .all(|daemon| {
+                let refused = daemon.status()["config_refused"].clone();
+                refused
+                    .as_str()
+                    .is_some_and(|why| why.contains("line 1, column 2"))
+            })
+            .then_some(())
+    });
+    for daemon in all(&fleet) {
+        assert_eq!(version(daemon), good);
+    }
+    let key = fleet.grant("court");
+    let request = fleet::chat(&fleet.entries[0], &key);
+    fleet::assert_whole(
+        &fleet::send(request, &fleet::chat_body("on", 2, true)).text,
+        "on",
+        2,
+    );
+    assert_eq!(fleet.apply(&changed(999).to_string()).0, 0);
+    fleet::wait_for("the next good one is in force", || {
+        all(&fleet)
+            .all(|daemon| version(daemon) > good)
+            .then_some(())
+    });
+}
+
+/// Two operators change the text at the same time. The later one must be told, not overwrite what
+/// it has not seen.
+#[test]
+fn racing_operators_are_told() {
+    let fleet = Fleet::start(Shape {
+        entries: 1,
+        engines: 1,
+        ..Shape::default()
+    });
+    let seen = version(&fleet.entries[0]).to_string();
+    let name = format!("briarwinch-race-{}.jsonc", std::process::id());
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, changed(1111).to_string()).expect("a temporary file");
+    let file_name = file.display().to_string();
+    let apply = || fleet.operate(&["apply", &file_name, "--expect", &seen]);
+    assert_eq!(apply().0, 0);
+    let (code, text) = apply();
+    assert_eq!(code, 4, "{text}");
+    assert!(text.contains("changed by somebody else"), "{text}");
+    std::fs::remove_file(&file).expect("written above");
+    let (code, text) = fleet.operate(&["check", "no-such-file"]);
+    assert_eq!(code, 1, "{text}");
+}
+
+/// The platform says that an endpoint is leaving. Requests still sent there would be cut when it
+/// goes.
+#[test]
+fn leaving_endpoint_gets_no_new_work() {
+    let fleet = Fleet::start(Shape::default());
+    let key = fleet.grant("court");
+    fleet.list_instance("juru-tulis-of-side-0", "leaving");
+    fleet::wait_for("every entry knows that it leaves", || {
+        let knows = |entry: &Daemon| {
+            let members = entry.status()["members"].clone();
+            let lines = members.as_array().cloned().unwrap_or_default();
+            lines
+                .iter()
+                .flat_map(|line| line["endpoints"].as_array().cloned().unwrap_or_default())
+                .any(|endpoint| {
+                    endpoint["out_because"]
+                        .as_str()
+                        .is_some_and(|why| !why.is_empty())
+                })
+        };
+        fleet
+            .entries
+            .iter()
+            .chain(&fleet.sides)
+            .all(knows)
+            .then_some(())
+    });
+    let before = fleet.engines[0].record()["runs"]
+        .as_object()
+        .map_or(0, |runs| runs.len());
+    for number in 0..30 {
+        let prompt = format!("after {number}");
+        let request = fleet::chat(&fleet.entries[number % 2], &key);
+        let answer = fleet::send(request, &fleet::chat_body(&prompt, 1, true));
+        fleet::assert_whole(&answer.text, &prompt, 1);
+    }
+    let after = fleet.engines[0].record()["runs"]
+        .as_object()
+        .map_or(0, |runs| runs.len());
+    assert_eq!(before, after);
+}
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -1,6 +1,5 @@
 //! Starts a fleet of real processes for a test, and ends it.
 
-use std::cell::Cell;
 use std::io::{BufRead, BufReader, Read};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -269,6 +268,8 @@
     pub lag_ms: u64,
     pub drain_ms: u64,
     pub linger_ms: u64,
+    /// How long a call to the plain service takes.
+    pub call_ms: u64,
 }
 
 impl Default for Shape {
@@ -282,6 +283,7 @@
             lag_ms: 500,
             drain_ms: 30_000,
             linger_ms: 10_000,
+            call_ms: 5,
         }
     }
 }
@@ -296,7 +298,6 @@
     pub entries: Vec<Daemon>,
     pub shape: Shape,
     seeds: Vec<String>,
-    made: Cell<u32>,
 }
 
 impl Fleet {
@@ -306,16 +307,16 @@
         let platform = Standin::spawn(&["platform", "--lag-ms", &lag]);
         let token_ms = shape.token_ms.to_string();
         let slots = shape.engine_slots.to_string();
+        let call_ms = shape.call_ms.to_string();
         let engine = || Standin::spawn(&["engine", "--token-ms", &token_ms, "--slots", &slots]);
         let mut fleet = Self {
             platform,
             engines: (0..shape.engines).map(|_| engine()).collect(),
-            service: Standin::spawn(&["service"]),
+            service: Standin::spawn(&["service", "--call-ms", &call_ms]),
             sides: Vec::new(),
             entries: Vec::new(),
             shape,
             seeds: Vec::new(),
-            made: Cell::new(0),
         };
         for number in 0..fleet.shape.entries {
             let entry = fleet.spawn_entry(&format!("entry-{number}"));
@@ -362,8 +363,19 @@
     }
 
     pub fn spawn_entry(&self, id: &str) -> Daemon {
+        self.spawn_entry_with(self.daemon_settings(id))
+    }
+
+    /// An entry whose platform address leads nowhere.
+    pub fn spawn_entry_without_store(&self, id: &str) -> Daemon {
+        let mut daemon = self.daemon_settings(id);
+        daemon["platform_url"] = "http://127.0.0.1:1".into();
+        self.spawn_entry_with(daemon)
+    }
+
+    fn spawn_entry_with(&self, daemon: Value) -> Daemon {
         let settings = json!({
-            "daemon": self.daemon_settings(id),
+            "daemon": daemon,
             "listen_addr": "127.0.0.1:0",
             "max_body_bytes": 100_000,
             "request_arrival_ms": 2000,
@@ -442,10 +454,29 @@
             .expect("the stand-in obeys");
     }
 
-    /// A number unlike any before in this fleet.
-    pub fn fresh(&self) -> u32 {
-        self.made.set(self.made.get() + 1);
-        self.made.get()
+    /// Sets what the platform's lagging list says of an instance or endpoint.
+    pub fn list_instance(&self, id: &str, standing: &str) {
+        let url = format!("{}/control/instances", self.platform.url);
+        let line = json!({"id": id, "standing": standing});
+        ureq::post(&url)
+            .send_json(line)
+            .expect("the stand-in obeys");
+    }
+
+    /// Runs of requests at all engines.
+    pub fn engine_runs(&self) -> u64 {
+        let runs = |engine: &Standin| {
+            let record = engine.record();
+            let runs = record["runs"].as_object().cloned().unwrap_or_default();
+            runs.values().filter_map(Value::as_u64).sum::<u64>()
+        };
+        self.engines.iter().map(runs).sum()
+    }
+
+    /// Whether an engine or the service has run the request of this name.
+    pub fn has_run(&self, request: &str) -> bool {
+        let mut standins = self.engines.iter().chain([&self.service]);
+        standins.any(|standin| !standin.record()["runs"][request].is_null())
     }
 }
 
@@ -499,9 +530,51 @@
 /// Checks that a streamed answer is exactly the one to this prompt.
 pub fn assert_whole(text: &str, prompt: &str, count: u32) {
     let expected: Vec<String> = (0..count).map(|place| token(prompt, place)).collect();
-    assert_eq!(
-        stream_tokens(text),
-        (expected, true),
-        "the whole answer to its own request"
+    let (tokens, whole) = stream_tokens(text);
+    let right = tokens.iter().zip(&expected).take_while(|(got, wanted)| got == wanted).count();
+    let tail = &text[text.len().saturating_sub(400)..];
+    assert!(
+        tokens == expected && whole,
+        "not the whole answer: {} of {count} tokens, the first {right} right, ending {tail}",
+        tokens.len()
     );
 }
+
+/// A streamed answer that is read piece by piece.
+pub struct Reading {
+    reader: Box<dyn Read + Send + Sync>,
+    pub text: String,
+}
+
+impl Reading {
+    /// Sends a request and reads up to its first token.
+    pub fn open(request: ureq::Request, body: &str) -> Self {
+        let response = request.send_string(body).expect("a head");
+        let mut reading = Self {
+            reader: Box::new(response.into_reader()),
+            text: String::new(),
+        };
+        while stream_tokens(&reading.text).0.is_empty() {
+            assert!(reading.read(), "a first token");
+        }
+        reading
+    }
+
+    fn read(&mut self) -> bool {
+        let mut buffer = [0; 512];
+        match self.reader.read(&mut buffer) {
+            Ok(0) | Err(_) => false,
+            Ok(count) => {
+                self.text
+                    .push_str(&String::from_utf8_lossy(&buffer[..count]));
+                true
+            }
+        }
+    }
+
+    /// Reads to the end, whatever it is.
+    pub fn rest(mut self) -> String {
+        while self.read() {}
+        self.text
+    }
+}
--- /dev/null
+++ b/tests/processes/keys.rs
@@ -0,0 +1,85 @@
+//! Withdrawn keys.
+
+use std::thread;
+
+use crate::fleet::{self, Fleet, Reading, Shape};
+
+/// One slot at one engine, so that a second request has to wait.
+fn narrow() -> Shape {
+    let mut shape = Shape {
+        engines: 1,
+        token_ms: 30,
+        ..Shape::default()
+    };
+    shape.config["services"]["juru-tulis"]["slots"] = 1.into();
+    shape
+}
+
+/// An operator withdraws a key while one request of it streams and another waits in the queue. A
+/// leaked key would otherwise go on costing its account until the last stream ends.
+#[test]
+fn withdrawn_key_ends_running_and_queued_requests() {
+    let fleet = Fleet::start(narrow());
+    let (key, other) = (fleet.grant("court"), fleet.grant("court"));
+    let entry = &fleet.entries[0];
+    let body = fleet::chat_body("long", 4000, true);
+    let running = Reading::open(fleet::chat(entry, &key), &body);
+    let (queued, running) = thread::scope(|scope| {
+        let queued = scope.spawn(|| fleet::send(fleet::chat(entry, &key), &body));
+        fleet::wait_for("the second request waits", || {
+            (fleet.sides[0].metric("briarwinch_queue_jobs") >= 1.0).then_some(())
+        });
+        fleet.withdraw(&key);
+        (queued.join().expect("no panic"), running.rest())
+    });
+    assert_eq!(
+        (queued.status, queued.code().as_str()),
+        (401, "key_withdrawn")
+    );
+    assert_eq!(queued.ran.as_deref(), Some("no"));
+    assert!(
+        !fleet.has_run(&queued.request.expect("its name")),
+        "said not run"
+    );
+    assert!(
+        running.contains("event: error") && running.contains("key_withdrawn"),
+        "{running}"
+    );
+    assert!(
+        !fleet::stream_tokens(&running).1,
+        "not ended as a whole answer"
+    );
+    for entry in &fleet.entries {
+        let answer = fleet::send(fleet::chat(entry, &key), &body);
+        assert_eq!(answer.code(), "key_withdrawn");
+    }
+    // The account's other key is not touched.
+    let answer = fleet::send(
+        fleet::chat(entry, &other),
+        &fleet::chat_body("short", 2, true),
+    );
+    fleet::assert_whole(&answer.text, "short", 2);
+}
+
+/// One entry cannot reach the store but reaches its peers. If it went by the store alone, a
+/// withdrawn key would work there for as long as the store is out of reach.
+#[test]
+fn withdrawn_key_stops_at_an_entry_without_the_store() {
+    let fleet = Fleet::start(Shape {
+        entries: 1,
+        engines: 1,
+        ..Shape::default()
+    });
+    let key = fleet.grant("court");
+    let cut_off = fleet.spawn_entry_without_store("entry-cut-off");
+    let body = fleet::chat_body("cut", 2, true);
+    fleet::wait_for("it serves by what its peers told it", || {
+        let answer = fleet::try_send(fleet::chat(&cut_off, &key), &body)?;
+        (answer.status == 200).then_some(())
+    });
+    fleet.withdraw(&key);
+    fleet::wait_for("it refuses the key", || {
+        let answer = fleet::try_send(fleet::chat(&cut_off, &key), &body)?;
+        (answer.status == 401 && answer.code() == "key_withdrawn").then_some(())
+    });
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -3,6 +3,12 @@
 //! Ports are chosen by the system and read from what each process prints. Tests wait for
 //! conditions, with a bound far above what is expected, and never for a fixed time.
 
+mod at_most_once;
 mod bad_input;
+mod billing;
+mod configuration;
 mod fleet;
+mod keys;
 mod path;
+mod stops;
+mod streams;
--- /dev/null
+++ b/tests/processes/streams.rs
@@ -0,0 +1,202 @@
+//! Every caller gets the whole answer to its own request, or is told that it does not.
+
+use std::process::Command;
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use crate::fleet::{self, Fleet, Reading, Shape};
+
+/// An entry dies halfway through an answer, and its caller comes back through the other entry with
+/// the same idempotency key. If the answer died with the entry, a stenographer's draft would be
+/// generated, and paid for, a second time.
+#[test]
+fn answer_outlives_the_entry_that_carried_it() {
+    let mut fleet = Fleet::start(Shape {
+        token_ms: 20,
+        ..Shape::default()
+    });
+    let key = fleet.grant("court");
+    let body = fleet::chat_body("draft", 120, true);
+    let request = |entry: &fleet::Daemon| {
+        fleet::chat(entry, &key).set("idempotency-key", "draft of the morning")
+    };
+    let first = Reading::open(request(&fleet.entries[0]), &body);
+    fleet.entries[0].process.kill();
+    let cut = first.rest();
+    assert!(!fleet::stream_tokens(&cut).1, "cut halfway: {cut}");
+    let answer = fleet::send(request(&fleet.entries[1]), &body);
+    assert!(answer.replayed);
+    fleet::assert_whole(&answer.text, "draft", 120);
+    assert_eq!(fleet.engine_runs(), 1, "one run");
+}
+
+/// The side, and with it the only way to the endpoint, dies after the first token. A spliced or
+/// silently shortened answer would be taken for the whole one.
+#[test]
+fn stream_says_that_it_ended_early_when_its_side_dies() {
+    let mut fleet = Fleet::start(Shape {
+        engines: 1,
+        token_ms: 30,
+        ..Shape::default()
+    });
+    let key = fleet.grant("court");
+    let body = fleet::chat_body("lost", 400, true);
+    let reading = Reading::open(fleet::chat(&fleet.entries[0], &key), &body);
+    fleet.sides[0].process.kill();
+    let text = reading.rest();
+    assert!(
+        text.contains("event: error") && text.contains("link_lost"),
+        "{text}"
+    );
+    assert!(text.contains("\"ran\":\"unknown\""), "{text}");
+}
+
+/// An engine dies in the middle of an answer and closes its connection like one that is done.
+#[test]
+fn stream_says_that_it_ended_early_when_its_engine_dies() {
+    let mut fleet = Fleet::start(Shape {
+        engines: 1,
+        token_ms: 30,
+        ..Shape::default()
+    });
+    let key = fleet.grant("court");
+    let body = fleet::chat_body("lost", 400, true);
+    let reading = Reading::open(fleet::chat(&fleet.entries[0], &key), &body);
+    fleet.engines[0].process.kill();
+    let text = reading.rest();
+    assert!(
+        text.contains("event: error") && text.contains("endpoint_failed"),
+        "{text}"
+    );
+}
+
+/// A side dies while its engine still reads the prompt. No byte has reached the caller, so another
+/// endpoint answers and the caller notices nothing but the time.
+#[test]
+fn request_moves_to_another_endpoint_before_its_first_token() {
+    let mut fleet = Fleet::start(Shape::default());
+    let key = fleet.grant("court");
+    // A prompt this long takes the stand-in engine the better part of a second to read.
+    let prompt = "x".repeat(80_000);
+    let body = fleet::chat_body(&prompt, 4, true);
+    let request = fleet::chat(&fleet.entries[0], &key);
+    let sent = std::thread::spawn(move || fleet::send(request, &body));
+    let busy = fleet::wait_for("an engine has the request", || {
+        fleet
+            .engines
+            .iter()
+            .position(|engine| engine.record()["running"] == json!(1))
+    });
+    fleet.sides[busy].process.kill();
+    let answer = sent.join().expect("no panic");
+    fleet::assert_whole(&answer.text, &prompt, 4);
+}
+
+/// A side is frozen, as by a stalled host: its port is open and nothing answers. Requests that kept
+/// going there would hang until their deadline.
+#[test]
+fn frozen_side_gets_no_requests() {
+    let fleet = Fleet::start(Shape::default());
+    let key = fleet.grant("court");
+    fleet.sides[0].process.signal(Signal::SIGSTOP);
+    for number in 0..20 {
+        let prompt = format!("while frozen {number}");
+        let request = fleet::chat(&fleet.entries[0], &key);
+        let answer = fleet::send(request, &fleet::chat_body(&prompt, 2, true));
+        fleet::assert_whole(&answer.text, &prompt, 2);
+    }
+    fleet.sides[0].process.signal(Signal::SIGCONT);
+    fleet::wait_for("it gets requests again", || {
+        let prompt = format!("woken {:x}", rand::random::<u32>());
+        let request = fleet::chat(&fleet.entries[0], &key);
+        fleet::send(request, &fleet::chat_body(&prompt, 1, true));
+        let runs = fleet.engines[0].record()["runs"]
+            .as_object()
+            .map_or(0, |runs| runs.len());
+        (runs > 0).then_some(())
+    });
+}
+
+/// One caller opens a long answer and does not read it. Without credit of its own for each stream,
+/// its bytes would fill the shared link and every other caller of that link would wait behind it.
+#[test]
+fn slow_caller_blocks_no_other() {
+    let fleet = Fleet::start(Shape {
+        entries: 1,
+        engines: 1,
+        token_ms: 0,
+        ..Shape::default()
+    });
+    let key = fleet.grant("court");
+    let entry = &fleet.entries[0];
+    let slow = Reading::open(
+        fleet::chat(entry, &key),
+        &fleet::chat_body("slow", 150_000, true),
+    );
+    for number in 0..50 {
+        let prompt = format!("quick {number}");
+        let answer = fleet::send(
+            fleet::chat(entry, &key),
+            &fleet::chat_body(&prompt, 20, true),
+        );
+        fleet::assert_whole(&answer.text, &prompt, 20);
+    }
+    fleet::assert_whole(&slow.rest(), "slow", 150_000);
+}
+
+/// Thousands of streams share a few links; each is checked token by token, and tokens follow from
+/// the prompt, so one that strayed from another stream would be noticed.
+#[test]
+fn thousands_of_streams_share_links_and_stay_apart() {
+    let mut shape = Shape {
+        entries: 1,
+        engines: 2,
+        token_ms: 5,
+        engine_slots: 2000,
+        ..Shape::default()
+    };
+    shape.config["services"]["juru-tulis"]["slots"] = 2000.into();
+    shape.config["services"]["juru-tulis"]["max_queue"] = 4000.into();
+    let fleet = Fleet::start(shape);
+    let key = fleet.grant("court");
+    let plan = std::env::temp_dir().join(format!("briarwinch-plan-{}.jsonc", std::process::id()));
+    let line = json!({"class": "lookup", "share": 1, "target_ms": 5000, "kind": "chat",
+        "model": "juru-tulis", "stream": true, "prompt_chars": 80, "max_tokens": 20});
+    std::fs::write(&plan, json!({"lines": [line]}).to_string()).expect("a temporary file");
+    let output = Command::new(fleet::binary("briarwinch-standin"))
+        .args([
+            "load",
+            "--target",
+            &fleet.entries[0].url(),
+            "--key",
+            &key,
+            "--seconds",
+            "4",
+        ])
+        .args([
+            "--rate",
+            "600",
+            "--seed",
+            "11",
+            "--plan",
+            &plan.display().to_string(),
+        ])
+        .output()
+        .expect("load starts");
+    std::fs::remove_file(&plan).expect("written above");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let last = text.lines().last().unwrap_or_default().to_owned();
+    let counts: Vec<u64> = last
+        .split(' ')
+        .filter_map(|word| word.parse().ok())
+        .collect();
+    assert!(
+        counts.len() == 2 && counts[0] == counts[1] && counts[0] > 2000,
+        "{text}{:?}",
+        String::from_utf8_lossy(&output.stderr)
+            .lines()
+            .take(5)
+            .collect::<Vec<_>>()
+    );
+}
