Send JSON bodies to the platform as such; reports arrive

Cause: the usage interface refused a body without a content type; the report counted as unanswered. reports_add_up_through_a_holders_death_and_lost_answers: red for 60 s before, passes in 10.6 s.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -101,6 +101,7 @@
             .http
             .request(method, format!("{}{path}", self.url))
             .timeout(Millis(wait_ms))
+            .content_type("application/json")
             .send_body(body);
         // The client's own timeout covers the head; the outer one covers connecting as well, so
         // that a platform that accepts and then hangs cannot hold a caller.
