--- a/src/control.rs
+++ b/src/control.rs
@@ -212,6 +212,12 @@
         self.me.borrow().clone()
     }
 
+    /// The key that seals messages of this fleet.
+    #[must_use]
+    pub fn secret(&self) -> &wire::Secret {
+        &self.secret
+    }
+
     /// Runs `read` on the shared state.
     pub fn with_shared<T>(&self, read: impl FnOnce(&spread::Shared) -> T) -> T {
         read(&self.shared.borrow())
--- a/src/duties.rs
+++ b/src/duties.rs
@@ -4,6 +4,7 @@
 //! the duties and not with the fleet. Losing an entry loses nothing: what a duty needs to know
 //! stands in the store.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use xxhash_rust::xxh3;
 
 use crate::store::{self, Condition, Failure, ObjectStore};
-use crate::{billing, control, lease, membership};
+use crate::{billing, control, lease, membership, scaler};
 
 /// Entries that contend for a duty.
 const CONTENDERS: usize = 2;
@@ -28,6 +29,11 @@
 pub enum Duty {
     /// Seals and reports the billing windows of a region.
     Billing { region: CompactString },
+    /// Orders the endpoints of an availability zone.
+    Endpoints {
+        region: CompactString,
+        zone: CompactString,
+    },
 }
 
 impl Duty {
@@ -36,6 +42,7 @@
     pub fn key(&self) -> String {
         match self {
             Self::Billing { region } => format!("leases/billing/{region}"),
+            Self::Endpoints { region, zone } => format!("leases/endpoints/{region}/{zone}"),
         }
     }
 }
@@ -58,11 +65,68 @@
         membership::Role::Entry => {
             let region = control.settings.region.clone();
             task::spawn_local(contend(Rc::clone(control), Duty::Billing { region }));
+            task::spawn_local(contend_for_zones(Rc::clone(control)));
         }
         membership::Role::Side => {}
     }
 }
 
+/// Contends for the endpoints of each zone of this region, also of zones that come up later.
+async fn contend_for_zones(control: Rc<control::Control>) {
+    let region = control.settings.region.clone();
+    let mut known: HashSet<CompactString> = HashSet::new();
+    loop {
+        let zones: HashSet<CompactString> = control.with_shared(|shared| {
+            let members = shared.fleet.iter().filter(|member| member.region == region);
+            members.map(|member| member.zone.clone()).collect()
+        });
+        for zone in zones {
+            if known.insert(zone.clone()) {
+                let duty = Duty::Endpoints {
+                    region: region.clone(),
+                    zone,
+                };
+                task::spawn_local(contend(Rc::clone(&control), duty));
+            }
+        }
+        time::sleep(Duration::from_millis(IDLE_MS)).await;
+    }
+}
+
+/// What the holder of a duty remembers.
+enum Work {
+    Billing(billing::Work),
+    Endpoints(Box<scaler::Work>),
+}
+
+impl Work {
+    fn of(duty: &Duty) -> Self {
+        match duty {
+            Duty::Billing { .. } => Self::Billing(billing::Work::default()),
+            Duty::Endpoints { .. } => Self::Endpoints(Box::default()),
+        }
+    }
+
+    async fn tick(&mut self, control: &control::Control, lease: &lease::Contender, duty: &Duty) {
+        match (self, duty) {
+            (Self::Billing(work), Duty::Billing { region }) => {
+                work.tick(control, lease, region).await;
+            }
+            (Self::Endpoints(work), Duty::Endpoints { zone, .. }) => {
+                work.tick(control, lease, zone).await;
+            }
+            _ => {}
+        }
+    }
+
+    fn note(&self) -> &str {
+        match self {
+            Self::Billing(work) => work.note(),
+            Self::Endpoints(work) => work.note(),
+        }
+    }
+}
+
 /// Whether this daemon is among those that contend for a duty.
 fn contends(control: &control::Control, duty: &Duty) -> bool {
     let key = duty.key();
@@ -85,7 +149,7 @@
 async fn contend(control: Rc<control::Control>, duty: Duty) {
     let key = duty.key();
     let mut contender = lease::Contender::new(control.settings.id.clone(), control.boot);
-    let mut work = billing::Work::default();
+    let mut work = Work::of(&duty);
     loop {
         if control.hub.draining.load(Ordering::Acquire) {
             contender.release();
@@ -106,9 +170,7 @@
             }
         }
         if contender.epoch(control.hub.now_ms()).is_some() {
-            match &duty {
-                Duty::Billing { region } => work.tick(&control, &contender, region).await,
-            }
+            work.tick(&control, &contender, &duty).await;
         }
         show(&control, &duty, &contender, work.note());
     }
--- a/src/entry/reader.rs
+++ b/src/entry/reader.rs
@@ -220,7 +220,8 @@
             stream.send(&wire::ToSide::Revoke(stream.id));
         }
         let limit = Duration::from_millis(REVOKE_MS);
-        self.revoked.get_or_insert_with(|| Box::pin(time::sleep(limit)));
+        self.revoked
+            .get_or_insert_with(|| Box::pin(time::sleep(limit)));
     }
 
     /// Ends the stream when its key has been withdrawn and the side does not end it in time;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,8 @@
 pub mod platform;
 pub mod queue;
 pub mod retry;
+pub mod scaler;
+pub mod scaling;
 pub mod settings;
 pub mod side;
 pub mod spread;
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -38,7 +38,11 @@
 impl Pace {
     /// A request's first token came this long after it was sent to the endpoint.
     pub fn first_token(&mut self, after_ms: u64, now_ms: u64) {
-        let weight = if self.start_seen_ms.is_some() { NEWEST } else { 1.0 };
+        let weight = if self.start_seen_ms.is_some() {
+            NEWEST
+        } else {
+            1.0
+        };
         let known_ms = self.aged_start_ms(now_ms);
         self.start_ms = known_ms + (after_ms as f64 - known_ms) * weight;
         self.start_seen_ms = Some(now_ms);
@@ -69,7 +73,9 @@
     }
 
     fn aged_start_ms(&self, now_ms: u64) -> f64 {
-        let Some(seen_ms) = self.start_seen_ms else { return 0.0 };
+        let Some(seen_ms) = self.start_seen_ms else {
+            return 0.0;
+        };
         let idle_ms = now_ms.saturating_sub(seen_ms) as f64;
         self.start_ms * 0.5_f64.powf(idle_ms / START_HALF_LIFE_MS)
     }
--- a/src/side/asks.rs
+++ b/src/side/asks.rs
@@ -2,6 +2,7 @@
 //!
 //! A side that cannot answer does not; its silence tells the entry enough.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 
@@ -18,16 +19,8 @@
             continue;
         };
         match wire::open_datagram(&side.secret, &buffer[..count]) {
-            Ok(wire::Datagram::Ask(ask)) => {
-                let Some(offer) = side.offer(&ask) else {
-                    continue;
-                };
-                let sealed = wire::seal_datagram(&side.secret, &wire::Datagram::Offer(offer));
-                if let Ok(bytes) = sealed {
-                    // A lost offer is one offer fewer to choose from.
-                    let _ = socket.try_send_to(&bytes, from);
-                }
-            }
+            Ok(wire::Datagram::Ask(ask)) => side.answer(&socket, from, side.offer(&ask)),
+            Ok(wire::Datagram::LoadAsk(ask)) => side.answer(&socket, from, side.load(&ask)),
             Ok(_) => control::count_reject(wire::Reject::Message),
             Err(reject) => control::count_reject(reject),
         }
@@ -35,6 +28,35 @@
 }
 
 impl Side {
+    fn answer(&self, socket: &UdpSocket, to: SocketAddr, offer: Option<wire::Offer>) {
+        let Some(offer) = offer else { return };
+        let sealed = wire::seal_datagram(&self.secret, &wire::Datagram::Offer(offer));
+        if let Ok(bytes) = sealed {
+            // A lost offer is one offer fewer to choose from.
+            let _ = socket.try_send_to(&bytes, to);
+        }
+    }
+
+    fn load(&self, ask: &wire::LoadAsk) -> Option<wire::Offer> {
+        let endpoint = self.endpoint(ask.endpoint)?;
+        if endpoint.service != ask.service {
+            return None;
+        }
+        if let Some(epoch) = ask.drain {
+            endpoint.drain(epoch, self.now_ms());
+        }
+        Some(wire::Offer {
+            nonce: ask.nonce,
+            endpoint: ask.endpoint,
+            first_token_ms: 0,
+            leaving: self.is_leaving(endpoint),
+            knows_prefix: false,
+            holds_answer: false,
+            running: endpoint.running.get() as u32,
+            waiting: endpoint.queue.borrow().len() as u32,
+        })
+    }
+
     fn offer(&self, ask: &wire::Ask) -> Option<wire::Offer> {
         let endpoint = self.endpoint(ask.endpoint)?;
         if endpoint.service != ask.service {
@@ -55,6 +77,8 @@
             leaving: self.is_leaving(endpoint),
             knows_prefix: endpoint.prefixes.borrow().knows(ask.prefix),
             holds_answer,
+            running: endpoint.running.get() as u32,
+            waiting: endpoint.queue.borrow().len() as u32,
         })
     }
 
@@ -62,6 +86,7 @@
     pub(super) fn is_leaving(&self, endpoint: &super::endpoint::Endpoint) -> bool {
         let snapshot = self.hub.snapshot.load();
         self.hub.draining.load(Ordering::Acquire)
+            || endpoint.is_draining(self.now_ms())
             || snapshot.leaving.contains(&endpoint.id)
             || snapshot.leaving.contains(&self.settings.daemon.id)
     }
--- a/src/side/endpoint.rs
+++ b/src/side/endpoint.rs
@@ -6,7 +6,7 @@
 
 use compact_str::CompactString;
 
-use crate::{config, pace, queue, settings, spread};
+use crate::{config, lease, orders, pace, queue, settings, spread};
 
 /// Prompt heads remembered as served lately.
 const PREFIXES: usize = 1024;
@@ -54,8 +54,15 @@
     pub running: Cell<usize>,
     pub pace: RefCell<pace::Pace>,
     pub prefixes: RefCell<Prefixes>,
+    fence: RefCell<orders::Fence>,
+    /// Until when it takes no new work, by order; an order that is not repeated runs out, so that
+    /// a holder that dies between drain and stop does not leave the endpoint idle for ever.
+    drains_until_ms: Cell<u64>,
 }
 
+/// How long an order to drain lasts.
+const DRAIN_MS: u64 = 30_000;
+
 impl Endpoint {
     #[must_use]
     pub fn new(settings: &settings::SideEndpoint) -> Self {
@@ -69,9 +76,23 @@
             running: Cell::new(0),
             pace: RefCell::default(),
             prefixes: RefCell::default(),
+            fence: RefCell::default(),
+            drains_until_ms: Cell::new(0),
+        }
+    }
+
+    /// Takes an order to drain, unless a later holder has ordered here.
+    pub fn drain(&self, epoch: lease::Epoch, now_ms: u64) {
+        if self.fence.borrow_mut().admit(epoch) {
+            self.drains_until_ms.set(now_ms + DRAIN_MS);
         }
     }
 
+    #[must_use]
+    pub fn is_draining(&self, now_ms: u64) -> bool {
+        now_ms < self.drains_until_ms.get()
+    }
+
     #[must_use]
     pub fn slots(&self) -> usize {
         self.slots.get()
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use subtle::ConstantTimeEq;
 
-use crate::{error, keys, membership, platform, trace};
+use crate::{error, keys, lease, membership, platform, trace};
 
 /// Longest datagram sent or taken.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -102,6 +102,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
     Ask(Ask),
+    LoadAsk(LoadAsk),
     Offer(Offer),
     Digest(membership::Digest),
 }
@@ -119,6 +120,16 @@
     pub idempotency: Option<IdempotencyDigest>,
 }
 
+/// How much is there to do? And, for an endpoint that is to be stopped: drain.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadAsk {
+    pub nonce: u64,
+    pub endpoint: EndpointIndex,
+    pub service: CompactString,
+    /// Take no new work, by order of the holder of this epoch.
+    pub drain: Option<lease::Epoch>,
+}
+
 /// A side's answer to an ask, out of its own queue.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
@@ -132,6 +143,8 @@
     pub knows_prefix: bool,
     /// The answer to this idempotency key is held here.
     pub holds_answer: bool,
+    pub running: u32,
+    pub waiting: u32,
 }
 
 /// First frame each way on a link, sealed under the fleet's key.
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -531,7 +531,11 @@
 pub fn assert_whole(text: &str, prompt: &str, count: u32) {
     let expected: Vec<String> = (0..count).map(|place| token(prompt, place)).collect();
     let (tokens, whole) = stream_tokens(text);
-    let right = tokens.iter().zip(&expected).take_while(|(got, wanted)| got == wanted).count();
+    let right = tokens
+        .iter()
+        .zip(&expected)
+        .take_while(|(got, wanted)| got == wanted)
+        .count();
     let tail = &text[text.len().saturating_sub(400)..];
     assert!(
         tokens == expected && whole,
--- /dev/null
+++ b/tests/properties/bytes.rs
@@ -0,0 +1,132 @@
+//! Any bytes, to whatever reads bytes: no panic, and memory within its bounds.
+
+use briarwinch::config::Config;
+use briarwinch::wire::{self, Opener, Sealer, Secret};
+use briarwinch::{keys, openai, settings, trace};
+use proptest::prelude::*;
+
+fn secret() -> Secret {
+    Secret::fleet("a secret of the tests")
+}
+
+/// A text near enough to the real thing to get past the first checks.
+fn near_text() -> impl Strategy<Value = String> {
+    let word = prop_oneof![
+        Just("{"),
+        Just("}"),
+        Just("["),
+        Just("]"),
+        Just(":"),
+        Just(","),
+        Just("\"classes\""),
+        Just("\"services\""),
+        Just("\"accounts\""),
+        Just("\"daemon\""),
+        Just("\"c\""),
+        Just("\"latency_target_ms\""),
+        Just("\"priority\""),
+        Just("1"),
+        Just("-1"),
+        Just("1e999"),
+        Just("null"),
+        Just("// x\n"),
+        Just("/*"),
+        Just("\"\\ud800\""),
+        Just("\u{feff}"),
+        Just(" "),
+    ];
+    prop::collection::vec(word, 0..60).prop_map(|words| words.concat())
+}
+
+proptest! {
+    #![proptest_config(crate::cases(3000))]
+
+    #[test]
+    fn texts_never_panic(text in prop_oneof![near_text(), any::<String>()]) {
+        let _ = Config::parse(&text);
+        let _ = settings::parse::<settings::Entry>(&text);
+        let _ = settings::parse::<settings::Side>(&text);
+        let _ = openai::parse(text.as_bytes());
+        let _ = trace::Context::parse(&text);
+        let _ = keys::Table::default().check(&text);
+        let _ = keys::id_of(&text);
+    }
+
+    #[test]
+    fn datagrams_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..2000)) {
+        prop_assert!(wire::open_datagram(&secret(), &bytes).is_err());
+    }
+
+    /// Frames arrive in any pieces, with any byte changed: what opens is what was sealed, in order.
+    #[test]
+    fn frames_open_only_as_they_were_sealed(
+        messages in prop::collection::vec("[a-z]{0,200}", 1..10),
+        cut in 1..64_usize,
+        flip in prop::option::of((any::<prop::sample::Index>(), 1..=255_u8)),
+    ) {
+        let mut bytes = Vec::new();
+        let mut sealer = Sealer::new(secret());
+        for message in &messages {
+            sealer.seal(message, &mut bytes).expect("short");
+        }
+        if let Some((index, mask)) = flip {
+            let at = index.index(bytes.len());
+            bytes[at] ^= mask;
+        }
+        let mut opener = Opener::new(secret());
+        let mut opened: Vec<String> = Vec::new();
+        'all: for piece in bytes.chunks(cut) {
+            opener.push(piece);
+            loop {
+                match opener.read::<String>() {
+                    Ok(Some(message)) => opened.push(message),
+                    Ok(None) => break,
+                    Err(_) => break 'all,
+                }
+            }
+        }
+        prop_assert_eq!(&opened[..], &messages[..opened.len()]);
+        prop_assert_eq!(opened.len() == messages.len(), flip.is_none());
+    }
+
+    /// Garbage on a link: refused at the latest when more than the longest frame has come.
+    #[test]
+    fn garbage_on_a_link_is_refused(bytes in prop::collection::vec(any::<u8>(), 4..5000)) {
+        let mut opener = Opener::new(secret());
+        opener.push(&bytes);
+        let length = u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]) as usize;
+        match opener.read::<wire::ToSide>() {
+            Ok(Some(_)) => prop_assert!(false, "garbage opened"),
+            Ok(None) => prop_assert!(length <= wire::MAX_FRAME_BYTES && length > bytes.len() - 4),
+            Err(_) => {}
+        }
+    }
+}
+
+/// A frame of another link, or one played again, does not open.
+#[test]
+fn replayed_frame_does_not_open() {
+    let mut bytes = Vec::new();
+    Sealer::new(secret().link(1, 2))
+        .seal(&"order".to_owned(), &mut bytes)
+        .expect("short");
+    let mut other = Opener::new(secret().link(1, 3));
+    other.push(&bytes);
+    assert_eq!(other.read::<String>(), Err(wire::Reject::Seal));
+    let mut same = Opener::new(secret().link(1, 2));
+    same.push(&bytes);
+    same.push(&bytes);
+    assert_eq!(same.read::<String>(), Ok(Some("order".to_owned())));
+    assert_eq!(same.read::<String>(), Err(wire::Reject::Seal));
+}
+
+/// Nested deep enough to overflow a recursive parser's stack.
+#[test]
+fn deep_nesting_is_refused() {
+    for open in ["[", "{\"a\":"] {
+        let mistake = Config::parse(&open.repeat(100_000)).expect_err("too deep");
+        assert!(mistake.sentence.contains("nested deeper"), "{mistake}");
+    }
+    // The same for a caller's body, whose parser has a bound of its own.
+    assert!(openai::parse("[".repeat(100_000).as_bytes()).is_err());
+}
--- /dev/null
+++ b/tests/properties/queue.rs
@@ -0,0 +1,194 @@
+//! The queue: protection, guaranteed shares, fairness, bounds.
+
+use std::collections::HashMap;
+
+use briarwinch::config::ClassKey;
+use briarwinch::queue::{ClassRule, Job, Pushed, Queue, Started};
+use proptest::prelude::*;
+
+const PLACES: usize = 24;
+
+/// Seven classes as the users' target has them; two are protected.
+fn rules() -> Vec<ClassRule> {
+    [
+        (90, true),
+        (80, true),
+        (70, false),
+        (60, false),
+        (40, false),
+        (20, false),
+        (10, false),
+    ]
+    .into_iter()
+    .map(|(priority, protected)| ClassRule {
+        priority,
+        protected,
+        guaranteed_ppm: 50_000,
+    })
+    .collect()
+}
+
+fn job(id: u64, class: u16, account: u8, tokens: u64) -> Job {
+    Job {
+        id,
+        class: ClassKey(class),
+        account: format!("account-{account}").into(),
+        share: 1,
+        estimate_tokens: tokens,
+        target_at_ms: id,
+        give_up_at_ms: u64::MAX,
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Act {
+    Push {
+        class: u16,
+        account: u8,
+        tokens: u64,
+    },
+    Pop,
+    /// The oldest running job ends after this part of its estimate, in percent.
+    Finish {
+        percent: u64,
+    },
+    Expire,
+}
+
+fn acts() -> impl Strategy<Value = Vec<Act>> {
+    let act = prop_oneof![
+        5 => (0..7_u16, 0..4_u8, 1..2000_u64)
+            .prop_map(|(class, account, tokens)| Act::Push { class, account, tokens }),
+        2 => Just(Act::Pop),
+        1 => (0..300_u64).prop_map(|percent| Act::Finish { percent }),
+        1 => Just(Act::Expire),
+    ];
+    prop::collection::vec(act, 1..300)
+}
+
+proptest! {
+    #![proptest_config(crate::cases(400))]
+
+    /// A burst of anything fills the queue. A protected request that was pushed out for a lower one
+    /// would be a hearing summary that comes after the hearing.
+    #[test]
+    fn protected_jobs_are_never_refused_for_lower_ones(acts in acts()) {
+        let rules = rules();
+        let mut queue = Queue::new(1, rules.clone(), PLACES);
+        let mut waiting: HashMap<u64, Job> = HashMap::new();
+        let mut running: Vec<Started> = Vec::new();
+        for (id, act) in (0_u64..).zip(acts) {
+            match act {
+                Act::Push { class, account, tokens } => {
+                    let new = job(id, class, account, tokens);
+                    let rule = |job: &Job| rules[usize::from(job.class.0)];
+                    match queue.push(new.clone()) {
+                        Pushed::Waits(_) => { waiting.insert(id, new); }
+                        Pushed::WaitsInsteadOf(_, out) => {
+                            prop_assert!(waiting.remove(&out.id).is_some());
+                            let lower = rule(&out).priority < rule(&new).priority;
+                            prop_assert!(!(rule(&out).protected && out.class != new.class));
+                            prop_assert!(lower || out.class == new.class);
+                            waiting.insert(id, new);
+                        }
+                        Pushed::Refused(out) => {
+                            prop_assert_eq!(out.id, id);
+                            if rule(&out).protected {
+                                // Every common place is held by its own tier, higher ones, or
+                                // protected ones; a lower unprotected one has only what it is
+                                // guaranteed.
+                                for (class, lower) in rules.iter().enumerate() {
+                                    let held = queue.waiting(ClassKey(class as u16));
+                                    let reserved = (PLACES * 50_000 / 1_000_000).max(1);
+                                    prop_assert!(lower.priority >= rule(&out).priority
+                                        || lower.protected || held <= reserved);
+                                }
+                            }
+                        }
+                    }
+                }
+                Act::Pop => if let Some(started) = queue.pop() {
+                    prop_assert!(waiting.remove(&started.job.id).is_some());
+                    running.push(started);
+                },
+                Act::Finish { percent } => if !running.is_empty() {
+                    let started = running.remove(0);
+                    let tokens = started.job.estimate_tokens * percent / 100;
+                    queue.finish(started, tokens);
+                },
+                Act::Expire => prop_assert!(queue.expire(id).is_empty()),
+            }
+            prop_assert_eq!(queue.len(), waiting.len());
+            prop_assert!(queue.len() <= PLACES);
+        }
+    }
+
+    /// Classes above have endless demand. The stated bound: while a class waits, its service is
+    /// behind its guaranteed share of all service by at most one job of each class.
+    #[test]
+    fn no_class_starves_under_endless_higher_load(
+        sizes in prop::collection::vec(1..2000_u64, 200..600),
+        waiting_class in 1..7_u16,
+    ) {
+        let rules = rules();
+        let mut queue = Queue::new(1, rules.clone(), 4096);
+        let mut id = 0;
+        let mut fill = |queue: &mut Queue, tokens: u64| {
+            for class in 0..=waiting_class {
+                while queue.waiting(ClassKey(class)) < 3 {
+                    id += 1;
+                    queue.push(job(id, class, (id % 3) as u8, tokens));
+                }
+            }
+        };
+        let (mut total, mut served, mut largest) = (0, 0, 0);
+        for tokens in sizes {
+            fill(&mut queue, tokens);
+            let started = queue.pop().expect("it waits");
+            let cost = started.job.estimate_tokens;
+            largest = largest.max(cost);
+            total += cost;
+            if started.job.class == ClassKey(waiting_class) {
+                served += cost;
+            }
+            queue.finish(started, cost);
+            let due = total * 50_000 / 1_000_000;
+            prop_assert!(served + largest * rules.len() as u64 >= due,
+                "served {served} of {due} due, largest {largest}");
+        }
+    }
+
+    /// One account floods a class, another sends as much as it always has. The flood must not take
+    /// the other's service: of the service while both wait, each gets half, within two jobs.
+    #[test]
+    fn accounts_of_a_class_share_alike(
+        sizes in prop::collection::vec((1..2000_u64, 10..300_u64), 50..200),
+    ) {
+        let mut queue = Queue::new(1, rules(), 64);
+        let mut served = [0_u64; 2];
+        let mut largest = 0;
+        let (mut id, mut few) = (0, 0);
+        for (tokens, percent) in sizes {
+            for _ in 0..10 {
+                id += 1;
+                queue.push(job(id, 3, 0, tokens));
+            }
+            // The other never has more than three waiting: within its means.
+            while few < 3 {
+                id += 1;
+                let pushed = queue.push(job(id, 3, 1, tokens));
+                prop_assert!(!matches!(pushed, Pushed::Refused(_)), "the few are not refused");
+                few += 1;
+            }
+            let started = queue.pop().expect("it waits");
+            // Output lengths are unknown: what it takes in the end is not what was estimated.
+            let tokens = started.job.estimate_tokens * percent / 100 + 1;
+            largest = largest.max(tokens.max(started.job.estimate_tokens));
+            let is_other = started.job.account == "account-1";
+            few -= usize::from(is_other);
+            served[usize::from(is_other)] += tokens;
+            queue.finish(started, tokens);
+            prop_assert!(served[0].abs_diff(served[1]) <= 2 * largest, "{served:?}, {largest}");
+        }
+    }
+}
