--- /dev/null
+++ b/tests/processes/fake_side.rs
@@ -0,0 +1,294 @@
+//! A side written here, that misbehaves on the link to a real entry.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use briarwinch::{bound, control, link, membership, platform, settings, wire};
+use serde_json::json;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task;
+
+use crate::fleet::{self, Fleet, Shape};
+
+/// How the side misbehaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Manner {
+    /// Frames of other streams, of earlier generations of the slot, twice, and out of their place.
+    Crossed,
+    /// The connection is cut after some of the answer; the rest comes on the next one.
+    Cuts,
+}
+
+const TOKENS: u32 = 40;
+
+fn body_for(prompt: &str) -> Vec<u8> {
+    let mut text = String::new();
+    for place in 0..TOKENS {
+        let chunk = json!({"choices": [{"delta": {"content": fleet::token(prompt, place)}}]});
+        text.push_str(&format!("data: {chunk}\n\n"));
+    }
+    text.push_str("data: [DONE]\n\n");
+    text.into_bytes()
+}
+
+fn prompt_of(submit: &wire::Submit) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&submit.call.body).expect("a chat body");
+    body["messages"][0]["content"]
+        .as_str()
+        .expect("a prompt")
+        .to_owned()
+}
+
+struct FakeSide {
+    manner: Manner,
+    secret: wire::Secret,
+    /// The prompts of the runs, by request, as first submitted.
+    runs: std::cell::RefCell<std::collections::HashMap<String, String>>,
+    taken_up: Arc<AtomicU32>,
+}
+
+/// Starts the side on a thread of its own, as a member of the fleet.
+fn spawn(fleet: &Fleet, manner: Manner) -> Arc<AtomicU32> {
+    let settings: settings::Daemon =
+        serde_json::from_value(fleet.daemon_settings("side-fake")).expect("settings");
+    let taken_up = Arc::new(AtomicU32::new(0));
+    let counter = Arc::clone(&taken_up);
+    std::thread::spawn(move || {
+        let runner = ntex::rt::System::build()
+            .disable_signals()
+            .build(ntex::rt::DefaultRuntime);
+        runner.block_on(serve(settings, manner, counter));
+    });
+    taken_up
+}
+
+async fn serve(mut settings: settings::Daemon, manner: Manner, taken_up: Arc<AtomicU32>) {
+    let secret = wire::Secret::fleet(&settings.fleet_secret);
+    let mut work_addr = "127.0.0.1:0".parse().expect("an address");
+    let work = bound::Pair::bind(&mut work_addr).expect("a free port");
+    let peer = bound::Pair::bind(&mut settings.peer_addr).expect("a free port");
+    let endpoint = membership::Endpoint {
+        id: "fake".into(),
+        service: "juru-tulis".into(),
+    };
+    let identity = control::Identity {
+        role: membership::Role::Side,
+        work_addr: Some(work_addr),
+        endpoints: vec![endpoint],
+        boot: 7,
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let hub = Arc::new(control::Hub::default());
+    control::spawn(settings, identity, hub, log, peer).expect("a thread");
+    let side = Rc::new(FakeSide {
+        manner,
+        secret,
+        runs: Default::default(),
+        taken_up,
+    });
+    task::spawn_local(answer_asks(
+        Rc::clone(&side),
+        UdpSocket::from_std(work.udp).expect("a socket"),
+    ));
+    let listener = TcpListener::from_std(work.tcp).expect("a listener");
+    loop {
+        let (stream, _) = listener.accept().await.expect("the entry connects");
+        let side = Rc::clone(&side);
+        task::spawn_local(async move {
+            let _ = serve_link(&side, stream).await;
+        });
+    }
+}
+
+async fn answer_asks(side: Rc<FakeSide>, socket: UdpSocket) {
+    let mut buffer = [0; 2000];
+    loop {
+        let (count, from) = socket.recv_from(&mut buffer).await.expect("a datagram");
+        let Ok(wire::Datagram::Ask(ask)) = wire::open_datagram(&side.secret, &buffer[..count])
+        else {
+            continue;
+        };
+        let offer = wire::Offer {
+            nonce: ask.nonce,
+            endpoint: ask.endpoint,
+            first_token_ms: 0,
+            leaving: false,
+            knows_prefix: true,
+            holds_answer: false,
+            running: 0,
+            waiting: 0,
+        };
+        let bytes = wire::seal_datagram(&side.secret, &wire::Datagram::Offer(offer));
+        socket
+            .send_to(&bytes.expect("short"), from)
+            .await
+            .expect("loopback takes it");
+    }
+}
+
+async fn serve_link(side: &FakeSide, stream: TcpStream) -> std::io::Result<()> {
+    let mut link = link::accept(stream, &side.secret, &"side-fake".into()).await?;
+    while let Some(frame) = link.inbox.next::<wire::ToSide>().await? {
+        let wire::ToSide::Submit(submit) = frame else {
+            continue;
+        };
+        if submit.take_up {
+            side.taken_up.fetch_add(1, Ordering::Relaxed);
+        } else {
+            let prompt = prompt_of(&submit);
+            side.runs
+                .borrow_mut()
+                .insert(submit.request.to_string(), prompt);
+        }
+        let prompt = side.runs.borrow()[submit.request.as_str()].clone();
+        let body = body_for(&prompt);
+        match side.manner {
+            Manner::Crossed => crossed(&link.outbox, &submit, &body),
+            Manner::Cuts => {
+                if cut(&link.outbox, &submit, &body).await {
+                    return Ok(());
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+fn head(stream: wire::StreamId) -> wire::ToEntry {
+    let field = wire::Header {
+        name: "content-type".into(),
+        value: "text/event-stream".to_owned(),
+    };
+    wire::ToEntry::Head(wire::Head {
+        stream,
+        status: 200,
+        headers: vec![field],
+        replayed: false,
+    })
+}
+
+fn data(stream: wire::StreamId, body: &[u8], from: usize, to: usize) -> wire::ToEntry {
+    let bytes = body[from..to.min(body.len())].to_vec();
+    wire::ToEntry::Data(wire::Data {
+        stream,
+        offset: from as u64,
+        bytes,
+    })
+}
+
+fn end(stream: wire::StreamId, body: &[u8]) -> wire::ToEntry {
+    wire::ToEntry::End(wire::End {
+        stream,
+        length: body.len() as u64,
+        tokens: TOKENS,
+        queue_ms: 0,
+    })
+}
+
+fn crossed(outbox: &link::Outbox, submit: &wire::Submit, body: &[u8]) {
+    let stream = submit.stream;
+    let before = wire::StreamId {
+        generation: stream.generation.wrapping_sub(1),
+        ..stream
+    };
+    let beside = wire::StreamId {
+        slot: stream.slot + 1000,
+        ..stream
+    };
+    let stray = vec![b'X'; 100];
+    outbox.send(&head(stream));
+    for from in (0..body.len()).step_by(100) {
+        // A late frame of the slot's former request, and one of a stream that never was.
+        outbox.send(&wire::ToEntry::Data(wire::Data {
+            stream: before,
+            offset: from as u64,
+            bytes: stray.clone(),
+        }));
+        outbox.send(&end(before, &stray));
+        outbox.send(&data(beside, body, from, from + 100));
+        outbox.send(&data(stream, body, from, from + 100));
+        // The same once more, and one that overlaps what has come.
+        outbox.send(&data(stream, body, from, from + 100));
+        outbox.send(&data(stream, body, from / 2, from + 50));
+    }
+    outbox.send(&end(stream, body));
+}
+
+/// Sends a third of the body and cuts the link, until the rest is shorter than that.
+async fn cut(outbox: &link::Outbox, submit: &wire::Submit, body: &[u8]) -> bool {
+    let (stream, from) = (submit.stream, submit.from_offset as usize);
+    if from == 0 {
+        outbox.send(&head(stream));
+    }
+    let third = body.len() / 3 + 1;
+    outbox.send(&data(stream, body, from, from + third));
+    if from + third >= body.len() {
+        outbox.send(&end(stream, body));
+        return false;
+    }
+    // What is in the buffer leaves before the link closes.
+    while outbox.backlog_bytes() > 0 {
+        task::yield_now().await;
+    }
+    tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    outbox.close();
+    true
+}
+
+fn fleet_with(manner: Manner) -> (Fleet, Arc<AtomicU32>, String) {
+    let fleet = Fleet::start(Shape {
+        entries: 1,
+        engines: 0,
+        ..Shape::default()
+    });
+    let taken_up = spawn(&fleet, manner);
+    let key = fleet.grant("court");
+    fleet::wait_for("the entry knows the fake side", || {
+        let members = fleet.entries[0].status()["members"].clone();
+        let members = members.as_array().cloned().unwrap_or_default();
+        members
+            .iter()
+            .any(|member| member["id"] == "side-fake")
+            .then_some(())
+    });
+    (fleet, taken_up, key)
+}
+
+/// Frames come late, twice, out of place, or for a stream whose slot has gone to another request.
+/// Without the generation and the offset a caller would get bytes of another caller's answer.
+#[test]
+fn late_and_crossed_frames_reach_nobody() {
+    let (fleet, _, key) = fleet_with(Manner::Crossed);
+    for number in 0..20 {
+        let prompt = format!("crossed {number}");
+        let request = fleet::chat(&fleet.entries[0], &key);
+        let answer = fleet::send(request, &fleet::chat_body(&prompt, TOKENS, true));
+        fleet::assert_whole(&answer.text, &prompt, TOKENS);
+    }
+    let stale = fleet.entries[0].metric("briarwinch_stale_frames_total");
+    assert!(
+        stale > 100.0,
+        "{stale} stale frames were dropped and counted"
+    );
+}
+
+/// The connection between entry and side is cut, twice, while the answer comes. The same run is
+/// taken up at the byte after the last one received.
+#[test]
+fn cut_connection_is_taken_up_where_it_stopped() {
+    let (fleet, taken_up, key) = fleet_with(Manner::Cuts);
+    let request = fleet::chat(&fleet.entries[0], &key);
+    let answer = fleet::send(request, &fleet::chat_body("cut", TOKENS, true));
+    fleet::assert_whole(&answer.text, "cut", TOKENS);
+    assert_eq!(taken_up.load(Ordering::Relaxed), 2);
+}
+
+/// The platform's type is used by the members of the fleet; this keeps its form in view of the
+/// stand-in's.
+#[test]
+fn roster_of_the_stand_in_reads() {
+    let text = json!({"revision": 1, "instances": [{"id": "a", "standing": "leaving"}]});
+    let roster: platform::Roster = serde_json::from_value(text).expect("its form");
+    assert_eq!(roster.instances[0].standing, platform::Standing::Leaving);
+}
--- /dev/null
+++ b/tests/processes/faults.rs
@@ -0,0 +1,186 @@
+//! Everything at once: processes are killed and frozen, the store fails, keys are withdrawn, while
+//! requests and payments go on.
+
+use std::collections::HashSet;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+
+use crate::fleet::{self, Daemon, Fleet, Shape};
+
+const SEED: u64 = 20_261_203;
+const ROUNDS: u32 = 12;
+
+/// What callers have been told.
+#[derive(Default)]
+struct Told {
+    not_run: Mutex<Vec<String>>,
+    whole: Mutex<u32>,
+    paid: Mutex<HashSet<String>>,
+}
+
+fn ask(entry: &Daemon, key: &str, told: &Told, random: &mut StdRng) {
+    let prompt = format!("faults {:x}", random.random::<u64>());
+    let count = random.random_range(1..30);
+    let request = fleet::chat(entry, key);
+    let Some(answer) = fleet::try_send(request, &fleet::chat_body(&prompt, count, true)) else {
+        return;
+    };
+    if answer.status == 200 {
+        let (tokens, whole) = fleet::stream_tokens(&answer.text);
+        let expected: Vec<String> = (0..count)
+            .map(|place| fleet::token(&prompt, place))
+            .collect();
+        assert_eq!(
+            tokens[..],
+            expected[..tokens.len()],
+            "never another's tokens"
+        );
+        let says_so = answer.text.contains("event: error");
+        assert!(
+            whole && tokens.len() == expected.len() || says_so,
+            "neither whole nor told so"
+        );
+        *told.whole.lock().expect("no panic") += u32::from(whole);
+    }
+    note_refusal(&answer, told);
+}
+
+fn note_refusal(answer: &fleet::Answer, told: &Told) {
+    if answer.ran.as_deref() == Some("no") {
+        let request = answer.request.clone().expect("its name");
+        told.not_run.lock().expect("no panic").push(request);
+    }
+}
+
+fn pay(entries: &[Daemon], key: &str, told: &Told, random: &mut StdRng) {
+    let name = format!("payment-{:x}", random.random::<u64>());
+    for _ in 0..3 {
+        let entry = &entries[random.random_range(0..entries.len())];
+        let Some(answer) = fleet::try_send(fleet::payment(entry, key, &name), "{}") else {
+            continue;
+        };
+        note_refusal(&answer, told);
+        if answer.status == 200 {
+            told.paid.lock().expect("no panic").insert(name.clone());
+        }
+    }
+}
+
+/// One fault after another, some of them together. It ends with everything running again.
+fn cause_faults(
+    fleet: &mut Vec<Daemon>,
+    spawn: impl Fn(usize) -> Daemon,
+    platform: impl Fn(serde_json::Value),
+) {
+    let mut random = StdRng::seed_from_u64(SEED);
+    for _ in 0..ROUNDS {
+        let victim = random.random_range(0..fleet.len());
+        match random.random_range(0..5) {
+            0 => {
+                fleet[victim].process.kill();
+                fleet[victim] = spawn(victim);
+            }
+            1 => {
+                fleet[victim].process.signal(Signal::SIGSTOP);
+                thread::sleep(Duration::from_millis(random.random_range(50..900)));
+                fleet[victim].process.signal(Signal::SIGCONT);
+            }
+            2 => {
+                fleet[victim].process.signal(Signal::SIGTERM);
+                fleet[victim].process.wait();
+                fleet[victim] = spawn(victim);
+            }
+            3 => {
+                platform(json!({"down": true}));
+                thread::sleep(Duration::from_millis(random.random_range(50..600)));
+                platform(json!({}));
+            }
+            _ => platform(json!({"lose_answers": random.random_range(1..6)})),
+        }
+        thread::sleep(Duration::from_millis(random.random_range(50..400)));
+    }
+}
+
+/// Whatever fails, alone or together: an answer is whole or says that it is not, "not run" is true,
+/// no payment runs twice, and no key reaches an endpoint.
+#[test]
+fn promises_hold_under_mixed_faults() {
+    println!("seed {SEED}, {ROUNDS} faults");
+    let mut fleet = Fleet::start(Shape {
+        engines: 3,
+        drain_ms: 3000,
+        call_ms: 20,
+        ..Shape::default()
+    });
+    let url = fleet.service.url.clone();
+    let second = fleet.spawn_side("side-loket-2", "loket", &url);
+    fleet.sides.push(second);
+    fleet.wait_until_whole();
+    let key = fleet.grant("court");
+    let mut sides = std::mem::take(&mut fleet.sides);
+    let (told, done) = (Told::default(), AtomicBool::new(false));
+    thread::scope(|scope| {
+        let (fleet, told, done, key) = (&fleet, &told, &done, &key);
+        for caller in 0..6_u64 {
+            scope.spawn(move || {
+                let mut random = StdRng::seed_from_u64(SEED + caller);
+                while !done.load(Ordering::Relaxed) {
+                    ask(&fleet.entries[caller as usize % 2], key, told, &mut random);
+                    pay(&fleet.entries, key, told, &mut random);
+                }
+            });
+        }
+        let spawn = |number: usize| match number {
+            0..=2 => fleet.spawn_side(
+                &format!("side-{number}"),
+                "juru-tulis",
+                &fleet.engines[number].url,
+            ),
+            3 => fleet.spawn_side("side-loket", "loket", &fleet.service.url),
+            _ => fleet.spawn_side("side-loket-2", "loket", &fleet.service.url),
+        };
+        cause_faults(&mut sides, spawn, |faults| fleet.fail_platform(&faults));
+        done.store(true, Ordering::Relaxed);
+    });
+    fleet.sides = sides;
+    let not_run = told.not_run.into_inner().expect("no panic");
+    let paid = told.paid.into_inner().expect("no panic");
+    let whole = told.whole.into_inner().expect("no panic");
+    println!(
+        "{whole} whole answers, {} payments, {} refusals not run",
+        paid.len(),
+        not_run.len()
+    );
+    assert!(whole > 0 && !paid.is_empty());
+    for request in &not_run {
+        assert!(
+            !fleet.has_run(request),
+            "{request} was said not to have run"
+        );
+    }
+    let record = fleet.service.record();
+    let keys = record["keys"].as_object().expect("a map");
+    for (name, runs) in keys {
+        assert_eq!(runs, &json!(1), "{name}");
+    }
+    for name in paid {
+        assert!(
+            keys.contains_key(&name),
+            "{name} was answered and never ran"
+        );
+    }
+    for standin in fleet
+        .engines
+        .iter()
+        .chain([&fleet.service, &fleet.platform])
+    {
+        assert_eq!(standin.record()["key_seen"], json!(false));
+    }
+}
--- /dev/null
+++ b/tests/processes/overload.rs
@@ -0,0 +1,73 @@
+//! More comes than can be served.
+
+use std::thread;
+
+use crate::fleet::{self, Fleet, Shape};
+
+/// Journalists' lookups flood an endpoint with one slot and eight places. Those that find no place
+/// are told at once when to come back and have not run; the hearing summaries that come in between
+/// all get their answers.
+#[test]
+fn flood_of_lookups_sheds_no_hearing_summary() {
+    let mut shape = Shape {
+        entries: 1,
+        engines: 1,
+        token_ms: 5,
+        ..Shape::default()
+    };
+    shape.config["services"]["juru-tulis"]["slots"] = 1.into();
+    shape.config["services"]["juru-tulis"]["max_queue"] = 8.into();
+    let fleet = Fleet::start(shape);
+    let key = fleet.grant("court");
+    let send = |class: &str, number: usize| {
+        let prompt = format!("{class} {number}");
+        let request = fleet::chat(&fleet.entries[0], &key).set("briarwinch-class", class);
+        let answer = fleet::send(request, &fleet::chat_body(&prompt, 10, true));
+        if answer.status == 200 {
+            fleet::assert_whole(&answer.text, &prompt, 10);
+        }
+        answer
+    };
+    let (lookups, summaries) = thread::scope(|scope| {
+        let send = &send;
+        let lookups: Vec<_> = (0..40)
+            .map(|number| scope.spawn(move || send("lookup", number)))
+            .collect();
+        let summaries: Vec<_> = (0..4)
+            .map(|number| scope.spawn(move || send("hearing-summary", number)))
+            .collect();
+        let join = |handles: Vec<thread::ScopedJoinHandle<'_, fleet::Answer>>| {
+            handles
+                .into_iter()
+                .map(|handle| handle.join().expect("no panic"))
+                .collect::<Vec<_>>()
+        };
+        (join(lookups), join(summaries))
+    });
+    assert!(summaries.iter().all(|answer| answer.status == 200));
+    let refused: Vec<_> = lookups
+        .iter()
+        .filter(|answer| answer.status != 200)
+        .collect();
+    assert!(
+        !refused.is_empty() && refused.len() < lookups.len(),
+        "{} refused",
+        refused.len()
+    );
+    for answer in refused {
+        assert_eq!(
+            (answer.status, answer.ran.as_deref()),
+            (429, Some("no")),
+            "{}",
+            answer.text
+        );
+        let seconds: u32 = answer
+            .retry_after
+            .as_ref()
+            .expect("when")
+            .parse()
+            .expect("seconds");
+        assert!(seconds >= 1);
+        assert!(!fleet.has_run(answer.request.as_ref().expect("its name")));
+    }
+}
