--- /dev/null
+++ b/benches/policy/main.rs
@@ -0,0 +1,44 @@
+//! Measures the decisions under load: the router's own queue, placement, admission and scaling
+//! code before small fake engines, on a virtual clock, against baselines on the same arrivals.
+//!
+//! `cargo bench --bench policy` prints one JSON line a scenario, policy and class, then a table.
+//! `cargo bench --bench policy -- SCENARIO` runs one scenario.
+
+mod engine;
+mod report;
+mod scenario;
+mod simulation;
+
+use scenario::{Policy, Scenario};
+
+const SEED: u64 = 20_261_203;
+
+fn main() {
+    let wanted: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|word| !word.starts_with("--"))
+        .collect();
+    println!("seed {SEED}");
+    let mut rows = Vec::new();
+    for scenario in scenario::all() {
+        if !wanted.is_empty() && !wanted.iter().any(|name| *name == scenario.name) {
+            continue;
+        }
+        for policy in policies(&scenario).iter().copied() {
+            let outcome = simulation::run(&scenario, policy, SEED);
+            rows.extend(report::rows(&scenario, policy, &outcome));
+        }
+    }
+    for row in &rows {
+        println!("{}", serde_json::to_string(row).expect("plain fields"));
+    }
+    report::print_table(&rows);
+}
+
+fn policies(scenario: &Scenario) -> &'static [Policy] {
+    if scenario.scales {
+        &Policy::SCALING
+    } else {
+        &Policy::ROUTING
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -18,6 +18,8 @@
 /// The guaranteed shares together may take at most this much, so that priority decides the rest.
 pub const MAX_GUARANTEED_PPM: u64 = 500_000;
 const MAX_NAME_CHARS: usize = 64;
+/// How many latency targets long an unprotected class waits, if its text says nothing.
+const DEFAULT_WAIT_TARGETS: u64 = 20;
 
 /// The text as written, before it is checked.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -48,6 +50,21 @@
     pub max_wait_ms: Option<u32>,
 }
 
+impl ClassText {
+    /// How long a request of this class waits for a slot at most; `None`: as long as its caller.
+    #[must_use]
+    pub fn longest_wait_ms(&self) -> Option<u64> {
+        let default_ms = u64::from(self.latency_target_ms) * DEFAULT_WAIT_TARGETS;
+        match (self.max_wait_ms, self.protected) {
+            // A protected class is never given up on for being late: while lower classes still get
+            // their share, that would be shedding it for them.
+            (_, true) => None,
+            (Some(most_ms), false) => Some(u64::from(most_ms)),
+            (None, false) => Some(default_ms),
+        }
+    }
+}
+
 /// A service that endpoints run.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/side/run.rs
+++ b/src/side/run.rs
@@ -12,7 +12,7 @@
 use tokio::task;
 
 use super::{RunKey, Side, endpoint};
-use crate::{answer, config, error, link, queue, trace, wire};
+use crate::{answer, error, link, queue, trace, wire};
 
 mod call;
 
@@ -20,8 +20,6 @@
 const MAX_BEHIND_BYTES: u64 = 1 << 20;
 /// Longest time a run of this side lasts, whatever its caller said.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
-/// How far past its latency target an unprotected class waits, if its text says nothing.
-const DEFAULT_WAIT_TARGETS: u64 = 20;
 
 /// Where a run is.
 #[derive(Debug)]
@@ -223,7 +221,7 @@
             .ok_or_else(|| refuse(error::Kind::NotReady))?;
         let now_ms = self.now_ms();
         let expected_ms = endpoint.first_token_ms(class, now_ms);
-        let longest_wait_ms = longest_wait_ms(&config.class_at(class).text);
+        let longest_wait_ms = config.class_at(class).text.longest_wait_ms();
         if let Some(longest_ms) = longest_wait_ms.filter(|most| u64::from(expected_ms) > *most) {
             let refusal = refuse(error::Kind::TooLate);
             return Err(
@@ -543,15 +541,3 @@
         }
     }
 }
-
-/// How long a request of a class waits for a slot at most; `None`: as long as its caller.
-fn longest_wait_ms(class: &config::ClassText) -> Option<u64> {
-    let default_ms = u64::from(class.latency_target_ms) * DEFAULT_WAIT_TARGETS;
-    match (class.max_wait_ms, class.protected) {
-        // A protected class is never given up on for being late: while lower classes still get
-        // their share, that would be shedding it for them.
-        (_, true) => None,
-        (Some(most_ms), false) => Some(u64::from(most_ms)),
-        (None, false) => Some(default_ms),
-    }
-}
