Keep headroom for protected jobs; count only an account's own turns as ahead of it

Cause 1: a slot came free for a hearing summary only when a long request of a lower class ended. One slot in 16 is kept for protected jobs while such come (and for classes owed their share). Cause 2: a flooding account's whole queue counted against the others' offers, and they were refused as too late though their turn was near. The endpoint seconds of the morning were counted wrongly before (a stopped endpoint again and again).

--- a/benches/policy/report.rs
+++ b/benches/policy/report.rs
@@ -101,7 +101,7 @@
 pub fn print_table(rows: &[Row]) {
     println!();
     println!(
-        "{:<24} {:<18} {:<16} {:>6} {:>10} {:>9} {:>8} {:>7} {:>9} {:>8} {:>8}",
+        "{:<24} {:<18} {:<16} {:>6} {:>10} {:>9} {:>8} {:>7} {:>9} {:>8} {:>8} {:>8}",
         "scenario",
         "policy",
         "class",
@@ -112,11 +112,12 @@
         "worst",
         "first p95",
         "refused",
-        "endp. s"
+        "endp. s",
+        "least s"
     );
     for row in rows {
         println!(
-            "{:<24} {:<18} {:<16} {:>6} {:>10.4} {:>9} {:>8} {:>7.3} {:>6} ms {:>8} {:>8}",
+            "{:<24} {:<18} {:<16} {:>6} {:>10.4} {:>9} {:>8} {:>7.3} {:>6} ms {:>8} {:>8} {:>8}",
             row.scenario,
             row.policy,
             row.class,
@@ -127,7 +128,8 @@
             row.worst_account_ratio,
             row.first_token_p95_ms,
             row.refused,
-            row.endpoint_s
+            row.endpoint_s,
+            row.least_endpoint_s
         );
     }
 }
--- a/benches/policy/simulation.rs
+++ b/benches/policy/simulation.rs
@@ -85,6 +85,14 @@
     end_ms: u64,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    Starting,
+    Up,
+    Leaving,
+    Stopped,
+}
+
 #[derive(Debug)]
 struct Endpoint {
     engine: Engine,
@@ -92,9 +100,9 @@
     pace: Pace,
     runs: HashMap<u64, Run>,
     place: Place,
-    up: bool,
-    leaving: bool,
-    up_since_ms: u64,
+    standing: Standing,
+    /// Since when it costs.
+    since_ms: u64,
     /// Load as the lagging reports show it.
     reported: VecDeque<(u64, usize)>,
     heads: VecDeque<u64>,
@@ -337,9 +345,8 @@
                 service: "s".into(),
                 zone: format!("zone-{}", number % ZONES).into(),
             },
-            up,
-            leaving: false,
-            up_since_ms: self.now_ms,
+            standing: if up { Standing::Up } else { Standing::Starting },
+            since_ms: self.now_ms,
             reported: VecDeque::new(),
             heads: VecDeque::new(),
         });
@@ -363,7 +370,7 @@
             Happens::End { endpoint, run } => self.end(endpoint, run),
             Happens::Deaths => self.deaths(),
             Happens::Up(endpoint) => {
-                self.endpoints[endpoint].up = true;
+                self.endpoints[endpoint].standing = Standing::Up;
                 self.planner.came_up(self.now_ms);
             }
             Happens::Look => self.look(),
@@ -400,7 +407,7 @@
     fn open(&self, request: usize) -> Vec<usize> {
         let tried = &self.requests[request].tried;
         (0..self.endpoints.len())
-            .filter(|number| self.endpoints[*number].up && !self.endpoints[*number].leaving)
+            .filter(|number| self.endpoints[*number].standing == Standing::Up)
             .filter(|number| !tried.contains(number))
             .collect()
     }
@@ -484,7 +491,9 @@
         let request = &self.requests[request];
         let class = config::ClassKey(request.class as u16);
         let ahead = match &endpoint.waiting {
-            Waiting::Router(queue) => queue.ahead_of(class),
+            Waiting::Router(queue) => {
+                queue.ahead_of(class, &format!("account-{}", request.account), 1)
+            }
             Waiting::Ordered { jobs, strict } => {
                 let priority = |class: config::ClassKey| self.rules[usize::from(class.0)].priority;
                 let before = |job: &&Job| !*strict || priority(job.class) >= priority(class);
@@ -569,7 +578,7 @@
         while self.endpoints[number].engine.running < SLOTS {
             let endpoint = &mut self.endpoints[number];
             let (job, started) = match &mut endpoint.waiting {
-                Waiting::Router(queue) => match queue.pop() {
+                Waiting::Router(queue) => match queue.pop(endpoint.engine.running, SLOTS) {
                     Some(started) => (started.job.clone(), Some(started)),
                     None => break,
                 },
@@ -702,13 +711,10 @@
             Waiting::Ordered { jobs, .. } => jobs.len() as u32,
         };
         let live: Vec<usize> = (0..self.endpoints.len())
-            .filter(|number| self.endpoints[*number].up && !self.endpoints[*number].leaving)
+            .filter(|number| self.endpoints[*number].standing == Standing::Up)
             .collect();
-        let starting = self
-            .endpoints
-            .iter()
-            .filter(|endpoint| !endpoint.up)
-            .count() as u32;
+        let is_starting = |endpoint: &&Endpoint| endpoint.standing == Standing::Starting;
+        let starting = self.endpoints.iter().filter(is_starting).count() as u32;
         let seen = Seen {
             live: live.len() as u32,
             starting,
@@ -743,28 +749,17 @@
                     .copied()
                     .min_by_key(|n| self.endpoints[*n].engine.running);
                 if let Some(number) = least {
-                    self.endpoints[number].leaving = true;
+                    self.endpoints[number].standing = Standing::Leaving;
                 }
             }
         }
-        for number in 0..self.endpoints.len() {
-            let endpoint = &mut self.endpoints[number];
-            if endpoint.up && endpoint.leaving && endpoint.runs.is_empty() && load(endpoint) == 0 {
-                endpoint.up = false;
-                endpoint.leaving = false;
-                endpoint.engine.dead = true;
-                self.endpoint_ms += self.now_ms - endpoint.up_since_ms;
-                endpoint.up_since_ms = u64::MAX;
+        for endpoint in &mut self.endpoints {
+            let idle = endpoint.runs.is_empty() && load(endpoint) == 0;
+            if endpoint.standing == Standing::Leaving && idle {
+                endpoint.standing = Standing::Stopped;
+                self.endpoint_ms += self.now_ms - endpoint.since_ms;
             }
         }
-        self.endpoints
-            .iter_mut()
-            .filter(|e| e.up_since_ms == u64::MAX)
-            .for_each(|e| e.up = true);
-        self.endpoints
-            .iter_mut()
-            .filter(|e| e.up_since_ms == u64::MAX)
-            .for_each(|e| e.leaving = true);
         if self.now_ms < self.scenario.seconds * 1000 {
             self.at(self.now_ms + LOOK_MS, Happens::Look);
         }
@@ -773,8 +768,8 @@
     fn close(&mut self) {
         let end_ms = self.scenario.seconds * 1000;
         for endpoint in &self.endpoints {
-            if endpoint.up_since_ms != u64::MAX {
-                self.endpoint_ms += end_ms.saturating_sub(endpoint.up_since_ms);
+            if endpoint.standing != Standing::Stopped {
+                self.endpoint_ms += end_ms.saturating_sub(endpoint.since_ms);
             }
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -274,6 +274,13 @@
         self.account_names.get(name).copied()
     }
 
+    /// The weight of an account; one if it is not in the text.
+    #[must_use]
+    pub fn share_of(&self, account: &str) -> u32 {
+        self.account(account)
+            .map_or(1, |key| self.account_at(key).share)
+    }
+
     /// The service that runs a model.
     #[must_use]
     pub fn model(&self, name: &str) -> Option<ServiceKey> {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -182,6 +182,7 @@
         endpoint: wire::EndpointIndex(0),
         service: request.service.clone(),
         class: request.class.clone(),
+        account: request.account.clone(),
         prompt_tokens: request.prompt_tokens,
         prefix: request.prefix,
         idempotency: request.idempotency,
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -120,8 +120,15 @@
     common: usize,
     /// Service charged to all classes.
     total_tokens: u64,
+    /// Jobs started since a protected one came.
+    since_protected: u32,
 }
 
+/// One slot in so many is kept free for protected jobs.
+const HEADROOM_PART: usize = 16;
+/// For so many starts after a protected job has come.
+const PROTECTED_MEMORY_JOBS: u32 = 1_000;
+
 impl Queue {
     /// An empty queue for these classes with this many places, made by a version of the
     /// configuration.
@@ -149,6 +156,7 @@
             give_up: BTreeMap::new(),
             common: places.saturating_sub(reserved),
             total_tokens: 0,
+            since_protected: u32::MAX,
         }
     }
 
@@ -168,20 +176,41 @@
         self.lanes[usize::from(class.0)].waiting
     }
 
-    /// Jobs that would go before a new one of this class.
+    /// Jobs that would go before a new one of this class and account.
+    ///
+    /// Within the class accounts take turns, so of another account's jobs only as many go before as
+    /// this account has itself, by their shares. Were all of them counted, a flooding account would
+    /// make the endpoint look too slow for the others, who would be refused though their turn is
+    /// near.
     #[must_use]
-    pub fn ahead_of(&self, class: config::ClassKey) -> usize {
-        let priority = self.rules[usize::from(class.0)].priority;
-        let rules = self.rules.iter().zip(&self.lanes);
-        rules
-            .filter(|(rule, _)| rule.priority >= priority)
-            .map(|(_, lane)| lane.waiting)
-            .sum()
+    pub fn ahead_of(&self, class: config::ClassKey, account: &str, share: u32) -> usize {
+        let own_class = usize::from(class.0);
+        let priority = self.rules[own_class].priority;
+        let lanes = self.rules.iter().zip(&self.lanes).enumerate();
+        let higher: usize = lanes
+            .filter(|(other, (rule, _))| *other != own_class && rule.priority >= priority)
+            .map(|(_, (_, lane))| lane.waiting)
+            .sum();
+        let own = self.held(own_class, account);
+        let turns = (own + 1) as u64;
+        let others: u64 = self.lanes[own_class]
+            .accounts
+            .iter()
+            .filter(|(other, _)| *other != account)
+            .map(|(other, jobs)| {
+                let other_share = u64::from(self.share_of(own_class, other).unwrap_or(1));
+                (jobs.len() as u64).min(turns * other_share.div_ceil(u64::from(share.max(1))))
+            })
+            .sum();
+        higher + own + others as usize
     }
 
     /// Takes in a job, or says which one is refused.
     pub fn push(&mut self, job: Job) -> Pushed {
         let class = usize::from(job.class.0);
+        if self.rules[class].protected {
+            self.since_protected = 0;
+        }
         if self.has_place(class) {
             return Pushed::Waits(self.insert(job));
         }
@@ -208,9 +237,20 @@
         Some(job)
     }
 
-    /// Takes out the next job to start.
-    pub fn pop(&mut self) -> Option<Started> {
-        let class = self.owed_class().or_else(|| self.highest_class())?;
+    /// Takes out the next job to start at an endpoint with so many slots, so many of them taken.
+    ///
+    /// While protected jobs come, the last few slots are kept for them and for classes that are
+    /// owed their share. A running request is never preempted; without this headroom a hearing
+    /// summary would wait until one of the long requests of lower classes ends.
+    pub fn pop(&mut self, running: usize, slots: usize) -> Option<Started> {
+        if running >= slots {
+            return None;
+        }
+        let in_headroom = running + self.headroom(slots) >= slots;
+        let class = self
+            .owed_class()
+            .or_else(|| self.highest_class(in_headroom))?;
+        self.since_protected = self.since_protected.saturating_add(1);
         let ticket = self.head(class)?;
         let job = self.remove(ticket)?;
         let lane = &mut self.lanes[class];
@@ -322,8 +362,18 @@
             .map(|(_, ticket)| *ticket)
     }
 
-    fn highest_class(&self) -> Option<usize> {
-        let waiting = |class: &&usize| self.lanes[**class].waiting > 0;
+    fn headroom(&self, slots: usize) -> usize {
+        if self.since_protected > PROTECTED_MEMORY_JOBS || slots < HEADROOM_PART {
+            return 0;
+        }
+        slots / HEADROOM_PART
+    }
+
+    fn highest_class(&self, only_protected: bool) -> Option<usize> {
+        let waiting = |class: &&usize| {
+            let eligible = !only_protected || self.rules[**class].protected;
+            eligible && self.lanes[**class].waiting > 0
+        };
         let best = *self.order.iter().find(waiting)?;
         // Classes of equal priority share by service received, else the first in the text would
         // always go before the others.
@@ -332,7 +382,7 @@
             .iter()
             .copied()
             .filter(|class| self.rules[*class].priority == priority)
-            .filter(|class| self.lanes[*class].waiting > 0)
+            .filter(|class| waiting(&class))
             .min_by_key(|class| self.lanes[*class].served_tokens)
     }
 
@@ -408,7 +458,7 @@
             .map(|(_, account)| account)
     }
 
-    fn held(&self, class: usize, account: &CompactString) -> usize {
+    fn held(&self, class: usize, account: &str) -> usize {
         self.lanes[class]
             .accounts
             .get(account)
--- a/src/side/asks.rs
+++ b/src/side/asks.rs
@@ -73,7 +73,12 @@
         Some(wire::Offer {
             nonce: ask.nonce,
             endpoint: ask.endpoint,
-            first_token_ms: endpoint.first_token_ms(class, self.now_ms()),
+            first_token_ms: endpoint.first_token_ms(
+                class,
+                &ask.account,
+                config.share_of(&ask.account),
+                self.now_ms(),
+            ),
             leaving: self.is_leaving(endpoint),
             knows_prefix: endpoint.prefixes.borrow().knows(ask.prefix),
             holds_answer,
--- a/src/side/endpoint.rs
+++ b/src/side/endpoint.rs
@@ -125,10 +125,16 @@
         Some((old.drain(), Arc::clone(&in_force.model)))
     }
 
-    /// Expected time to the first token for a request of this class that comes now.
+    /// Expected time to the first token for a request of this class and account that comes now.
     #[must_use]
-    pub fn first_token_ms(&self, class: config::ClassKey, now_ms: u64) -> u32 {
-        let ahead = self.queue.borrow().ahead_of(class);
+    pub fn first_token_ms(
+        &self,
+        class: config::ClassKey,
+        account: &str,
+        share: u32,
+        now_ms: u64,
+    ) -> u32 {
+        let ahead = self.queue.borrow().ahead_of(class, account, share);
         let pace = self.pace.borrow();
         pace.wait_ms(ahead, self.running.get(), self.slots())
             .saturating_add(pace.start_ms(now_ms))
--- a/src/side/run.rs
+++ b/src/side/run.rs
@@ -220,7 +220,8 @@
             .class(&submit.class)
             .ok_or_else(|| refuse(error::Kind::NotReady))?;
         let now_ms = self.now_ms();
-        let expected_ms = endpoint.first_token_ms(class, now_ms);
+        let share = config.share_of(&submit.account);
+        let expected_ms = endpoint.first_token_ms(class, &submit.account, share, now_ms);
         let longest_wait_ms = config.class_at(class).text.longest_wait_ms();
         if let Some(longest_ms) = longest_wait_ms.filter(|most| u64::from(expected_ms) > *most) {
             let refusal = refuse(error::Kind::TooLate);
@@ -228,9 +229,6 @@
                 refusal.retry_after_ms(expected_ms.saturating_sub(longest_ms as u32).max(1))
             );
         }
-        let share = config
-            .account(&submit.account)
-            .map_or(1, |key| config.account_at(key).share);
         let run = self.insert(submit, outbox, now_ms);
         let give_up_at_ms =
             longest_wait_ms.map_or(run.deadline_ms, |most| run.deadline_ms.min(now_ms + most));
@@ -302,7 +300,9 @@
     /// Gives a job that is no longer queued its final answer, with when to come back.
     fn refuse_job(&self, endpoint: &endpoint::Endpoint, job: &queue::Job, kind: error::Kind) {
         let Some(run) = self.run_of(job) else { return };
-        let retry_after_ms = endpoint.first_token_ms(job.class, self.now_ms()).max(1);
+        let retry_after_ms = endpoint
+            .first_token_ms(job.class, &job.account, job.share, self.now_ms())
+            .max(1);
         let refusal = error::Refusal::not_run(kind).retry_after_ms(retry_after_ms);
         self.finish(&run, answer::Ending::Refused(refusal));
     }
@@ -341,8 +341,9 @@
         for job in expired {
             self.refuse_job(endpoint, &job, error::Kind::TooLate);
         }
-        while endpoint.running.get() < endpoint.slots() {
-            let Some(started) = endpoint.queue.borrow_mut().pop() else {
+        loop {
+            let (running, slots) = (endpoint.running.get(), endpoint.slots());
+            let Some(started) = endpoint.queue.borrow_mut().pop(running, slots) else {
                 break;
             };
             let Some(run) = self.run_of(&started.job) else {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -114,6 +114,7 @@
     pub endpoint: EndpointIndex,
     pub service: CompactString,
     pub class: CompactString,
+    pub account: CompactString,
     pub prompt_tokens: u32,
     /// Digest of the prompt's head.
     pub prefix: u64,
--- a/tests/properties/queue.rs
+++ b/tests/properties/queue.rs
@@ -107,7 +107,7 @@
                         }
                     }
                 }
-                Act::Pop => if let Some(started) = queue.pop() {
+                Act::Pop => if let Some(started) = queue.pop(0, 32) {
                     prop_assert!(waiting.remove(&started.job.id).is_some());
                     running.push(started);
                 },
@@ -144,7 +144,7 @@
         let (mut total, mut served, mut largest) = (0, 0, 0);
         for tokens in sizes {
             fill(&mut queue, tokens);
-            let started = queue.pop().expect("it waits");
+            let started = queue.pop(0, 32).expect("it waits");
             let cost = started.job.estimate_tokens;
             largest = largest.max(cost);
             total += cost;
@@ -180,7 +180,7 @@
                 prop_assert!(!matches!(pushed, Pushed::Refused(_)), "the few are not refused");
                 few += 1;
             }
-            let started = queue.pop().expect("it waits");
+            let started = queue.pop(0, 32).expect("it waits");
             // Output lengths are unknown: what it takes in the end is not what was estimated.
             let tokens = started.job.estimate_tokens * percent / 100 + 1;
             largest = largest.max(tokens.max(started.job.estimate_tokens));
