--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -21,7 +21,7 @@
     println!("seed {SEED}");
     let mut rows = Vec::new();
     for scenario in scenario::all() {
-        if !wanted.is_empty() && !wanted.iter().any(|name| *name == scenario.name) {
+        if !wanted.is_empty() && !wanted.contains(&scenario.name) {
             continue;
         }
         for policy in policies(&scenario).iter().copied() {
--- /dev/null
+++ b/benches/spread/main.rs
@@ -0,0 +1,193 @@
+//! How fast a change is in force everywhere, and what a daemon spends for control: in-process
+//! daemons (their control threads) on loopback, one change given to one of them.
+//!
+//! `cargo bench --bench spread` prints one JSON line for each number of daemons.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use briarwinch::spread::Shared;
+use briarwinch::{bound, control, link, membership, settings, wire};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task;
+
+const SECRET: &str = "a secret of the benches";
+const IDLE: Duration = Duration::from_secs(8);
+const CHANGES: u64 = 5;
+const COUNTS: [usize; 5] = [10, 20, 40, 80, 160];
+
+struct Daemon {
+    hub: Arc<control::Hub>,
+    addr: SocketAddr,
+}
+
+fn main() {
+    for count in COUNTS {
+        measure(count);
+    }
+}
+
+fn settings(number: usize, seeds: Vec<SocketAddr>) -> settings::Daemon {
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    settings::Daemon {
+        id: format!("daemon-{number}").into(),
+        region: "r".into(),
+        zone: format!("zone-{}", number % 7).into(),
+        peer_addr: any,
+        admin_addr: any,
+        // Nobody answers there: what is measured is what the daemons do among themselves.
+        platform_url: "http://127.0.0.1:1".to_owned(),
+        fleet_secret: SECRET.to_owned(),
+        seeds,
+        drain_ms: 1_000,
+        traces: settings::Traces::Off,
+    }
+}
+
+fn spawn(number: usize, seeds: Vec<SocketAddr>) -> Daemon {
+    let mut settings = settings(number, seeds);
+    let sockets = bound::Pair::bind(&mut settings.peer_addr).expect("a free port");
+    let addr = settings.peer_addr;
+    let hub = Arc::new(control::Hub::default());
+    let identity = control::Identity {
+        role: membership::Role::Side,
+        work_addr: None,
+        endpoints: Vec::new(),
+        boot: number as u64,
+    };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    control::spawn(settings, identity, Arc::clone(&hub), log, sockets).expect("a thread");
+    Daemon { hub, addr }
+}
+
+/// User and system time of this process.
+fn cpu_ms() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = stat
+        .rsplit(") ")
+        .next()
+        .unwrap_or_default()
+        .split(' ')
+        .collect();
+    let ticks = |at: usize| {
+        fields
+            .get(at)
+            .and_then(|text| text.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    (ticks(11) + ticks(12)) * 10.0
+}
+
+fn bytes_out(daemons: &[Daemon]) -> u64 {
+    daemons
+        .iter()
+        .map(|daemon| daemon.hub.bytes_out.load(Ordering::Relaxed))
+        .sum()
+}
+
+fn wait(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(120);
+    while !done() {
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+fn measure(count: usize) {
+    let first = spawn(0, Vec::new());
+    let seeds = vec![first.addr];
+    let mut daemons = vec![first];
+    for number in 1..count {
+        daemons.push(spawn(number, seeds.clone()));
+    }
+    let known = |daemon: &Daemon| {
+        daemon
+            .hub
+            .shared
+            .lock()
+            .map_or(0, |shared| shared.fleet.len())
+    };
+    wait("all to know each other", || {
+        daemons.iter().all(|daemon| known(daemon) >= count)
+    });
+    std::thread::sleep(Duration::from_secs(2));
+
+    let (bytes, cpu) = (bytes_out(&daemons), cpu_ms());
+    std::thread::sleep(IDLE);
+    let per_daemon_s = count as f64 * IDLE.as_secs_f64();
+    let idle_bytes_per_s = (bytes_out(&daemons) - bytes) as f64 / per_daemon_s;
+    let idle_cpu_ppm = (cpu_ms() - cpu) / 1000.0 / per_daemon_s * 1e6;
+
+    let mut all_ms: Vec<u64> = Vec::new();
+    let bytes = bytes_out(&daemons);
+    for version in 1..=CHANGES {
+        let begin = Instant::now();
+        tell(daemons[version as usize % count].addr, version);
+        wait("the change", || {
+            daemons
+                .iter()
+                .all(|daemon| daemon.hub.snapshot.load().config_version() >= version)
+        });
+        all_ms.push(begin.elapsed().as_millis() as u64);
+    }
+    let change_bytes = (bytes_out(&daemons) - bytes) as f64 / (count as f64 * CHANGES as f64);
+    all_ms.sort_unstable();
+    println!(
+        "{}",
+        serde_json::json!({
+            "daemons": count,
+            "change_to_all_median_ms": all_ms[all_ms.len() / 2],
+            "change_to_all_worst_ms": all_ms[all_ms.len() - 1],
+            "change_bytes_a_daemon": change_bytes.round(),
+            "idle_bytes_per_s_a_daemon": idle_bytes_per_s.round(),
+            "idle_cpu_ppm_of_a_core_a_daemon": idle_cpu_ppm.round(),
+        })
+    );
+}
+
+/// Gives a daemon a new configuration, as a peer that has it.
+fn tell(addr: SocketAddr, version: u64) {
+    std::thread::spawn(move || {
+        let runner = ntex::rt::System::build()
+            .disable_signals()
+            .build(ntex::rt::DefaultRuntime);
+        runner.block_on(serve_one(addr, version));
+    });
+}
+
+async fn serve_one(addr: SocketAddr, version: u64) {
+    let secret = wire::Secret::fleet(SECRET);
+    let mut own: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let sockets = bound::Pair::bind(&mut own).expect("a free port");
+    let listener = TcpListener::from_std(sockets.tcp).expect("a listener");
+    let udp = UdpSocket::from_std(sockets.udp).expect("a socket");
+    let mut shared = Shared::default();
+    let target_ms = version + 100;
+    let text = format!(
+        "{{\"classes\": {{\"c\": {{\"latency_target_ms\": {target_ms}, \"priority\": 1}}}}, \
+         \"services\": {{}}, \"accounts\": {{}}}}"
+    );
+    shared.take_config(wire::ConfigText { version, text });
+    let digest = wire::Datagram::Digest(shared.digest(own, true));
+    let bytes = wire::seal_datagram(&secret, &digest).expect("short");
+    let shared = Rc::new(shared);
+    udp.send_to(&bytes, addr).await.expect("loopback takes it");
+    for _ in 0..64 {
+        let accept = tokio::time::timeout(Duration::from_secs(3), listener.accept());
+        let Ok(Ok((stream, _))) = accept.await else {
+            return;
+        };
+        let (shared, secret) = (Rc::clone(&shared), secret.clone());
+        task::spawn_local(async move {
+            let Ok(mut link) = link::accept(stream, &secret, &"teller".into()).await else {
+                return;
+            };
+            while let Ok(Some(pull)) = link.inbox.next::<wire::Pull>().await {
+                link.outbox.send(&shared.news_for(&pull));
+            }
+        });
+    }
+}
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -124,8 +124,9 @@
     since_protected: u32,
 }
 
-/// One slot in so many is kept free for protected jobs.
-const HEADROOM_PART: usize = 16;
+/// One slot in so many is kept free for protected jobs; none at endpoints with few slots.
+const HEADROOM_PART: usize = 32;
+const LEAST_SLOTS_FOR_HEADROOM: usize = 8;
 /// For so many starts after a protected job has come.
 const PROTECTED_MEMORY_JOBS: u32 = 1_000;
 
@@ -363,10 +364,10 @@
     }
 
     fn headroom(&self, slots: usize) -> usize {
-        if self.since_protected > PROTECTED_MEMORY_JOBS || slots < HEADROOM_PART {
+        if self.since_protected > PROTECTED_MEMORY_JOBS || slots < LEAST_SLOTS_FOR_HEADROOM {
             return 0;
         }
-        slots / HEADROOM_PART
+        slots.div_ceil(HEADROOM_PART)
     }
 
     fn highest_class(&self, only_protected: bool) -> Option<usize> {
--- a/src/scaling.rs
+++ b/src/scaling.rs
@@ -11,11 +11,11 @@
 use crate::config;
 
 /// Share of an endpoint's slots in use at which latency targets still hold.
-const UTILISATION: f64 = 0.75;
+const UTILISATION: f64 = 0.85;
 /// How far back the slope looks.
 const SLOPE_MS: u64 = 60_000;
 /// A need must have been lower for this long before an endpoint is stopped.
-const STOP_AFTER_MS: u64 = 300_000;
+const STOP_AFTER_MS: u64 = 120_000;
 /// Start time assumed before one was measured.
 const FIRST_START_MS: f64 = 60_000.0;
 /// Weight of the newest measured start.
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -75,7 +75,7 @@
 
 /// One fault after another, some of them together. It ends with everything running again.
 fn cause_faults(
-    fleet: &mut Vec<Daemon>,
+    fleet: &mut [Daemon],
     spawn: impl Fn(usize) -> Daemon,
     platform: impl Fn(serde_json::Value),
 ) {
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -363,17 +363,17 @@
     }
 
     pub fn spawn_entry(&self, id: &str) -> Daemon {
-        self.spawn_entry_with(self.daemon_settings(id))
+        self.spawn_entry_with(&self.daemon_settings(id))
     }
 
     /// An entry whose platform address leads nowhere.
     pub fn spawn_entry_without_store(&self, id: &str) -> Daemon {
         let mut daemon = self.daemon_settings(id);
         daemon["platform_url"] = "http://127.0.0.1:1".into();
-        self.spawn_entry_with(daemon)
+        self.spawn_entry_with(&daemon)
     }
 
-    fn spawn_entry_with(&self, daemon: Value) -> Daemon {
+    fn spawn_entry_with(&self, daemon: &Value) -> Daemon {
         let settings = json!({
             "daemon": daemon,
             "listen_addr": "127.0.0.1:0",
--- a/tests/processes/streams.rs
+++ b/tests/processes/streams.rs
@@ -1,5 +1,6 @@
 //! Every caller gets the whole answer to its own request, or is told that it does not.
 
+use std::io::{Read, Write};
 use std::process::Command;
 
 use nix::sys::signal::Signal;
@@ -71,6 +72,38 @@
     );
 }
 
+/// An engine that marks the end of its answer only by closing the connection dies: its close looks
+/// like the end. Only the missing closing event tells that the answer is not whole.
+#[test]
+fn closed_connection_without_the_closing_event_is_no_whole_answer() {
+    let engine = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let url = format!("http://{}", engine.local_addr().expect("bound"));
+    std::thread::spawn(move || {
+        for stream in engine.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut request = vec![0; 4096];
+            let _ = stream.read(&mut request);
+            let head =
+                "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
+            let token = json!({"choices": [{"delta": {"content": fleet::token("half", 0)}}]});
+            let _ = stream.write_all(format!("{head}data: {token}\n\n").as_bytes());
+        }
+    });
+    let mut fleet = Fleet::start(Shape {
+        entries: 1,
+        engines: 0,
+        ..Shape::default()
+    });
+    let side = fleet.spawn_side("side-closing", "juru-tulis", &url);
+    fleet.sides.push(side);
+    fleet.wait_until_whole();
+    let key = fleet.grant("court");
+    let request = fleet::chat(&fleet.entries[0], &key);
+    let answer = fleet::send(request, &fleet::chat_body("half", 5, true));
+    assert!(answer.text.contains("event: error"), "{}", answer.text);
+    assert!(!fleet::stream_tokens(&answer.text).1, "{}", answer.text);
+}
+
 /// A side dies while its engine still reads the prompt. No byte has reached the caller, so another
 /// endpoint answers and the caller notices nothing but the time.
 #[test]
--- a/tests/properties/answers.rs
+++ b/tests/properties/answers.rs
@@ -48,7 +48,7 @@
         let stream = StreamId { slot: 0, generation: 0 };
         let mut reader = Reader::new(stream, 0, 1000);
         let mut allowed = 1000_u64;
-        let mut read = |reader: &mut Reader, answer: &Answer, received: &mut Vec<u8>| {
+        let read = |reader: &mut Reader, answer: &Answer, received: &mut Vec<u8>| {
             while let Some(frame) = reader.next(answer) {
                 if let ToEntry::Data(data) = frame {
                     assert_eq!(data.offset, received.len() as u64);
--- a/tests/properties/fake_store.rs
+++ b/tests/properties/fake_store.rs
@@ -51,13 +51,6 @@
         }
     }
 
-    pub fn value(&self, key: &str) -> Option<String> {
-        self.objects
-            .borrow()
-            .get(key)
-            .map(|(_, value)| value.clone())
-    }
-
     pub fn write(&self, key: &str, value: Option<String>, if_version: u64) -> Result<u64, Failure> {
         let mut objects = self.objects.borrow_mut();
         if objects.get(key).map_or(0, |(version, _)| *version) != if_version {
--- a/tests/properties/lease.rs
+++ b/tests/properties/lease.rs
@@ -124,7 +124,7 @@
             let call = self.under_way.take().expect("matched above");
             match (&call.effect, call.outcome.expect("the effect comes first")) {
                 (Effect::Read, Outcome::Seen(seen)) => {
-                    self.contender.read(seen, call.sent_ms, clock)
+                    self.contender.read(seen, call.sent_ms, clock);
                 }
                 (Effect::Write { .. }, Outcome::Written(version)) => {
                     self.contender.written(version, clock);
--- a/tests/properties/spread.rs
+++ b/tests/properties/spread.rs
@@ -22,7 +22,7 @@
         id: format!("k{}", revision % 7).into(),
         account: "a".into(),
         digest: [0; 32],
-        withdrawn: revision % 2 == 0,
+        withdrawn: revision.is_multiple_of(2),
     };
     Versioned { revision, record }
 }
@@ -35,7 +35,7 @@
         role: Role::Side,
         region: "r".into(),
         zone: "z".into(),
-        state: if version % 3 == 0 {
+        state: if version.is_multiple_of(3) {
             State::Draining
         } else {
             State::Ready
