--- a/benches/slopes/main.rs
+++ b/benches/slopes/main.rs
@@ -100,6 +100,7 @@
         "ns",
         one,
     );
+    let queue = filled(10_000);
     let ahead = time_ns(200, || {
         for _ in 0..200 {
             let queue = black_box(&queue);
--- a/demo.sh
+++ b/demo.sh
@@ -11,116 +11,25 @@
 # BRIARWINCH_BIN: a folder of binaries already built.
 bin=${BRIARWINCH_BIN:-target/release}
 if [ -z "${BRIARWINCH_BIN:-}" ]; then cargo build --release --workspace --locked --quiet; fi
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-  # Only what was started here, by process id; the daemons first, so that they drain.
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-# start NAME COMMAND...: a process of this demo, its output in files of its name.
-start() {
-  local name=$1; shift
-  "$@" >"$work/$name.out" 2>"$work/$name.err" &
-  pids+=($!)
-}
-
-# listening NAME: waits for a stand-in's address, chosen by the system.
-listening() {
-  for _ in $(seq 200); do
-    local addr
-    addr=$(sed -n 's/^listening //p' "$work/$1.out" 2>/dev/null)
-    if [ -n "$addr" ]; then echo "$addr"; return; fi
-    sleep 0.05
-  done
-  echo "demo: $1 does not start" >&2
-  return 1
-}
-
-ready() {
-  for _ in $(seq 200); do
-    if curl -sf "http://$1/ready" >/dev/null; then return; fi
-    sleep 0.05
-  done
-  echo "demo: the daemon at $1 does not become ready" >&2
-  return 1
-}
+source scripts/fleet.sh
 
 start platform "$bin/briarwinch-standin" platform
 for n in 1 2 3; do start "engine$n" "$bin/briarwinch-standin" engine; done
 start service "$bin/briarwinch-standin" service
 platform=http://$(listening platform)
-admins=()
-
-seeds=
-
-# daemon NAME ZONE: the settings all daemons have; the system chooses the ports.
-daemon() {
-  cat <<JSON
-  "daemon": {
-    "id": "$1", "region": "jawa", "zone": "$2",
-    "peer_addr": "127.0.0.1:0", "admin_addr": "127.0.0.1:0",
-    "platform_url": "$platform", "fleet_secret": "the demo's own secret",
-    "seeds": [$seeds], "drain_ms": 5000
-  },
-JSON
-}
-
-# addr NAME FIELD: an address that a daemon has printed.
-addr() {
-  for _ in $(seq 200); do
-    local found
-    found=$(sed -n "s/.*\"$2\":\"\([^\"]*\)\".*/\1/p" "$work/$1.out" 2>/dev/null)
-    if [ -n "$found" ]; then echo "$found"; return; fi
-    sleep 0.05
-  done
-  echo "demo: $1 does not start" >&2
-  cat "$work/$1.err" >&2
-  return 1
-}
-
-entries=()
-zones=(jkt smg)
-for n in 0 1; do
-  name=entry-$n
-  { echo "{"; daemon "$name" "${zones[$n]}"; echo '  "listen_addr": "127.0.0.1:0" }'; } >"$work/$name.jsonc"
-  start "$name" "$bin/briarwinch-entry" --settings "$work/$name.jsonc"
-  entries+=("http://$(addr "$name" work_addr)")
-  admins+=("$(addr "$name" admin_addr)")
-  seeds="${seeds:+$seeds, }\"$(addr "$name" peer_addr)\""
-done
 
-zones=(jkt smg sby jkt)
-for n in 0 1 2 3; do
-  name=side-$n; service=juru-tulis; backend=engine$((n + 1))
-  if [ "$n" = 3 ]; then service=loket; backend=service; fi
-  { echo "{"; daemon "$name" "${zones[$n]}"
-    echo '  "work_addr": "127.0.0.1:0",'
-    echo "  \"endpoints\": [{ \"id\": \"$service-$n\", \"service\": \"$service\", \"url\": \"http://$(listening "$backend")\" }] }"
-  } >"$work/$name.jsonc"
-  start "$name" "$bin/briarwinch-side" --settings "$work/$name.jsonc"
-  admins+=("$(addr "$name" admin_addr)")
-done
+entry entry-1 jkt
+entry entry-2 smg
+side side-1 jkt juru-tulis engine1
+side side-2 smg juru-tulis engine2
+side side-3 sby juru-tulis engine3
+side side-4 jkt loket service
 
 export BRIARWINCH_PLATFORM=$platform BRIARWINCH_ADMIN=http://${admins[0]}
 "$bin/briarwinch" apply examples/sidang-rekam.jsonc
 key1=$("$bin/briarwinch" keys grant pn-surabaya)
 key2=$("$bin/briarwinch" keys grant firma-hukum-kencana)
-for admin in "${admins[@]}"; do ready "$admin"; done
-for entry in "${entries[@]}"; do
-  # The keys and the sides take a moment to reach each entry.
-  for key in "$key1" "$key2"; do
-    for _ in $(seq 100); do
-      code=$(curl -s -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $key" "$entry/services/loket/orders")
-      if [ "$code" = 200 ]; then break; fi
-      sleep 0.1
-    done
-  done
-done
+serving "$key1" "$key2"
 
 if [ "$keep" = yes ]; then
   echo "running; try:"
--- a/src/entry/asks.rs
+++ b/src/entry/asks.rs
@@ -19,7 +19,8 @@
 #[derive(Debug)]
 struct Pending {
     target: placement::Target,
-    sent_ms: u64,
+    /// When the endpoint counts as silent.
+    late_at_ms: u64,
     round: Rc<Round>,
 }
 
@@ -61,9 +62,13 @@
         &self,
         places: &[&membership::Place],
         ask: &wire::Ask,
+        limit_ms: u64,
     ) -> Vec<Answered> {
+        if places.is_empty() {
+            return Vec::new();
+        }
         let round = Rc::new(Round::default());
-        let sent_ms = self.now_ms();
+        let late_at_ms = self.now_ms() + 2 * limit_ms;
         for place in places {
             let nonce = rand::random();
             let target = placement::Target::of(place);
@@ -74,7 +79,7 @@
             };
             let pending = Pending {
                 target,
-                sent_ms,
+                late_at_ms,
                 round: Rc::clone(&round),
             };
             self.asks.pending.borrow_mut().insert(nonce, pending);
@@ -84,7 +89,7 @@
                 let _ = socket.try_send_to(&bytes, place.work_addr);
             }
         }
-        let limit = Duration::from_millis(self.common.settings.ask_ms);
+        let limit = Duration::from_millis(limit_ms);
         let _ = time::timeout(limit, gathered(&round, places.len())).await;
         round.offers.take()
     }
@@ -92,10 +97,9 @@
     /// Marks endpoints silent that have not answered in time.
     pub(super) fn note_silent(&self) {
         let now_ms = self.now_ms();
-        let limit_ms = self.common.settings.ask_ms * 2;
         let mut silent = self.silent.borrow_mut();
         self.asks.pending.borrow_mut().retain(|_, pending| {
-            let late = now_ms.saturating_sub(pending.sent_ms) > limit_ms;
+            let late = now_ms > pending.late_at_ms;
             if late {
                 silent.missed(pending.target, now_ms);
                 metrics::counter!("briarwinch_asks_unanswered_total").increment(1);
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -11,6 +11,9 @@
 
 /// Endpoints asked at most when looking for one that holds an answer already.
 const MAX_HOLDERS_ASKED: usize = 64;
+/// Times a request is asked for at most, each with so many times the patience of the one before.
+const ASK_ROUNDS: u32 = 4;
+const ASK_PATIENCE: u64 = 4;
 /// Tries at most, whatever the retry budget holds.
 const MAX_TRIES: usize = 4;
 
@@ -172,11 +175,6 @@
     let snapshot = worker.snapshot();
     let places = snapshot.places(&daemon.region, &request.service);
     let span = trace::Span::start("ask", request.trace);
-    let mut asked = pick(worker, request, places, tried, true);
-    if asked.is_empty() {
-        // All are silent or tried. One that was silent may answer by now; none tried twice.
-        asked = pick(worker, request, places, tried, false);
-    }
     let ask = wire::Ask {
         nonce: 0,
         endpoint: wire::EndpointIndex(0),
@@ -187,13 +185,25 @@
         prefix: request.prefix,
         idempotency: request.idempotency,
     };
-    let offers = worker.ask(&asked, &ask).await;
+    let mut best = None;
+    let mut limit_ms = worker.common.settings.ask_ms;
+    for round in 0..ASK_ROUNDS {
+        // Asks are lost and sides stall for a moment. Nothing has been sent yet, so asking again,
+        // with more patience and the silent ones too, costs only time; a refusal would cost the
+        // caller its answer.
+        let asked = pick(worker, request, places, tried, round == 0);
+        let offers = worker.ask(&asked, &ask, limit_ms).await;
+        attempt
+            .asked
+            .extend(asked.iter().map(|place| asked_line(place, &offers)));
+        best = choose_best(&asked, &offers, &daemon.zone);
+        if best.is_some() || asked.is_empty() && round > 0 {
+            break;
+        }
+        limit_ms *= ASK_PATIENCE;
+    }
     span.end(&worker.common.spans, &request.id);
-    attempt.asked = asked
-        .iter()
-        .map(|place| asked_line(place, &offers))
-        .collect();
-    let best = best(&asked, &offers, &daemon.zone)?;
+    let best = best?;
     attempt.chosen = Some(best.id.clone());
     Some(placement::Target::of(best))
 }
@@ -218,7 +228,7 @@
     placement::pick(places, zone, request.prefix, width, avoid, &mut rand::rng())
 }
 
-fn best<'a>(
+fn choose_best<'a>(
     asked: &[&'a membership::Place],
     offers: &[asks::Answered],
     own_zone: &str,
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod fleet;
 mod keys;
+mod orders;
 mod overload;
 mod path;
 mod stops;
--- a/tests/processes/streams.rs
+++ b/tests/processes/streams.rs
@@ -151,6 +151,34 @@
     });
 }
 
+/// The only side stalls for a moment, as under a burst of load or while its host is busy, and lets
+/// the first asks go unanswered. Callers would be refused though the endpoint is there.
+#[test]
+fn brief_stall_of_the_only_side_costs_time_and_no_answer() {
+    let fleet = Fleet::start(Shape {
+        entries: 1,
+        engines: 1,
+        ..Shape::default()
+    });
+    let key = fleet.grant("court");
+    for number in 0..5 {
+        let prompt = format!("stalled {number}");
+        fleet.sides[0].process.signal(Signal::SIGSTOP);
+        let answer = std::thread::scope(|scope| {
+            let request = fleet::chat(&fleet.entries[0], &key);
+            let body = fleet::chat_body(&prompt, 2, true);
+            let sent = scope.spawn(move || fleet::send(request, &body));
+            fleet::wait_for("an ask goes unanswered", || {
+                (fleet.entries[0].metric("briarwinch_asks_unanswered_total") > f64::from(number))
+                    .then_some(())
+            });
+            fleet.sides[0].process.signal(Signal::SIGCONT);
+            sent.join().expect("no panic")
+        });
+        fleet::assert_whole(&answer.text, &prompt, 2);
+    }
+}
+
 /// One caller opens a long answer and does not read it. Without credit of its own for each stream,
 /// its bytes would fill the shared link and every other caller of that link would wait behind it.
 #[test]
