--- a/benches/policy/engine.rs
+++ b/benches/policy/engine.rs
@@ -37,13 +37,7 @@
 
 impl Engine {
     pub fn new(speed: f64) -> Self {
-        Self {
-            speed,
-            running: 0,
-            dead: false,
-            prefill_free_ms: 0.0,
-            heads: VecDeque::new(),
-        }
+        Self { speed, running: 0, dead: false, prefill_free_ms: 0.0, heads: VecDeque::new() }
     }
 
     /// Starts a request.
@@ -62,9 +56,6 @@
         let batch = self.running as f64 / SLOTS as f64;
         let token_ms = (ALONE_MS + (FULL_MS - ALONE_MS) * batch) / self.speed;
         let first = first + token_ms;
-        Times {
-            first_token_ms: first as u64,
-            end_ms: (first + token_ms * output as f64) as u64,
-        }
+        Times { first_token_ms: first as u64, end_ms: (first + token_ms * output as f64) as u64 }
     }
 }
--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -14,10 +14,8 @@
 const SEED: u64 = 20_261_203;
 
 fn main() {
-    let wanted: Vec<String> = std::env::args()
-        .skip(1)
-        .filter(|word| !word.starts_with("--"))
-        .collect();
+    let wanted: Vec<String> =
+        std::env::args().skip(1).filter(|word| !word.starts_with("--")).collect();
     println!("seed {SEED}");
     let mut rows = Vec::new();
     for scenario in scenario::all() {
@@ -36,9 +34,5 @@
 }
 
 fn policies(scenario: &Scenario) -> &'static [Policy] {
-    if scenario.scales {
-        &Policy::SCALING
-    } else {
-        &Policy::ROUTING
-    }
+    if scenario.scales { &Policy::SCALING } else { &Policy::ROUTING }
 }
--- a/benches/policy/report.rs
+++ b/benches/policy/report.rs
@@ -31,17 +31,12 @@
         .iter()
         .enumerate()
         .map(|(number, class)| {
-            let requests: Vec<&Request> = outcome
-                .requests
-                .iter()
-                .filter(|request| request.class == number)
-                .collect();
+            let requests: Vec<&Request> =
+                outcome.requests.iter().filter(|request| request.class == number).collect();
             let target_ms = u64::from(class.text.latency_target_ms);
             let met = |request: &&&Request| {
                 request.whole
-                    && request
-                        .first_ms
-                        .is_some_and(|at| at <= request.arrived_ms + target_ms)
+                    && request.first_ms.is_some_and(|at| at <= request.arrived_ms + target_ms)
             };
             let attained: Vec<&&Request> = requests.iter().filter(met).collect();
             Row {
@@ -83,9 +78,7 @@
     };
     let asked = sum(&|_| true);
     let got = sum(&|request| request.whole);
-    let mut order: Vec<usize> = (0..accounts)
-        .filter(|account| asked[*account] > 0.0)
-        .collect();
+    let mut order: Vec<usize> = (0..accounts).filter(|account| asked[*account] > 0.0).collect();
     order.sort_by(|a, b| asked[*a].total_cmp(&asked[*b]));
     let mut left: f64 = got.iter().sum();
     let mut worst = 1.0_f64;
--- a/benches/policy/scenario.rs
+++ b/benches/policy/scenario.rs
@@ -121,13 +121,7 @@
         max_wait_ms: None,
     };
     let (share, prompt_tokens, output_tokens) = shape;
-    Class {
-        name,
-        text,
-        share,
-        prompt_tokens,
-        output_tokens,
-    }
+    Class { name, text, share, prompt_tokens, output_tokens }
 }
 
 fn sidang() -> Vec<Class> {
@@ -153,10 +147,9 @@
 /// All scenarios at both deployments.
 pub fn all() -> Vec<Scenario> {
     let mut scenarios = Vec::new();
-    for (site, classes, burst) in [
-        ("sidang", sidang(), "rush-order"),
-        ("pullikkal", pullikkal(), "grazing-advice"),
-    ] {
+    for (site, classes, burst) in
+        [("sidang", sidang(), "rush-order"), ("pullikkal", pullikkal(), "grazing-advice")]
+    {
         let base = Scenario {
             name: String::new(),
             classes,
@@ -169,42 +162,20 @@
             scales: false,
         };
         let mut add = |name: &str, event: Event, change: &dyn Fn(&mut Scenario)| {
-            let mut scenario = Scenario {
-                name: format!("{site}/{name}"),
-                event,
-                ..base.clone()
-            };
+            let mut scenario = Scenario { name: format!("{site}/{name}"), event, ..base.clone() };
             change(&mut scenario);
             scenarios.push(scenario);
         };
         add("calm", Event::None, &|_| {});
-        add(
-            "burst",
-            Event::Burst {
-                class: burst,
-                capacity: 2.0,
-            },
-            &|_| {},
-        );
-        add(
-            "flood",
-            Event::Flood {
-                class: burst,
-                capacity: 1.5,
-            },
-            &|_| {},
-        );
+        add("burst", Event::Burst { class: burst, capacity: 2.0 }, &|_| {});
+        add("flood", Event::Flood { class: burst, capacity: 1.5 }, &|_| {});
         add("straggler", Event::Straggler { speed: 0.2 }, &|_| {});
         add("deaths", Event::Deaths, &|scenario| scenario.load = 0.5);
         add("late-reports", Event::None, &|scenario| {
             scenario.report_lag_ms = 5_000;
             scenario.load = 0.8;
         });
-        add(
-            "long-outputs",
-            Event::LongOutputs { times: 10.0 },
-            &|scenario| scenario.load = 0.12,
-        );
+        add("long-outputs", Event::LongOutputs { times: 10.0 }, &|scenario| scenario.load = 0.12);
         add("morning", Event::Morning, &|scenario| {
             scenario.seconds = 3_600;
             scenario.scales = true;
--- a/benches/policy/simulation.rs
+++ b/benches/policy/simulation.rs
@@ -136,19 +136,11 @@
         world.handle(happens);
     }
     world.close();
-    Outcome {
-        requests: world.requests,
-        endpoint_ms: world.endpoint_ms,
-        least_endpoint_ms,
-    }
+    Outcome { requests: world.requests, endpoint_ms: world.endpoint_ms, least_endpoint_ms }
 }
 
 fn mean_output(scenario: &Scenario) -> f64 {
-    scenario
-        .classes
-        .iter()
-        .map(|class| class.share * class.output_tokens)
-        .sum()
+    scenario.classes.iter().map(|class| class.share * class.output_tokens).sum()
 }
 
 /// Requests a second at a load of one.
@@ -263,9 +255,7 @@
         work[(request.arrived_ms / STEP_MS) as usize] += request.output as f64;
     }
     let full = engine::capacity_tokens_per_s() * STEP_MS as f64 / 1000.0 * 0.8;
-    work.iter()
-        .map(|tokens| (tokens / full).ceil().max(1.0) as u64 * STEP_MS)
-        .sum()
+    work.iter().map(|tokens| (tokens / full).ceil().max(1.0) as u64 * STEP_MS).sum()
 }
 
 impl<'a> World<'a> {
@@ -323,14 +313,8 @@
         let number = self.endpoints.len();
         let work_addr: SocketAddr = ([127, 0, 0, 1], number as u16 + 1).into();
         let waiting = match self.policy {
-            Policy::Fcfs => Waiting::Ordered {
-                jobs: VecDeque::new(),
-                strict: false,
-            },
-            Policy::Strict => Waiting::Ordered {
-                jobs: VecDeque::new(),
-                strict: true,
-            },
+            Policy::Fcfs => Waiting::Ordered { jobs: VecDeque::new(), strict: false },
+            Policy::Strict => Waiting::Ordered { jobs: VecDeque::new(), strict: true },
             _ => Waiting::Router(Queue::new(1, self.rules.clone(), PLACES)),
         };
         self.endpoints.push(Endpoint {
@@ -422,16 +406,12 @@
             Policy::LeastConnections => {
                 let own = &self.own[self.requests[request].entry];
                 let offset: usize = self.random.random_range(0..64);
-                open.into_iter()
-                    .min_by_key(|number| (own[*number], (number + offset) % 64))
+                open.into_iter().min_by_key(|number| (own[*number], (number + offset) % 64))
             }
             Policy::CachedLoad => {
                 let offset: usize = self.random.random_range(0..64);
                 open.into_iter().min_by_key(|number| {
-                    let load = self.endpoints[*number]
-                        .reported
-                        .front()
-                        .map_or(0, |seen| seen.1);
+                    let load = self.endpoints[*number].reported.front().map_or(0, |seen| seen.1);
                     (load, (number + offset) % 64)
                 })
             }
@@ -448,10 +428,8 @@
 
     fn ask(&mut self, request: usize, open: &[usize]) -> Option<usize> {
         let (entry, head) = (self.requests[request].entry, self.requests[request].head);
-        let places: Vec<Place> = open
-            .iter()
-            .map(|number| self.endpoints[*number].place.clone())
-            .collect();
+        let places: Vec<Place> =
+            open.iter().map(|number| self.endpoints[*number].place.clone()).collect();
         let zone = format!("zone-{}", entry % ZONES);
         let now_ms = self.now_ms;
         let silent = &self.silent[entry];
@@ -460,9 +438,7 @@
         let numbers: Vec<usize> = picked
             .iter()
             .filter_map(|place| {
-                open.iter()
-                    .copied()
-                    .find(|n| self.endpoints[*n].place.id == place.id)
+                open.iter().copied().find(|n| self.endpoints[*n].place.id == place.id)
             })
             .collect();
         let mut best: Option<(u32, usize)> = None;
@@ -516,10 +492,8 @@
     fn submit(&mut self, request: usize, number: usize) {
         let of = &self.requests[request];
         let class = &self.scenario.classes[of.class].text;
-        let expected_ms = u64::from(
-            self.offer(number, request)
-                .map_or(0, |offer| offer.first_token_ms),
-        );
+        let expected_ms =
+            u64::from(self.offer(number, request).map_or(0, |offer| offer.first_token_ms));
         let longest = class.longest_wait_ms();
         let endpoint = &mut self.endpoints[number];
         let is_router = matches!(endpoint.waiting, Waiting::Router(_));
@@ -549,11 +523,7 @@
                     jobs.make_contiguous()
                         .sort_by_key(|job| Reverse(rules[usize::from(job.class.0)].priority));
                 }
-                if jobs.len() > PLACES {
-                    jobs.pop_back()
-                } else {
-                    None
-                }
+                if jobs.len() > PLACES { jobs.pop_back() } else { None }
             }
         };
         if let Some(out) = refused {
@@ -602,35 +572,15 @@
         if endpoint.heads.len() > 1024 {
             endpoint.heads.pop_front();
         }
-        let times = endpoint
-            .engine
-            .start(self.now_ms, of.prompt_tokens, of.output, of.head);
+        let times = endpoint.engine.start(self.now_ms, of.prompt_tokens, of.output, of.head);
         self.sequence += 1;
         let run = self.sequence;
         endpoint.runs.insert(
             run,
-            Run {
-                request,
-                started,
-                began_ms: self.now_ms,
-                first_ms: None,
-                end_ms: times.end_ms,
-            },
-        );
-        self.at(
-            times.first_token_ms,
-            Happens::FirstToken {
-                endpoint: number,
-                run,
-            },
-        );
-        self.at(
-            times.end_ms,
-            Happens::End {
-                endpoint: number,
-                run,
-            },
+            Run { request, started, began_ms: self.now_ms, first_ms: None, end_ms: times.end_ms },
         );
+        self.at(times.first_token_ms, Happens::FirstToken { endpoint: number, run });
+        self.at(times.end_ms, Happens::End { endpoint: number, run });
     }
 
     fn first_token(&mut self, number: usize, run: u64) {
@@ -693,9 +643,7 @@
                 Waiting::Router(queue) => queue.len(),
                 Waiting::Ordered { jobs, .. } => jobs.len(),
             };
-            endpoint
-                .reported
-                .push_back((self.now_ms, endpoint.engine.running + waiting));
+            endpoint.reported.push_back((self.now_ms, endpoint.engine.running + waiting));
             while endpoint.reported.len() > 1 && endpoint.reported[1].0 + lag_ms <= self.now_ms {
                 endpoint.reported.pop_front();
             }
@@ -718,10 +666,7 @@
         let seen = Seen {
             live: live.len() as u32,
             starting,
-            running: live
-                .iter()
-                .map(|n| self.endpoints[*n].engine.running as u32)
-                .sum(),
+            running: live.iter().map(|n| self.endpoints[*n].engine.running as u32).sum(),
             waiting: live.iter().map(|n| load(&self.endpoints[*n])).sum(),
             slots: SLOTS as u32,
         };
@@ -744,10 +689,7 @@
                 self.at(self.now_ms + START_MS, Happens::Up(number));
             }
             Plan::Stop => {
-                let least = live
-                    .iter()
-                    .copied()
-                    .min_by_key(|n| self.endpoints[*n].engine.running);
+                let least = live.iter().copied().min_by_key(|n| self.endpoints[*n].engine.running);
                 if let Some(number) = least {
                     self.endpoints[number].standing = Standing::Leaving;
                 }
--- a/benches/slopes/main.rs
+++ b/benches/slopes/main.rs
@@ -71,11 +71,7 @@
 
 fn filled(count: u64) -> Queue {
     let rules = (0..7_u8)
-        .map(|class| ClassRule {
-            priority: class,
-            protected: class > 4,
-            guaranteed_ppm: 20_000,
-        })
+        .map(|class| ClassRule { priority: class, protected: class > 4, guaranteed_ppm: 20_000 })
         .collect();
     let mut queue = Queue::new(1, rules, 20_000);
     for id in 0..count {
@@ -95,11 +91,7 @@
             queue.finish(started, 400);
         }
     });
-    print(
-        "queue: push, pop and finish with 10000 waiting of 3400 accounts",
-        "ns",
-        one,
-    );
+    print("queue: push, pop and finish with 10000 waiting of 3400 accounts", "ns", one);
     let queue = filled(10_000);
     let ahead = time_ns(200, || {
         for _ in 0..200 {
@@ -107,11 +99,7 @@
             black_box(queue.ahead_of(config::ClassKey(3), "account-7", 1));
         }
     });
-    print(
-        "queue: jobs ahead with 10000 waiting of 3400 accounts",
-        "ns",
-        ahead,
-    );
+    print("queue: jobs ahead with 10000 waiting of 3400 accounts", "ns", ahead);
     let small = filled(200);
     let ahead = time_ns(2_000, || {
         for _ in 0..2_000 {
@@ -120,23 +108,12 @@
         }
     });
     print("queue: jobs ahead with 200 waiting", "ns", ahead);
-    print(
-        "queue: memory of a waiting job",
-        "bytes",
-        held_bytes(10_000, || filled(10_000)),
-    );
+    print("queue: memory of a waiting job", "bytes", held_bytes(10_000, || filled(10_000)));
 }
 
 fn data_frame(bytes: usize) -> wire::ToEntry {
-    let stream = wire::StreamId {
-        slot: 3,
-        generation: 9,
-    };
-    wire::ToEntry::Data(wire::Data {
-        stream,
-        offset: 1000,
-        bytes: vec![b'x'; bytes],
-    })
+    let stream = wire::StreamId { slot: 3, generation: 9 };
+    wire::ToEntry::Data(wire::Data { stream, offset: 1000, bytes: vec![b'x'; bytes] })
 }
 
 fn frames() {
@@ -151,11 +128,7 @@
                 sealer.seal(&frame, &mut out).expect("short");
             }
         });
-        print(
-            &format!("frame: seal {bytes} bytes of an answer"),
-            "ns",
-            seal,
-        );
+        print(&format!("frame: seal {bytes} bytes of an answer"), "ns", seal);
         let open = time_ns(2_000, || {
             let mut sealer = wire::Sealer::new(secret.clone());
             let mut opener = wire::Opener::new(secret.clone());
@@ -168,11 +141,7 @@
                 black_box(frame);
             }
         });
-        print(
-            &format!("frame: seal and open {bytes} bytes of an answer"),
-            "ns",
-            open,
-        );
+        print(&format!("frame: seal and open {bytes} bytes of an answer"), "ns", open);
         print(
             &format!("frame: bytes on the wire for {bytes} of an answer"),
             "bytes",
@@ -273,10 +242,7 @@
         digest: [number as u8; 32],
         withdrawn: false,
     };
-    keys::Versioned {
-        revision: u64::from(number) + 1,
-        record,
-    }
+    keys::Versioned { revision: u64::from(number) + 1, record }
 }
 
 fn member(number: usize) -> membership::Member {
@@ -289,22 +255,14 @@
         id: format!("daemon-{number}").into(),
         version: 1_796_000_000_000_000,
         boot: number as u64,
-        role: if is_side {
-            membership::Role::Side
-        } else {
-            membership::Role::Entry
-        },
+        role: if is_side { membership::Role::Side } else { membership::Role::Entry },
         region: "region-1".into(),
         zone: format!("zone-{}", number % 7).into(),
         state: membership::State::Ready,
         peer_addr: ([10, 0, 0, 1], number as u16).into(),
         admin_addr: ([10, 0, 0, 1], number as u16).into(),
         work_addr: is_side.then(|| ([10, 0, 0, 1], number as u16).into()),
-        endpoints: if is_side {
-            endpoints.collect()
-        } else {
-            Vec::new()
-        },
+        endpoints: if is_side { endpoints.collect() } else { Vec::new() },
     }
 }
 
@@ -325,64 +283,38 @@
         }
         table
     };
-    print(
-        "keys: memory of a key",
-        "bytes",
-        held_bytes(KEYS as usize, table),
-    );
+    print("keys: memory of a key", "bytes", held_bytes(KEYS as usize, table));
     let full = table();
     let copy = time_ns(1, || {
         black_box(full.clone());
     });
-    print(
-        "keys: copy a table of 6800 (a change while traffic reads it)",
-        "ns",
-        copy,
-    );
+    print("keys: copy a table of 6800 (a change while traffic reads it)", "ns", copy);
     let made = keys::make("account").expect("random bytes");
     let mut one = keys::Table::default();
-    one.take(keys::Versioned {
-        revision: 1,
-        record: made.record,
-    });
+    one.take(keys::Versioned { revision: 1, record: made.record });
     let check = time_ns(2_000, || {
         for _ in 0..2_000 {
             black_box(one.check(&made.text).is_ok());
         }
     });
     print("keys: check a key", "ns", check);
-    print(
-        "fleet: memory of a daemon's record",
-        "bytes",
-        held_bytes(DAEMONS, fleet),
-    );
+    print("fleet: memory of a daemon's record", "bytes", held_bytes(DAEMONS, fleet));
     let shared = fleet();
     let snapshot = time_ns(1, || {
         black_box(shared.snapshot());
     });
-    print(
-        "fleet: make a snapshot of 340 daemons, 600 endpoints",
-        "ns",
-        snapshot,
-    );
+    print("fleet: make a snapshot of 340 daemons, 600 endpoints", "ns", snapshot);
     let mut newer = shared.clone();
     let mut changed = member(7);
     changed.version += 1;
     newer.fleet.take(changed);
-    newer.take_config(ConfigText {
-        version: 9,
-        text: text(ACCOUNTS),
-    });
+    newer.take_config(ConfigText { version: 9, text: text(ACCOUNTS) });
     let pull = shared.pull();
     let size =
         |shared: &Shared| postcard::to_stdvec(&shared.news_for(&pull)).map_or(0, |b| b.len());
     let pull_bytes = postcard::to_stdvec(&pull).map_or(0, |bytes| bytes.len());
     print("pull: size with 340 daemons", "bytes", pull_bytes as f64);
-    print(
-        "news: one configuration and one daemon",
-        "bytes",
-        size(&newer) as f64,
-    );
+    print("news: one configuration and one daemon", "bytes", size(&newer) as f64);
     let news = time_ns(1, || {
         black_box(newer.news_for(&pull));
     });
@@ -394,22 +326,9 @@
         (0..1_000)
             .map(|slot| {
                 let mut answer = Answer::default();
-                answer.top = Some(Top {
-                    status: 200,
-                    headers: Vec::new(),
-                });
+                answer.top = Some(Top { status: 200, headers: Vec::new() });
                 answer.push(&[b'x'; 32 << 10]);
-                (
-                    answer,
-                    Reader::new(
-                        wire::StreamId {
-                            slot,
-                            generation: 1,
-                        },
-                        0,
-                        0,
-                    ),
-                )
+                (answer, Reader::new(wire::StreamId { slot, generation: 1 }, 0, 0))
             })
             .collect::<Vec<_>>()
     });
--- a/benches/spread/main.rs
+++ b/benches/spread/main.rs
@@ -66,26 +66,13 @@
 /// User and system time of this process.
 fn cpu_ms() -> f64 {
     let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields: Vec<&str> = stat
-        .rsplit(") ")
-        .next()
-        .unwrap_or_default()
-        .split(' ')
-        .collect();
-    let ticks = |at: usize| {
-        fields
-            .get(at)
-            .and_then(|text| text.parse::<f64>().ok())
-            .unwrap_or(0.0)
-    };
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or_default().split(' ').collect();
+    let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
     (ticks(11) + ticks(12)) * 10.0
 }
 
 fn bytes_out(daemons: &[Daemon]) -> u64 {
-    daemons
-        .iter()
-        .map(|daemon| daemon.hub.bytes_out.load(Ordering::Relaxed))
-        .sum()
+    daemons.iter().map(|daemon| daemon.hub.bytes_out.load(Ordering::Relaxed)).sum()
 }
 
 fn wait(what: &str, mut done: impl FnMut() -> bool) {
@@ -103,16 +90,8 @@
     for number in 1..count {
         daemons.push(spawn(number, seeds.clone()));
     }
-    let known = |daemon: &Daemon| {
-        daemon
-            .hub
-            .shared
-            .lock()
-            .map_or(0, |shared| shared.fleet.len())
-    };
-    wait("all to know each other", || {
-        daemons.iter().all(|daemon| known(daemon) >= count)
-    });
+    let known = |daemon: &Daemon| daemon.hub.shared.lock().map_or(0, |shared| shared.fleet.len());
+    wait("all to know each other", || daemons.iter().all(|daemon| known(daemon) >= count));
     std::thread::sleep(Duration::from_secs(2));
 
     let (bytes, cpu) = (bytes_out(&daemons), cpu_ms());
@@ -127,9 +106,7 @@
         let begin = Instant::now();
         tell(daemons[version as usize % count].addr, version);
         wait("the change", || {
-            daemons
-                .iter()
-                .all(|daemon| daemon.hub.snapshot.load().config_version() >= version)
+            daemons.iter().all(|daemon| daemon.hub.snapshot.load().config_version() >= version)
         });
         all_ms.push(begin.elapsed().as_millis() as u64);
     }
@@ -151,9 +128,7 @@
 /// Gives a daemon a new configuration, as a peer that has it.
 fn tell(addr: SocketAddr, version: u64) {
     std::thread::spawn(move || {
-        let runner = ntex::rt::System::build()
-            .disable_signals()
-            .build(ntex::rt::DefaultRuntime);
+        let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
         runner.block_on(serve_one(addr, version));
     });
 }
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -72,36 +72,26 @@
     metrics: PrometheusHandle,
     listener: std::net::TcpListener,
 ) -> anyhow::Result<()> {
-    let state = State {
-        hub,
-        ring,
-        metrics,
-        id: settings.id.clone(),
-        zone: settings.zone.clone(),
-    };
-    std::thread::Builder::new()
-        .name("admin".to_owned())
-        .spawn(move || {
-            let runner = ntex::rt::System::build()
-                .disable_signals()
-                .build(ntex::rt::DefaultRuntime);
-            runner.block_on(async move {
-                let server = HttpServer::new(async move || {
-                    App::new()
-                        .state(state.clone())
-                        .route("/ready", web::get().to(ready))
-                        .route("/metrics", web::get().to(metrics_text))
-                        .route("/status", web::get().to(status))
-                        .route("/explain/{request}", web::get().to(explain_request))
-                })
-                .workers(1)
-                .disable_signals()
-                .listen(listener);
-                if let Ok(server) = server {
-                    let _ = server.run().await;
-                }
-            });
-        })?;
+    let state = State { hub, ring, metrics, id: settings.id.clone(), zone: settings.zone.clone() };
+    std::thread::Builder::new().name("admin".to_owned()).spawn(move || {
+        let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
+        runner.block_on(async move {
+            let server = HttpServer::new(async move || {
+                App::new()
+                    .state(state.clone())
+                    .route("/ready", web::get().to(ready))
+                    .route("/metrics", web::get().to(metrics_text))
+                    .route("/status", web::get().to(status))
+                    .route("/explain/{request}", web::get().to(explain_request))
+            })
+            .workers(1)
+            .disable_signals()
+            .listen(listener);
+            if let Ok(server) = server {
+                let _ = server.run().await;
+            }
+        });
+    })?;
     Ok(())
 }
 
@@ -117,9 +107,7 @@
 
 async fn metrics_text(state: web::types::State<State>) -> HttpResponse {
     state.metrics.run_upkeep();
-    HttpResponse::Ok()
-        .content_type("text/plain; version=0.0.4")
-        .body(state.metrics.render())
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(state.metrics.render())
 }
 
 async fn explain_request(
@@ -176,11 +164,7 @@
         keys: shared.keys.len(),
         roster_revision: shared.roster.revision,
         members: members.collect(),
-        duties: hub
-            .duties
-            .lock()
-            .map(|duties| duties.clone())
-            .unwrap_or_default(),
+        duties: hub.duties.lock().map(|duties| duties.clone()).unwrap_or_default(),
         control_bytes_out: hub.bytes_out.load(Ordering::Relaxed),
         store_calls: hub.store_calls.load(Ordering::Relaxed),
     })
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -71,9 +71,7 @@
 
     /// Lets go of the body before an offset, once that is worth moving the rest.
     pub fn let_go(&mut self, offset: u64) {
-        let count = offset
-            .saturating_sub(self.begin)
-            .min(self.body.len() as u64) as usize;
+        let count = offset.saturating_sub(self.begin).min(self.body.len() as u64) as usize;
         if count < LET_GO_BYTES {
             return;
         }
@@ -98,13 +96,7 @@
 impl Reader {
     #[must_use]
     pub fn new(stream: wire::StreamId, offset: u64, credit_bytes: u64) -> Self {
-        Self {
-            stream,
-            offset,
-            credit_bytes,
-            has_top: offset > 0,
-            has_ending: false,
-        }
+        Self { stream, offset, credit_bytes, has_top: offset > 0, has_ending: false }
     }
 
     /// The reader has all there will ever be.
@@ -134,11 +126,7 @@
             let offset = self.offset;
             self.offset += piece.len() as u64;
             self.credit_bytes -= piece.len() as u64;
-            return Some(wire::ToEntry::Data(wire::Data {
-                stream,
-                offset,
-                bytes: piece.to_vec(),
-            }));
+            return Some(wire::ToEntry::Data(wire::Data { stream, offset, bytes: piece.to_vec() }));
         }
         if self.offset < answer.length() {
             return None;
@@ -152,10 +140,9 @@
                 tokens: *tokens,
                 queue_ms: *queue_ms,
             }),
-            Ending::Refused(refusal) => wire::ToEntry::Refused(wire::Refused {
-                stream,
-                refusal: refusal.clone(),
-            }),
+            Ending::Refused(refusal) => {
+                wire::ToEntry::Refused(wire::Refused { stream, refusal: refusal.clone() })
+            }
         })
     }
 }
--- a/src/billing.rs
+++ b/src/billing.rs
@@ -53,20 +53,11 @@
         let pause_ms = SHEET_MS.max(fleet * 1000 / SHEETS_PER_S);
         let jitter_ms = rand::random_range(0..pause_ms / 4);
         time::sleep(Duration::from_millis(pause_ms - pause_ms / 8 + jitter_ms)).await;
-        let sheet = control
-            .hub
-            .sheet
-            .lock()
-            .map(|sheet| sheet.clone())
-            .unwrap_or_default();
+        let sheet = control.hub.sheet.lock().map(|sheet| sheet.clone()).unwrap_or_default();
         if sheet == written {
             continue;
         }
-        let condition = if version == 0 {
-            Condition::Absent
-        } else {
-            Condition::Version(version)
-        };
+        let condition = if version == 0 { Condition::Absent } else { Condition::Version(version) };
         let value = serde_json::to_string(&sheet).unwrap_or_default();
         let put = control.platform.put(&key, value, condition).await;
         control.store_answered(&put);
@@ -152,15 +143,8 @@
             "output_tokens" => sealed.figures.sum().output_tokens);
         self.progress = None;
         let value = serde_json::to_string(&Progress { reported: window }).unwrap_or_default();
-        let condition = if version == 0 {
-            Condition::Absent
-        } else {
-            Condition::Version(version)
-        };
-        control
-            .platform
-            .put(&progress_key(region), value, condition)
-            .await?;
+        let condition = if version == 0 { Condition::Absent } else { Condition::Version(version) };
+        control.platform.put(&progress_key(region), value, condition).await?;
         Ok(())
     }
 }
@@ -180,14 +164,9 @@
     }
     // The first holder ever begins with the window before the current one, and writes that down:
     // a later holder must not begin anywhere else.
-    let first = Progress {
-        reported: usage::Window(current.saturating_sub(2)),
-    };
+    let first = Progress { reported: usage::Window(current.saturating_sub(2)) };
     let value = serde_json::to_string(&first).unwrap_or_default();
-    let version = control
-        .platform
-        .put(&progress_key(region), value, Condition::Absent)
-        .await?;
+    let version = control.platform.put(&progress_key(region), value, Condition::Absent).await?;
     Ok((version, first))
 }
 
@@ -243,7 +222,5 @@
     let Some(object) = store.get(key).await? else {
         return Ok(None);
     };
-    serde_json::from_str(&object.value)
-        .map(Some)
-        .map_err(|_| Failure::NoAnswer)
+    serde_json::from_str(&object.value).map(Some).map_err(|_| Failure::NoAnswer)
 }
--- a/src/bin/briarwinch.rs
+++ b/src/bin/briarwinch.rs
@@ -7,9 +7,7 @@
 
 fn main() -> ExitCode {
     let line = cli::Operator::parse();
-    let runner = ntex::rt::System::build()
-        .disable_signals()
-        .build(ntex::rt::DefaultRuntime);
+    let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
     match runner.block_on(async move { operator::run(&line).await }) {
         Ok(text) => {
             println!("{text}");
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -74,10 +74,7 @@
     Replay(SavedAnswer),
     /// It may not be sent. When `open`, the creation was never answered and may yet take effect;
     /// it has to be released later.
-    Refuse {
-        refusal: error::Refusal,
-        open: Option<Claim>,
-    },
+    Refuse { refusal: error::Refusal, open: Option<Claim> },
 }
 
 /// Object key of a claim.
@@ -101,11 +98,7 @@
     for _ in 0..TRIES {
         match store.put(&key, text(&record), Condition::Absent).await {
             Ok(version) => {
-                return Outcome::Go(Claim {
-                    key,
-                    record,
-                    version,
-                });
+                return Outcome::Go(Claim { key, record, version });
             }
             Err(Failure::Conflict) => {}
             Err(Failure::NoAnswer) => sent = true,
@@ -119,28 +112,17 @@
                 return refuse(error::Kind::ClaimUnresolved, None);
             };
             if found.nonce == record.nonce && found.holder == record.holder {
-                return Outcome::Go(Claim {
-                    key,
-                    record,
-                    version: object.version,
-                });
+                return Outcome::Go(Claim { key, record, version: object.version });
             }
             return examine(&found, &record, is_alive);
         }
     }
-    let open = sent.then(|| Claim {
-        key,
-        record,
-        version: 0,
-    });
+    let open = sent.then(|| Claim { key, record, version: 0 });
     refuse(error::Kind::StoreUnavailable, open)
 }
 
 fn refuse(kind: error::Kind, open: Option<Claim>) -> Outcome {
-    Outcome::Refuse {
-        refusal: error::Refusal::not_run(kind),
-        open,
-    }
+    Outcome::Refuse { refusal: error::Refusal::not_run(kind), open }
 }
 
 fn examine(found: &Record, wanted: &Record, is_alive: impl Fn(&Holder) -> bool) -> Outcome {
@@ -152,17 +134,11 @@
         State::Running if is_alive(&found.holder) => {
             let refusal =
                 error::Refusal::unknown(error::Kind::ClaimRunning).retry_after_ms(RUNNING_RETRY_MS);
-            Outcome::Refuse {
-                refusal,
-                open: None,
-            }
+            Outcome::Refuse { refusal, open: None }
         }
         State::Running | State::Unknown => {
             let refusal = error::Refusal::unknown(error::Kind::ClaimUnresolved);
-            Outcome::Refuse {
-                refusal,
-                open: None,
-            }
+            Outcome::Refuse { refusal, open: None }
         }
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -32,12 +32,7 @@
     )]
     pub platform: String,
     /// The operators' listener of any daemon, as `http://IP:PORT`
-    #[arg(
-        long,
-        global = true,
-        env = "BRIARWINCH_ADMIN",
-        default_value = "http://127.0.0.1:7701"
-    )]
+    #[arg(long, global = true, env = "BRIARWINCH_ADMIN", default_value = "http://127.0.0.1:7701")]
     pub admin: String,
     #[arg(long, global = true, value_enum, default_value_t = Output::Text)]
     pub output: Output,
--- a/src/config.rs
+++ b/src/config.rs
@@ -137,10 +137,7 @@
 
 impl Default for Billing {
     fn default() -> Self {
-        Self {
-            window_s: 3600,
-            grace_s: 60,
-        }
+        Self { window_s: 3600, grace_s: 60 }
     }
 }
 
@@ -220,11 +217,7 @@
     pub fn parse(text: &str) -> Result<Self, jsonc::Mistake> {
         if text.len() > MAX_TEXT_BYTES {
             let sentence = format!("the text is longer than {MAX_TEXT_BYTES} bytes");
-            return Err(jsonc::Mistake {
-                line: 1,
-                column: 1,
-                sentence,
-            });
+            return Err(jsonc::Mistake { line: 1, column: 1, sentence });
         }
         let document = jsonc::Document::parse(text)?;
         let text: Text = document.read()?;
@@ -242,11 +235,7 @@
         let services = check_services(&text, &class_names, needs)?;
         let accounts = check_accounts(&text, &class_names)?;
         check_billing(text.billing)?;
-        let classes = text
-            .classes
-            .into_iter()
-            .map(|(name, text)| Class { name, text })
-            .collect();
+        let classes = text.classes.into_iter().map(|(name, text)| Class { name, text }).collect();
         Ok(Self {
             classes,
             services,
@@ -277,8 +266,7 @@
     /// The weight of an account; one if it is not in the text.
     #[must_use]
     pub fn share_of(&self, account: &str) -> u32 {
-        self.account(account)
-            .map_or(1, |key| self.account_at(key).share)
+        self.account(account).map_or(1, |key| self.account_at(key).share)
     }
 
     /// The service that runs a model.
@@ -310,10 +298,7 @@
     names: impl Iterator<Item = &'a CompactString>,
     key: impl Fn(usize) -> K,
 ) -> HashMap<CompactString, K> {
-    names
-        .enumerate()
-        .map(|(at, name)| (name.clone(), key(at)))
-        .collect()
+    names.enumerate().map(|(at, name)| (name.clone(), key(at))).collect()
 }
 
 fn check_names(text: &Text) -> Result<(), Broken> {
@@ -342,19 +327,13 @@
 
 fn check_classes(text: &Text) -> Result<(), Broken> {
     if text.classes.is_empty() {
-        return Err((
-            crate::path!["classes"],
-            "at least one class is needed".to_owned(),
-        ));
+        return Err((crate::path!["classes"], "at least one class is needed".to_owned()));
     }
     let mut guaranteed_ppm = 0_u64;
     for (name, class) in &text.classes {
         let at = |field: &str| crate::path!["classes", name.as_str(), field];
         if class.latency_target_ms == 0 {
-            return Err((
-                at("latency_target_ms"),
-                "the latency target is zero".to_owned(),
-            ));
+            return Err((at("latency_target_ms"), "the latency target is zero".to_owned()));
         }
         if class.guaranteed_ppm == 0 {
             let sentence = "a class without a guaranteed share could wait forever";
@@ -442,10 +421,7 @@
         let at = |field: &str| crate::path!["services", name.as_str(), field];
         let default_class = find_class(classes, &service.default_class, at("default_class"))?;
         if service.slots == 0 {
-            return Err((
-                at("slots"),
-                "an endpoint needs at least one slot".to_owned(),
-            ));
+            return Err((at("slots"), "an endpoint needs at least one slot".to_owned()));
         }
         if (service.max_queue as usize) < text.classes.len() {
             let sentence = "the queue needs at least one place for each class";
@@ -455,12 +431,7 @@
             return Err((at("endpoints"), "`least` is greater than `most`".to_owned()));
         }
         let text = service.clone();
-        services.push(Service {
-            name: name.clone(),
-            text,
-            default_class,
-            needs,
-        });
+        services.push(Service { name: name.clone(), text, default_class, needs });
     }
     Ok(services)
 }
@@ -492,10 +463,7 @@
 
 fn check_billing(billing: Billing) -> Result<(), Broken> {
     if billing.window_s == 0 {
-        return Err((
-            crate::path!["billing", "window_s"],
-            "the window is zero".to_owned(),
-        ));
+        return Err((crate::path!["billing", "window_s"], "the window is zero".to_owned()));
     }
     Ok(())
 }
@@ -505,8 +473,5 @@
     name: &CompactString,
     path: jsonc::Path,
 ) -> Result<ClassKey, Broken> {
-    classes
-        .get(name)
-        .copied()
-        .ok_or_else(|| (path, format!("`{name}` is no class of this text")))
+    classes.get(name).copied().ok_or_else(|| (path, format!("`{name}` is no class of this text")))
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -86,10 +86,7 @@
     /// Counts usage into the billing window of this moment.
     pub fn count(&self, line: &usage::Line, figures: usage::Figures) {
         let snapshot = self.snapshot.load();
-        let window_s = snapshot
-            .config
-            .as_ref()
-            .map_or(3600, |c| c.model.billing.window_s);
+        let window_s = snapshot.config.as_ref().map_or(3600, |c| c.model.billing.window_s);
         let window = usage::Window(unix_ms() / 1000 / window_s);
         if let Ok(mut sheet) = self.sheet.lock() {
             sheet.add(window, line, figures);
@@ -100,9 +97,7 @@
 /// Milliseconds since 1970.
 #[must_use]
 pub fn unix_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |age| age.as_millis() as u64)
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
 }
 
 /// What a daemon says of itself.
@@ -143,17 +138,13 @@
     log: slog::Logger,
     sockets: bound::Pair,
 ) -> anyhow::Result<()> {
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            let runner = ntex::rt::System::build()
-                .disable_signals()
-                .build(ntex::rt::DefaultRuntime);
-            let outcome = runner.block_on(run(settings, identity, hub, log.clone(), sockets));
-            if let Err(error) = outcome {
-                slog::crit!(log, "control thread ended"; "error" => format!("{error:#}"));
-            }
-        })?;
+    std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+        let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
+        let outcome = runner.block_on(run(settings, identity, hub, log.clone(), sockets));
+        if let Err(error) = outcome {
+            slog::crit!(log, "control thread ended"; "error" => format!("{error:#}"));
+        }
+    })?;
     Ok(())
 }
 
@@ -226,10 +217,7 @@
     /// Notes whether the store answered.
     pub fn store_answered<T>(&self, outcome: &Result<T, store::Failure>) {
         self.hub.store_calls.fetch_add(1, Ordering::Relaxed);
-        let up = !matches!(
-            outcome,
-            Err(store::Failure::Down | store::Failure::NoAnswer)
-        );
+        let up = !matches!(outcome, Err(store::Failure::Down | store::Failure::NoAnswer));
         if self.hub.store_up.swap(up, Ordering::Relaxed) != up {
             slog::warn!(self.log, "store"; "up" => up);
         }
@@ -238,11 +226,7 @@
     /// Whether this daemon reads the store for its zone.
     #[must_use]
     pub fn is_reader(&self) -> bool {
-        membership::is_reader(
-            &self.shared.borrow().fleet,
-            &self.me.borrow(),
-            READERS_PER_ZONE,
-        )
+        membership::is_reader(&self.shared.borrow().fleet, &self.me.borrow(), READERS_PER_ZONE)
     }
 
     fn write_own_record(&self) {
@@ -257,10 +241,7 @@
             shared.fleet.take(me.clone())
         };
         if changed {
-            self.publish(spread::Changed {
-                members: true,
-                ..Default::default()
-            });
+            self.publish(spread::Changed { members: true, ..Default::default() });
         }
     }
 
@@ -311,9 +292,7 @@
         // in force. It waits until it heard a peer or, where there is none, the store itself.
         let informed = self.heard_peer.get() || self.read_store.get();
         let has_config = self.shared.borrow().config.is_some();
-        self.hub
-            .ready
-            .store(informed && has_config, Ordering::Release);
+        self.hub.ready.store(informed && has_config, Ordering::Release);
     }
 
     fn send_digests(&self, count: usize) {
@@ -334,28 +313,18 @@
             .collect();
         let mut random = rand::rng();
         if known.is_empty() {
-            let seeds = self
-                .settings
-                .seeds
-                .iter()
-                .copied()
-                .filter(|addr| *addr != own);
+            let seeds = self.settings.seeds.iter().copied().filter(|addr| *addr != own);
             return seeds.choose_multiple(&mut random, count);
         }
         known.into_iter().choose_multiple(&mut random, count)
     }
 
     fn send_digest(&self, addr: SocketAddr, is_answer: bool) {
-        let digest = self
-            .shared
-            .borrow()
-            .digest(self.settings.peer_addr, is_answer);
+        let digest = self.shared.borrow().digest(self.settings.peer_addr, is_answer);
         let Ok(bytes) = wire::seal_datagram(&self.secret, &wire::Datagram::Digest(digest)) else {
             return;
         };
-        self.hub
-            .bytes_out
-            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        self.hub.bytes_out.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         // A datagram that does not leave is like one that was lost: the next second repairs it.
         let _ = self.socket.try_send_to(&bytes, addr);
     }
@@ -451,10 +420,7 @@
 async fn compare_digests(control: Rc<Control>) {
     loop {
         let jitter_ms = rand::random_range(0..DIGEST_MS / 5);
-        time::sleep(Duration::from_millis(
-            DIGEST_MS - DIGEST_MS / 10 + jitter_ms,
-        ))
-        .await;
+        time::sleep(Duration::from_millis(DIGEST_MS - DIGEST_MS / 10 + jitter_ms)).await;
         if control.hub.draining.load(Ordering::Acquire) {
             control.set_state(membership::State::Draining);
         }
@@ -512,10 +478,7 @@
     }
     let control = Rc::clone(control);
     task::spawn_local(async move {
-        let pulled = time::timeout(
-            Duration::from_millis(2 * link::OPEN_MS),
-            pull(&control, addr),
-        );
+        let pulled = time::timeout(Duration::from_millis(2 * link::OPEN_MS), pull(&control, addr));
         if let Ok(Ok(())) = pulled.await {
             control.heard_peer.set(true);
             control.update_ready();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -44,9 +44,7 @@
         return ExitCode::SUCCESS;
     }
     let log = logging::open(settings.id());
-    let runner = ntex::rt::System::build()
-        .disable_signals()
-        .build(ntex::rt::DefaultRuntime);
+    let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
     match runner.block_on(async move { run(settings, log).await }) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/src/duties.rs
+++ b/src/duties.rs
@@ -30,10 +30,7 @@
     /// Seals and reports the billing windows of a region.
     Billing { region: CompactString },
     /// Orders the endpoints of an availability zone.
-    Endpoints {
-        region: CompactString,
-        zone: CompactString,
-    },
+    Endpoints { region: CompactString, zone: CompactString },
 }
 
 impl Duty {
@@ -82,10 +79,7 @@
         });
         for zone in zones {
             if known.insert(zone.clone()) {
-                let duty = Duty::Endpoints {
-                    region: region.clone(),
-                    zone,
-                };
+                let duty = Duty::Endpoints { region: region.clone(), zone };
                 task::spawn_local(contend(Rc::clone(&control), duty));
             }
         }
@@ -181,16 +175,10 @@
     let read = control.platform.get(key).await;
     control.store_answered(&read);
     let seen = match read {
-        Ok(None) => lease::Seen {
-            version: 0,
-            record: None,
-        },
+        Ok(None) => lease::Seen { version: 0, record: None },
         Ok(Some(object)) => {
             let record = serde_json::from_str(&object.value).ok();
-            lease::Seen {
-                version: object.version,
-                record,
-            }
+            lease::Seen { version: object.version, record }
         }
         Err(_) => return,
     };
--- a/src/entry/asks.rs
+++ b/src/entry/asks.rs
@@ -48,10 +48,7 @@
 impl Asks {
     pub(super) async fn bind(ip: IpAddr) -> Self {
         let socket = UdpSocket::bind(SocketAddr::new(ip, 0)).await.ok();
-        Self {
-            socket,
-            pending: RefCell::default(),
-        }
+        Self { socket, pending: RefCell::default() }
     }
 }
 
@@ -72,16 +69,8 @@
         for place in places {
             let nonce = rand::random();
             let target = placement::Target::of(place);
-            let ask = wire::Ask {
-                nonce,
-                endpoint: place.endpoint,
-                ..ask.clone()
-            };
-            let pending = Pending {
-                target,
-                late_at_ms,
-                round: Rc::clone(&round),
-            };
+            let ask = wire::Ask { nonce, endpoint: place.endpoint, ..ask.clone() };
+            let pending = Pending { target, late_at_ms, round: Rc::clone(&round) };
             self.asks.pending.borrow_mut().insert(nonce, pending);
             let sealed = wire::seal_datagram(&self.common.secret, &wire::Datagram::Ask(ask));
             if let (Some(socket), Ok(bytes)) = (&self.asks.socket, sealed) {
@@ -113,10 +102,7 @@
             return;
         };
         self.silent.borrow_mut().answered(pending.target);
-        pending.round.offers.borrow_mut().push(Answered {
-            target: pending.target,
-            offer,
-        });
+        pending.round.offers.borrow_mut().push(Answered { target: pending.target, offer });
         pending.round.arrived.notify_one();
     }
 }
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -78,10 +78,7 @@
         }
         *count += 1;
         worker.common.active.fetch_add(1, Ordering::AcqRel);
-        Some(Self {
-            worker: Rc::clone(worker),
-            account: account.clone(),
-        })
+        Some(Self { worker: Rc::clone(worker), account: account.clone() })
     }
 }
 
@@ -128,9 +125,7 @@
     if worker.common.hub.draining.load(Ordering::Relaxed) {
         // A caller that keeps its connection would send its next request into a process that has
         // gone by then, and see it cut.
-        response
-            .head_mut()
-            .set_connection_type(ntex::http::ConnectionType::Close);
+        response.head_mut().set_connection_type(ntex::http::ConnectionType::Close);
     }
     response
 }
@@ -152,10 +147,7 @@
             owned_by: &service.name,
         })
     });
-    Some(HttpResponse::Ok().json(&openai::Models {
-        object: "list",
-        data: data.collect(),
-    }))
+    Some(HttpResponse::Ok().json(&openai::Models { object: "list", data: data.collect() }))
 }
 
 fn text_header<'a>(http: &'a HttpRequest, name: &str) -> Option<&'a str> {
@@ -163,9 +155,7 @@
 }
 
 fn bearer(http: &HttpRequest) -> Option<&str> {
-    text_header(http, "authorization")?
-        .strip_prefix("Bearer ")
-        .map(str::trim)
+    text_header(http, "authorization")?.strip_prefix("Bearer ").map(str::trim)
 }
 
 fn check_key<'a>(
@@ -194,21 +184,14 @@
     let key = check_key(&snapshot, http)?;
     story.key = key.record.id.clone();
     story.account = key.record.account.clone();
-    let in_force = snapshot
-        .config
-        .as_ref()
-        .ok_or_else(|| refuse(error::Kind::NotReady))?;
+    let in_force = snapshot.config.as_ref().ok_or_else(|| refuse(error::Kind::NotReady))?;
     story.config_version = in_force.version;
     let config = &in_force.model;
-    let account = config
-        .account(&key.record.account)
-        .map(|key| config.account_at(key))
-        .ok_or_else(|| {
+    let account =
+        config.account(&key.record.account).map(|key| config.account_at(key)).ok_or_else(|| {
             refuse(error::Kind::InvalidKey).detail("Its account is no longer served.")
         })?;
-    let most = account
-        .max_concurrent
-        .div_ceil(worker.common.settings.workers as u32);
+    let most = account.max_concurrent.div_ceil(worker.common.settings.workers as u32);
     let active = Active::begin(worker, &account.name, most)
         .ok_or_else(|| refuse(error::Kind::AccountLimit).retry_after_ms(1_000))?;
     let body = read_body(worker, payload).await?;
@@ -289,9 +272,7 @@
         return Ok(());
     };
     let in_uri = http.uri().to_string().contains(key);
-    let in_body = body
-        .windows(key.len())
-        .any(|window| window == key.as_bytes());
+    let in_body = body.windows(key.len()).any(|window| window == key.as_bytes());
     let in_header = http.headers().iter().any(|(name, value)| {
         *name != header::AUTHORIZATION && value.to_str().is_ok_and(|text| text.contains(key))
     });
@@ -334,18 +315,13 @@
             prefix: completion.prefix,
         });
     }
-    let rest = path
-        .strip_prefix(SERVICES_PATH)
-        .ok_or_else(|| refuse(error::Kind::UnknownPath))?;
+    let rest = path.strip_prefix(SERVICES_PATH).ok_or_else(|| refuse(error::Kind::UnknownPath))?;
     let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
     let service = config
         .service(name)
         .filter(|key| config.service_at(*key).text.kind == config::ServiceKind::Plain)
         .ok_or_else(|| refuse(error::Kind::UnknownService).detail(format!("(`{name}`)")))?;
-    let query = http
-        .uri()
-        .query()
-        .map_or(String::new(), |query| format!("?{query}"));
+    let query = http.uri().query().map_or(String::new(), |query| format!("?{query}"));
     Ok(Wanted {
         service,
         path: format!("/{rest}{query}"),
@@ -388,10 +364,7 @@
 }
 
 fn request_digest(worker: &Worker, http: &HttpRequest, path: &str, body: &[u8]) -> [u8; 16] {
-    worker
-        .common
-        .secret
-        .pseudonym(&[http.method().as_str().as_bytes(), path.as_bytes(), body])
+    worker.common.secret.pseudonym(&[http.method().as_str().as_bytes(), path.as_bytes(), body])
 }
 
 fn passed_headers(http: &HttpRequest) -> Vec<wire::Header> {
@@ -401,10 +374,7 @@
         .filter(|(name, _)| !name.as_str().starts_with("briarwinch-"))
         .filter_map(|(name, value)| {
             let value = value.to_str().ok()?.to_owned();
-            Some(wire::Header {
-                name: name.as_str().into(),
-                value,
-            })
+            Some(wire::Header { name: name.as_str().into(), value })
         })
         .collect()
 }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -66,10 +66,7 @@
         let cell = {
             let mut by_addr = self.by_addr.borrow_mut();
             let cell = by_addr.entry(addr).or_default();
-            if cell
-                .get()
-                .is_some_and(|link| link.lost.get() || link.outbox.is_closed())
-            {
+            if cell.get().is_some_and(|link| link.lost.get() || link.outbox.is_closed()) {
                 *cell = Rc::default();
             }
             Rc::clone(cell)
@@ -80,15 +77,8 @@
     async fn open(&self, addr: SocketAddr) -> Result<Rc<Link>, std::io::Error> {
         let link::Link { inbox, outbox, .. } =
             link::connect(addr, &self.secret, &self.name).await?;
-        let streams = RefCell::new(Streams {
-            slots: Slab::new(),
-            generation: 0,
-        });
-        let link = Rc::new(Link {
-            outbox,
-            streams,
-            lost: Cell::new(false),
-        });
+        let streams = RefCell::new(Streams { slots: Slab::new(), generation: 0 });
+        let link = Rc::new(Link { outbox, streams, lost: Cell::new(false) });
         task::spawn_local(receive(Rc::clone(&link), inbox));
         Ok(link)
     }
@@ -110,12 +100,7 @@
         let generation = streams.generation;
         let slot = streams.slots.insert(Slot { generation, events }) as u32;
         let id = wire::StreamId { slot, generation };
-        Stream {
-            link: Rc::clone(self),
-            id,
-            events: receiver,
-            ended: false,
-        }
+        Stream { link: Rc::clone(self), id, events: receiver, ended: false }
     }
 
     fn dispatch(&self, frame: wire::ToEntry) {
@@ -165,11 +150,7 @@
     fn drop(&mut self) {
         let mut streams = self.link.streams.borrow_mut();
         let slot = self.id.slot as usize;
-        if streams
-            .slots
-            .get(slot)
-            .is_some_and(|slot| slot.generation == self.id.generation)
-        {
+        if streams.slots.get(slot).is_some_and(|slot| slot.generation == self.id.generation) {
             streams.slots.remove(slot);
         }
         if !self.ended {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -83,20 +83,8 @@
     settings.listen_addr = listener.local_addr()?;
     let sockets = bound::Daemon::bind(&mut settings.daemon)?;
     let daemon = settings.daemon.clone();
-    admin::spawn(
-        &daemon,
-        Arc::clone(&hub),
-        Some(Arc::clone(&ring)),
-        metrics,
-        sockets.admin,
-    )?;
-    control::spawn(
-        daemon,
-        identity,
-        Arc::clone(&hub),
-        log.clone(),
-        sockets.peer,
-    )?;
+    admin::spawn(&daemon, Arc::clone(&hub), Some(Arc::clone(&ring)), metrics, sockets.admin)?;
+    control::spawn(daemon, identity, Arc::clone(&hub), log.clone(), sockets.peer)?;
     bound::announce(&settings.daemon, settings.listen_addr);
     let common = Arc::new(Common {
         secret: wire::Secret::fleet(&settings.daemon.fleet_secret),
@@ -126,9 +114,7 @@
     let shared = Arc::clone(common);
     let server = HttpServer::new(async move || {
         let worker = Worker::open(Arc::clone(&shared)).await;
-        App::new()
-            .state(worker)
-            .default_service(web::route().to(intake::handle))
+        App::new().state(worker).default_service(web::route().to(intake::handle))
     })
     .workers(workers)
     .disable_signals()
--- a/src/entry/reader.rs
+++ b/src/entry/reader.rs
@@ -50,9 +50,7 @@
 
 impl std::fmt::Debug for Reader {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Reader")
-            .field("received", &self.received)
-            .finish_non_exhaustive()
+        f.debug_struct("Reader").field("received", &self.received).finish_non_exhaustive()
     }
 }
 
@@ -82,9 +80,7 @@
         if !stream.send(&frame) {
             return Err(error::Refusal::not_run(error::Kind::LinkLost));
         }
-        let wire::ToSide::Submit(mut again) = frame else {
-            unreachable!("built above")
-        };
+        let wire::ToSide::Submit(mut again) = frame else { unreachable!("built above") };
         again.call.body = Vec::new();
         Ok(Self {
             worker: Rc::clone(worker),
@@ -177,11 +173,7 @@
         if fresh.is_empty() {
             return None;
         }
-        let bytes = if skip == 0 {
-            data.bytes
-        } else {
-            fresh.to_vec()
-        };
+        let bytes = if skip == 0 { data.bytes } else { fresh.to_vec() };
         self.received += bytes.len() as u64;
         self.give_credit(bytes.len() as u32);
         Some(Ok(Next::Piece(bytes)))
@@ -193,10 +185,7 @@
             return;
         }
         if let Source::Open(stream) = &self.source {
-            let credit = wire::Credit {
-                stream: stream.id,
-                bytes: self.uncredited,
-            };
+            let credit = wire::Credit { stream: stream.id, bytes: self.uncredited };
             stream.send(&wire::ToSide::Credit(credit));
             self.uncredited = 0;
         }
@@ -220,8 +209,7 @@
             stream.send(&wire::ToSide::Revoke(stream.id));
         }
         let limit = Duration::from_millis(REVOKE_MS);
-        self.revoked
-            .get_or_insert_with(|| Box::pin(time::sleep(limit)));
+        self.revoked.get_or_insert_with(|| Box::pin(time::sleep(limit)));
     }
 
     /// Ends the stream when its key has been withdrawn and the side does not end it in time;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -30,12 +30,7 @@
     let opened = open(worker, &request, &mut story).await;
     match opened {
         Ok((reader, head)) => {
-            let parts = respond::Parts {
-                request,
-                active,
-                story,
-                span,
-            };
+            let parts = respond::Parts { request, active, story, span };
             respond::answer(worker, parts, reader, head).await
         }
         Err(refusal) => {
@@ -137,10 +132,7 @@
     let now_ms = worker.now_ms();
     let left = |at_ms: u64| u32::try_from(at_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX);
     wire::Submit {
-        stream: wire::StreamId {
-            slot: 0,
-            generation: 0,
-        },
+        stream: wire::StreamId { slot: 0, generation: 0 },
         endpoint: target.endpoint,
         request: request.id.clone(),
         service: request.service.clone(),
@@ -193,9 +185,7 @@
         // caller its answer.
         let asked = pick(worker, request, places, tried, round == 0);
         let offers = worker.ask(&asked, &ask, limit_ms).await;
-        attempt
-            .asked
-            .extend(asked.iter().map(|place| asked_line(place, &offers)));
+        attempt.asked.extend(asked.iter().map(|place| asked_line(place, &offers)));
         best = choose_best(&asked, &offers, &daemon.zone);
         if best.is_some() || asked.is_empty() && round > 0 {
             break;
@@ -234,9 +224,7 @@
     own_zone: &str,
 ) -> Option<&'a membership::Place> {
     let cost = |answered: &asks::Answered| {
-        let place = asked
-            .iter()
-            .find(|place| placement::Target::of(place) == answered.target)?;
+        let place = asked.iter().find(|place| placement::Target::of(place) == answered.target)?;
         if answered.offer.holds_answer {
             return Some((0, *place));
         }
@@ -244,11 +232,7 @@
         (!answered.offer.leaving)
             .then(|| (1 + placement::cost_ms(&answered.offer, same_zone), *place))
     };
-    offers
-        .iter()
-        .filter_map(cost)
-        .min_by_key(|(cost_ms, _)| *cost_ms)
-        .map(|(_, place)| place)
+    offers.iter().filter_map(cost).min_by_key(|(cost_ms, _)| *cost_ms).map(|(_, place)| place)
 }
 
 fn asked_line(place: &membership::Place, offers: &[asks::Answered]) -> explain::Asked {
--- a/src/entry/respond.rs
+++ b/src/entry/respond.rs
@@ -47,11 +47,7 @@
         let after_ms = now_ms - parts.request.arrived_ms;
         parts.story.first_token_ms = Some(after_ms);
         let class = parts.request.class.to_string();
-        let in_time = if now_ms <= parts.request.target_at_ms {
-            "yes"
-        } else {
-            "no"
-        };
+        let in_time = if now_ms <= parts.request.target_at_ms { "yes" } else { "no" };
         metrics::counter!("briarwinch_first_tokens_total", "class" => class.clone(), "in_time" => in_time)
             .increment(1);
         metrics::histogram!("briarwinch_first_token_seconds", "class" => class)
@@ -111,20 +107,13 @@
     head: wire::Head,
 ) -> HttpResponse {
     let id = parts.request.id.clone();
-    let closing = Closing {
-        worker: Rc::clone(worker),
-        parts: Some(parts),
-    };
+    let closing = Closing { worker: Rc::clone(worker), parts: Some(parts) };
     let is_stream = head
         .headers
         .iter()
         .any(|field| field.name == "content-type" && field.value.starts_with("text/event-stream"));
     if is_stream {
-        let body = StreamedBody {
-            closing,
-            reader,
-            status: head.status,
-        };
+        let body = StreamedBody { closing, reader, status: head.status };
         return response(&head, &id).streaming(body);
     }
     whole(closing, reader, &head, &id).await
@@ -203,8 +192,7 @@
                     return Poll::Ready(None);
                 }
                 Some(Err(refusal)) => {
-                    this.closing
-                        .end(this.status, Err(&refusal), this.reader.received);
+                    this.closing.end(this.status, Err(&refusal), this.reader.received);
                     let event = format!("event: error\ndata: {}\n\n", refusal.body());
                     return Poll::Ready(Some(Ok(Bytes::from(event))));
                 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -72,13 +72,7 @@
     message: &'static str,
     other_endpoint: bool,
 ) -> Answer {
-    Answer {
-        status,
-        code,
-        category,
-        message,
-        other_endpoint,
-    }
+    Answer { status, code, category, message, other_endpoint }
 }
 
 const INVALID: &str = "invalid_request_error";
@@ -91,20 +85,12 @@
     #[must_use]
     pub const fn answer(self) -> Answer {
         match self {
-            Self::InvalidRequest => answer(
-                400,
-                "invalid_request",
-                INVALID,
-                "The request is malformed.",
-                false,
-            ),
-            Self::BodyTooLarge => answer(
-                413,
-                "body_too_large",
-                INVALID,
-                "The request body is too large.",
-                false,
-            ),
+            Self::InvalidRequest => {
+                answer(400, "invalid_request", INVALID, "The request is malformed.", false)
+            }
+            Self::BodyTooLarge => {
+                answer(413, "body_too_large", INVALID, "The request body is too large.", false)
+            }
             Self::RequestTimeout => answer(
                 408,
                 "request_timeout",
@@ -122,13 +108,9 @@
                 answer(401, "missing_key", AUTH, "A bearer key is required.", false)
             }
             Self::InvalidKey => answer(401, "invalid_key", AUTH, "The key is not valid.", false),
-            Self::KeyWithdrawn => answer(
-                401,
-                "key_withdrawn",
-                AUTH,
-                "The key has been withdrawn.",
-                false,
-            ),
+            Self::KeyWithdrawn => {
+                answer(401, "key_withdrawn", AUTH, "The key has been withdrawn.", false)
+            }
             Self::KeyInRequest => answer(
                 400,
                 "key_in_request",
@@ -136,13 +118,9 @@
                 "The key may stand in the Authorization header only.",
                 false,
             ),
-            Self::AccountLimit => answer(
-                429,
-                "account_limit",
-                LIMIT,
-                "The client account is over its limit.",
-                false,
-            ),
+            Self::AccountLimit => {
+                answer(429, "account_limit", LIMIT, "The client account is over its limit.", false)
+            }
             Self::IdempotencyKeyRequired => answer(
                 400,
                 "idempotency_key_required",
@@ -157,13 +135,9 @@
                 "The idempotency key was used with another request.",
                 false,
             ),
-            Self::ClaimRunning => answer(
-                409,
-                "claim_running",
-                INVALID,
-                "The same request is running.",
-                false,
-            ),
+            Self::ClaimRunning => {
+                answer(409, "claim_running", INVALID, "The same request is running.", false)
+            }
             Self::ClaimUnresolved => answer(
                 409,
                 "claim_unresolved",
@@ -171,30 +145,18 @@
                 "The outcome of an earlier run is unknown; an operator resolves it.",
                 false,
             ),
-            Self::StoreUnavailable => answer(
-                503,
-                "store_unavailable",
-                SERVER,
-                "The platform's store is down.",
-                false,
-            ),
+            Self::StoreUnavailable => {
+                answer(503, "store_unavailable", SERVER, "The platform's store is down.", false)
+            }
             Self::NotReady => answer(503, "not_ready", SERVER, "The router is starting.", true),
-            Self::DependencyDown => answer(
-                503,
-                "dependency_down",
-                SERVER,
-                "A service this one needs is down.",
-                false,
-            ),
+            Self::DependencyDown => {
+                answer(503, "dependency_down", SERVER, "A service this one needs is down.", false)
+            }
             Self::NoEndpoint => answer(503, "no_endpoint", SERVER, "No endpoint answers.", true),
             Self::QueueFull => answer(429, "queue_full", LIMIT, "The queue is full.", true),
-            Self::TooLate => answer(
-                429,
-                "too_late",
-                LIMIT,
-                "The request can no longer be in time.",
-                false,
-            ),
+            Self::TooLate => {
+                answer(429, "too_late", LIMIT, "The request can no longer be in time.", false)
+            }
             Self::Draining => answer(503, "draining", SERVER, "The endpoint is leaving.", true),
             Self::DeadlineExceeded => answer(
                 504,
@@ -206,13 +168,9 @@
             Self::EndpointFailed => {
                 answer(502, "endpoint_failed", SERVER, "The endpoint failed.", true)
             }
-            Self::LinkLost => answer(
-                502,
-                "link_lost",
-                SERVER,
-                "The connection to the endpoint was lost.",
-                true,
-            ),
+            Self::LinkLost => {
+                answer(502, "link_lost", SERVER, "The connection to the endpoint was lost.", true)
+            }
             Self::Superseded => answer(
                 409,
                 "superseded",
@@ -243,21 +201,13 @@
     /// A refusal of a request that never left for an endpoint.
     #[must_use]
     pub fn not_run(kind: Kind) -> Self {
-        Self {
-            kind,
-            ran: Ran::No,
-            retry_after_ms: None,
-            detail: CompactString::default(),
-        }
+        Self { kind, ran: Ran::No, retry_after_ms: None, detail: CompactString::default() }
     }
 
     /// A refusal of a request that may have run.
     #[must_use]
     pub fn unknown(kind: Kind) -> Self {
-        Self {
-            ran: Ran::Unknown,
-            ..Self::not_run(kind)
-        }
+        Self { ran: Ran::Unknown, ..Self::not_run(kind) }
     }
 
     #[must_use]
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -68,10 +68,6 @@
     #[must_use]
     pub fn find(&self, request: &str) -> Option<Story> {
         let stories = self.stories.lock().ok()?;
-        stories
-            .iter()
-            .rev()
-            .find(|story| story.request == request)
-            .cloned()
+        stories.iter().rev().find(|story| story.request == request).cloned()
     }
 }
--- a/src/fairness.rs
+++ b/src/fairness.rs
@@ -37,17 +37,13 @@
 impl Counters {
     /// A request of the account begins to wait.
     pub fn wait(&mut self, account: &CompactString) {
-        let least = self
-            .waiting
-            .first()
-            .map_or(self.floor, |(counter, _)| *counter);
+        let least = self.waiting.first().map_or(self.floor, |(counter, _)| *counter);
         let counter = self.accounts.entry(account.clone()).or_default();
         if counter.waiting == 0 {
             if counter.running == 0 {
                 counter.virtual_tokens = counter.virtual_tokens.max(least);
             }
-            self.waiting
-                .insert((counter.virtual_tokens, account.clone()));
+            self.waiting.insert((counter.virtual_tokens, account.clone()));
         }
         counter.waiting += 1;
     }
@@ -59,8 +55,7 @@
         };
         counter.waiting = counter.waiting.saturating_sub(1);
         if counter.waiting == 0 {
-            self.waiting
-                .remove(&(counter.virtual_tokens, account.clone()));
+            self.waiting.remove(&(counter.virtual_tokens, account.clone()));
             self.floor = self.floor.max(counter.virtual_tokens);
         }
         self.forget_idle(account);
@@ -97,9 +92,7 @@
     pub fn finish(&mut self, account: &CompactString, share: u32, mut charge: Charge, tokens: u64) {
         self.progress(account, share, &mut charge, tokens);
         let back = (charge.tokens - tokens) * SCALE / u64::from(share.max(1));
-        self.shift(account, |virtual_tokens| {
-            virtual_tokens.saturating_sub(back)
-        });
+        self.shift(account, |virtual_tokens| virtual_tokens.saturating_sub(back));
         if let Some(counter) = self.accounts.get_mut(account) {
             counter.running = counter.running.saturating_sub(1);
         }
@@ -119,9 +112,7 @@
 
     fn add(&mut self, account: &CompactString, share: u32, tokens: u64) {
         let more = tokens * SCALE / u64::from(share.max(1));
-        self.shift(account, |virtual_tokens| {
-            virtual_tokens.saturating_add(more)
-        });
+        self.shift(account, |virtual_tokens| virtual_tokens.saturating_add(more));
     }
 
     fn shift(&mut self, account: &CompactString, to: impl Fn(u64) -> u64) {
@@ -132,18 +123,14 @@
         counter.virtual_tokens = to(before);
         if counter.waiting > 0 {
             self.waiting.remove(&(before, account.clone()));
-            self.waiting
-                .insert((counter.virtual_tokens, account.clone()));
+            self.waiting.insert((counter.virtual_tokens, account.clone()));
         }
     }
 
     /// Drops an account that is idle and not ahead of the floor, so that memory follows the
     /// accounts in use and not all that ever came.
     fn forget_idle(&mut self, account: &CompactString) {
-        let floor = self
-            .waiting
-            .first()
-            .map_or(self.floor, |(counter, _)| *counter);
+        let floor = self.waiting.first().map_or(self.floor, |(counter, _)| *counter);
         if let Some(counter) = self.accounts.get(account)
             && counter.waiting == 0
             && counter.running == 0
--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -22,11 +22,7 @@
 
 impl fmt::Display for Mistake {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "line {}, column {}: {}",
-            self.line, self.column, self.sentence
-        )
+        write!(f, "line {}, column {}: {}", self.line, self.column, self.sentence)
     }
 }
 
@@ -74,9 +70,8 @@
         check_depth(text)?;
         let parsed = jsonc_parser::parse_to_ast(text, &Default::default(), &Default::default())
             .map_err(|error| mistake_at(text, error.range().start, error.kind().to_string()))?;
-        let root = parsed
-            .value
-            .ok_or_else(|| mistake_at(text, 0, "the text is empty".to_owned()))?;
+        let root =
+            parsed.value.ok_or_else(|| mistake_at(text, 0, "the text is empty".to_owned()))?;
         let document = Self { text, root };
         document.check_twice(&document.root)?;
         Ok(document)
@@ -111,13 +106,12 @@
         let mut start = value.range().start;
         for step in path {
             let next = match (step, value) {
-                (Step::Field(name), ast::Value::Object(object)) => object
-                    .get(name)
-                    .map(|property| (property.range.start, &property.value)),
-                (Step::Index(index), ast::Value::Array(array)) => array
-                    .elements
-                    .get(*index)
-                    .map(|element| (element.range().start, element)),
+                (Step::Field(name), ast::Value::Object(object)) => {
+                    object.get(name).map(|property| (property.range.start, &property.value))
+                }
+                (Step::Index(index), ast::Value::Array(array)) => {
+                    array.elements.get(*index).map(|element| (element.range().start, element))
+                }
                 _ => None,
             };
             let Some((found, inner)) = next else { break };
@@ -141,10 +135,9 @@
                 }
                 Ok(())
             }
-            ast::Value::Array(array) => array
-                .elements
-                .iter()
-                .try_for_each(|element| self.check_twice(element)),
+            ast::Value::Array(array) => {
+                array.elements.iter().try_for_each(|element| self.check_twice(element))
+            }
             _ => Ok(()),
         }
     }
@@ -161,11 +154,7 @@
             _ => {}
         }
         if depth > MAX_DEPTH {
-            return Err(mistake_at(
-                text,
-                at,
-                format!("nested deeper than {MAX_DEPTH} levels"),
-            ));
+            return Err(mistake_at(text, at, format!("nested deeper than {MAX_DEPTH} levels")));
         }
     }
     Ok(())
@@ -174,16 +163,8 @@
 fn mistake_at(text: &str, byte: usize, sentence: String) -> Mistake {
     let before = text.get(..byte).unwrap_or(text);
     let line = before.matches('\n').count() + 1;
-    let column = before
-        .rsplit('\n')
-        .next()
-        .map_or(0, |last| last.chars().count())
-        + 1;
-    Mistake {
-        line,
-        column,
-        sentence,
-    }
+    let column = before.rsplit('\n').next().map_or(0, |last| last.chars().count()) + 1;
+    Mistake { line, column, sentence }
 }
 
 fn steps(path: &serde_path_to_error::Path) -> Path {
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -74,12 +74,10 @@
 #[must_use]
 pub fn hex(bytes: &[u8]) -> String {
     use std::fmt::Write;
-    bytes
-        .iter()
-        .fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
-            let _ = write!(text, "{byte:02x}");
-            text
-        })
+    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
 }
 
 /// The id within a key's text.
@@ -120,10 +118,7 @@
     pub fn take(&mut self, new: Versioned) -> bool {
         // A slow peer or an old read can bring back a grant after its withdrawal. Only a greater
         // revision replaces a record, so the store's last word on a key stands.
-        let known = self
-            .records
-            .get(&new.record.id)
-            .map_or(0, |known| known.revision);
+        let known = self.records.get(&new.record.id).map_or(0, |known| known.revision);
         if new.revision <= known {
             return false;
         }
@@ -135,12 +130,8 @@
     /// Records newer than a revision, oldest first.
     #[must_use]
     pub fn after(&self, revision: u64) -> Vec<Versioned> {
-        let mut newer: Vec<_> = self
-            .records
-            .values()
-            .filter(|known| known.revision > revision)
-            .cloned()
-            .collect();
+        let mut newer: Vec<_> =
+            self.records.values().filter(|known| known.revision > revision).cloned().collect();
         newer.sort_by_key(|known| known.revision);
         newer
     }
@@ -153,9 +144,7 @@
     /// Whether a key is known to be withdrawn.
     #[must_use]
     pub fn is_withdrawn(&self, id: &str) -> bool {
-        self.records
-            .get(id)
-            .is_some_and(|known| known.record.withdrawn)
+        self.records.get(id).is_some_and(|known| known.record.withdrawn)
     }
 
     /// Checks a key's text.
@@ -164,9 +153,7 @@
     /// `InvalidKey` or `KeyWithdrawn`; either way nothing ran.
     pub fn check(&self, text: &str) -> Result<&Versioned, error::Refusal> {
         let invalid = || error::Refusal::not_run(error::Kind::InvalidKey);
-        let known = id_of(text)
-            .and_then(|id| self.records.get(id))
-            .ok_or_else(invalid)?;
+        let known = id_of(text).and_then(|id| self.records.get(id)).ok_or_else(invalid)?;
         let equal: bool = known.record.digest.ct_eq(&digest(text)).into();
         if !equal {
             return Err(invalid());
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -161,20 +161,13 @@
         let free_at_ms = standing.since_ms
             + standing.seen.record.as_ref().map_or(0, |record| {
                 // A term of zero length was given back by its holder.
-                if record.term_ms == 0 {
-                    0
-                } else {
-                    record.term_ms + MARGIN_MS
-                }
+                if record.term_ms == 0 { 0 } else { record.term_ms + MARGIN_MS }
             });
         if self.releasing || now_ms < free_at_ms {
             return self.read_when_due(now_ms);
         }
-        let epoch = standing
-            .seen
-            .record
-            .as_ref()
-            .map_or(Epoch(1), |record| Epoch(record.epoch.0 + 1));
+        let epoch =
+            standing.seen.record.as_ref().map_or(Epoch(1), |record| Epoch(record.epoch.0 + 1));
         self.write(standing.seen.version, epoch, TERM_MS, now_ms)
     }
 
@@ -223,17 +216,12 @@
         if known.is_some_and(|version| version != seen.version) {
             self.holding = None;
         }
-        let unchanged = self
-            .standing
-            .as_ref()
-            .is_some_and(|standing| standing.seen.version == seen.version);
+        let unchanged =
+            self.standing.as_ref().is_some_and(|standing| standing.seen.version == seen.version);
         if !unchanged {
             // The standing of a version is counted from after it was seen: the holder may have
             // written it just before.
-            self.standing = Some(Standing {
-                seen,
-                since_ms: now_ms,
-            });
+            self.standing = Some(Standing { seen, since_ms: now_ms });
         }
     }
 
@@ -245,10 +233,7 @@
     fn older_than_known(&self, seen: &Seen) -> bool {
         // A lagging read shows a version that has been replaced. Taking it would restart the
         // count on a record that no longer stands.
-        let known = self
-            .standing
-            .as_ref()
-            .map_or(0, |standing| standing.seen.version);
+        let known = self.standing.as_ref().map_or(0, |standing| standing.seen.version);
         seen.version < known
     }
 
@@ -276,29 +261,17 @@
             nonce: self.nonce,
         };
         let write = Write { if_version, record };
-        self.pending = Some(Pending {
-            write: write.clone(),
-            sent_ms: now_ms,
-        });
+        self.pending = Some(Pending { write: write.clone(), sent_ms: now_ms });
         Step::Write(write)
     }
 
     fn won(&mut self, pending: Pending, version: u64, now_ms: u64) {
         let record = pending.write.record;
         let is_term = record.term_ms > 0;
-        self.holding = is_term.then_some(Holding {
-            version,
-            epoch: record.epoch,
-            from_ms: pending.sent_ms,
-        });
-        let seen = Seen {
-            version,
-            record: Some(record),
-        };
-        self.standing = Some(Standing {
-            seen,
-            since_ms: now_ms,
-        });
+        self.holding =
+            is_term.then_some(Holding { version, epoch: record.epoch, from_ms: pending.sent_ms });
+        let seen = Seen { version, record: Some(record) };
+        self.standing = Some(Standing { seen, since_ms: now_ms });
     }
 
     fn read_when_due(&mut self, now_ms: u64) -> Step {
--- a/src/link.rs
+++ b/src/link.rs
@@ -73,15 +73,8 @@
 
 impl Outbox {
     fn new(sealer: wire::Sealer) -> Self {
-        let state = OutboxState {
-            sealer,
-            buffer: Vec::new(),
-            closed: false,
-        };
-        Self {
-            state: Rc::new(RefCell::new(state)),
-            wake: Rc::new(Notify::new()),
-        }
+        let state = OutboxState { sealer, buffer: Vec::new(), closed: false };
+        Self { state: Rc::new(RefCell::new(state)), wake: Rc::new(Notify::new()) }
     }
 
     /// Appends a message; says whether the link is still open.
@@ -170,9 +163,7 @@
         let stream = TcpStream::connect(addr).await?;
         greet(stream, secret, me, End::Client).await
     };
-    tokio::time::timeout(Duration::from_millis(OPEN_MS), open)
-        .await
-        .map_err(|_| timed_out())?
+    tokio::time::timeout(Duration::from_millis(OPEN_MS), open).await.map_err(|_| timed_out())?
 }
 
 /// Greets a peer that has connected.
@@ -185,9 +176,7 @@
     me: &CompactString,
 ) -> io::Result<Link> {
     let greeting = greet(stream, secret, me, End::Server);
-    tokio::time::timeout(Duration::from_millis(OPEN_MS), greeting)
-        .await
-        .map_err(|_| timed_out())?
+    tokio::time::timeout(Duration::from_millis(OPEN_MS), greeting).await.map_err(|_| timed_out())?
 }
 
 async fn greet(
@@ -198,26 +187,14 @@
 ) -> io::Result<Link> {
     stream.set_nodelay(true)?;
     let (read, mut write) = stream.into_split();
-    let mine = wire::Greeting {
-        daemon: me.clone(),
-        nonce: rand::random(),
-        version: wire::VERSION,
-    };
+    let mine = wire::Greeting { daemon: me.clone(), nonce: rand::random(), version: wire::VERSION };
     let mut bytes = Vec::new();
-    wire::Sealer::new(secret.clone())
-        .seal(&mine, &mut bytes)
-        .map_err(broken)?;
+    wire::Sealer::new(secret.clone()).seal(&mine, &mut bytes).map_err(broken)?;
     write.write_all(&bytes).await?;
     let opener = wire::Opener::new(secret.clone());
-    let mut inbox = Inbox {
-        stream: read,
-        opener,
-        buffer: vec![0; READ_BYTES],
-    };
-    let theirs: wire::Greeting = inbox
-        .next()
-        .await?
-        .ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
+    let mut inbox = Inbox { stream: read, opener, buffer: vec![0; READ_BYTES] };
+    let theirs: wire::Greeting =
+        inbox.next().await?.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
     let (client, server) = match end {
         End::Client => (mine.nonce, theirs.nonce),
         End::Server => (theirs.nonce, mine.nonce),
@@ -235,9 +212,5 @@
         let _ = writer.write_all(write).await;
         writer.close();
     });
-    Ok(Link {
-        inbox,
-        outbox,
-        peer: theirs.daemon,
-    })
+    Ok(Link { inbox, outbox, peer: theirs.daemon })
 }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -25,19 +25,15 @@
 /// Where a daemon's spans go.
 #[must_use]
 pub fn span_sink(settings: &settings::Daemon) -> trace::Sink {
-    trace::Sink {
-        on: settings.traces == settings::Traces::Lines,
-        daemon: settings.id.to_string(),
-    }
+    trace::Sink { on: settings.traces == settings::Traces::Lines, daemon: settings.id.to_string() }
 }
 
 /// Waits until the process is asked to stop.
 pub async fn stop_signal() {
     use tokio::signal::unix::{SignalKind, signal};
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
         // Without handlers the process still ends by the signals themselves, only not gently.
         return std::future::pending().await;
     };
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -70,16 +70,13 @@
     /// The endpoints this daemon stands in front of.
     pub fn places(&self) -> impl Iterator<Item = Place> {
         self.work_addr.into_iter().flat_map(move |work_addr| {
-            self.endpoints
-                .iter()
-                .enumerate()
-                .map(move |(index, endpoint)| Place {
-                    work_addr,
-                    endpoint: wire::EndpointIndex(index as u16),
-                    id: endpoint.id.clone(),
-                    service: endpoint.service.clone(),
-                    zone: self.zone.clone(),
-                })
+            self.endpoints.iter().enumerate().map(move |(index, endpoint)| Place {
+                work_addr,
+                endpoint: wire::EndpointIndex(index as u16),
+                id: endpoint.id.clone(),
+                service: endpoint.service.clone(),
+                zone: self.zone.clone(),
+            })
         })
     }
 
@@ -161,26 +158,17 @@
     #[must_use]
     pub fn summaries(&self) -> Vec<Summary> {
         self.iter()
-            .map(|member| Summary {
-                id_hash: id_hash(&member.id),
-                version: member.version,
-            })
+            .map(|member| Summary { id_hash: id_hash(&member.id), version: member.version })
             .collect()
     }
 
     /// Records that are newer than, or missing from, the summaries.
     #[must_use]
     pub fn newer_than(&self, known: &[Summary]) -> Vec<Member> {
-        let known: std::collections::HashMap<u64, u64> = known
-            .iter()
-            .map(|summary| (summary.id_hash, summary.version))
-            .collect();
+        let known: std::collections::HashMap<u64, u64> =
+            known.iter().map(|summary| (summary.id_hash, summary.version)).collect();
         self.iter()
-            .filter(|member| {
-                known
-                    .get(&id_hash(&member.id))
-                    .is_none_or(|at| *at < member.version)
-            })
+            .filter(|member| known.get(&id_hash(&member.id)).is_none_or(|at| *at < member.version))
             .cloned()
             .collect()
     }
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -3,9 +3,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 /// Bounds of histograms of seconds.
-const SECONDS: [f64; 12] = [
-    0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.41, 0.8, 1.5, 3.0, 10.0, 60.0,
-];
+const SECONDS: [f64; 12] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.41, 0.8, 1.5, 3.0, 10.0, 60.0];
 
 /// Installs the recorder of this process.
 ///
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -65,10 +65,7 @@
     Ok(Completion {
         model: body.model,
         stream: body.stream,
-        max_tokens: body
-            .max_completion_tokens
-            .or(body.max_tokens)
-            .unwrap_or(DEFAULT_MAX_TOKENS),
+        max_tokens: body.max_completion_tokens.or(body.max_tokens).unwrap_or(DEFAULT_MAX_TOKENS),
         prompt_tokens: u32::try_from(text_bytes / CHARS_PER_TOKEN + 1).unwrap_or(u32::MAX),
         prefix: xxh3::xxh3_64(&head),
     })
@@ -100,9 +97,7 @@
 /// Tokens that a whole answer says it has.
 #[must_use]
 pub fn output_tokens(body: &[u8]) -> Option<u32> {
-    serde_json::from_slice::<Whole>(body)
-        .ok()
-        .map(|whole| whole.usage.completion_tokens)
+    serde_json::from_slice::<Whole>(body).ok().map(|whole| whole.usage.completion_tokens)
 }
 
 /// A line of `/v1/models`.
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -118,11 +118,7 @@
     let old = object.as_ref().map_or("", |object| &object.value);
     let lines = changed_lines(old, &new);
     Ok(print(line.output, &lines, || {
-        if lines.is_empty() {
-            "no change".to_owned()
-        } else {
-            lines.join("\n")
-        }
+        if lines.is_empty() { "no change".to_owned() } else { lines.join("\n") }
     }))
 }
 
@@ -131,19 +127,10 @@
     let (old, new): (Vec<&str>, Vec<&str>) = (old.lines().collect(), new.lines().collect());
     let same_head = old.iter().zip(&new).take_while(|(a, b)| a == b).count();
     let rest = old.len().min(new.len()) - same_head;
-    let same_tail = old
-        .iter()
-        .rev()
-        .zip(new.iter().rev())
-        .take(rest)
-        .take_while(|(a, b)| a == b)
-        .count();
-    let removed = old[same_head..old.len() - same_tail]
-        .iter()
-        .map(|text| format!("-{text}"));
-    let added = new[same_head..new.len() - same_tail]
-        .iter()
-        .map(|text| format!("+{text}"));
+    let same_tail =
+        old.iter().rev().zip(new.iter().rev()).take(rest).take_while(|(a, b)| a == b).count();
+    let removed = old[same_head..old.len() - same_tail].iter().map(|text| format!("-{text}"));
+    let added = new[same_head..new.len() - same_tail].iter().map(|text| format!("+{text}"));
     removed.chain(added).collect()
 }
 
@@ -161,15 +148,8 @@
     if let Some(expected) = expect.filter(|expected| *expected != version) {
         return Err(raced(expected, before.as_ref()));
     }
-    let condition = if version == 0 {
-        Condition::Absent
-    } else {
-        Condition::Version(version)
-    };
-    let applied = match platform
-        .put(store::CONFIG_KEY, text.clone(), condition)
-        .await
-    {
+    let condition = if version == 0 { Condition::Absent } else { Condition::Version(version) };
+    let applied = match platform.put(store::CONFIG_KEY, text.clone(), condition).await {
         Ok(version) => version,
         // Another operator may have been quicker, or this write's answer was lost: reading tells.
         Err(Failure::Conflict | Failure::NoAnswer) => {
@@ -182,9 +162,7 @@
         Err(failure) => return Err(failure.into()),
     };
     let result = Applied { version: applied };
-    Ok(print(line.output, &result, || {
-        format!("in force as version {applied}")
-    }))
+    Ok(print(line.output, &result, || format!("in force as version {applied}")))
 }
 
 fn raced(expected: u64, now: Option<&store::Object>) -> Problem {
@@ -208,20 +186,14 @@
     let platform = open(line).await?;
     let object_key = format!("{}{}", store::KEYS_PREFIX, made.record.id);
     let value = serde_json::to_string(&made.record).map_err(anyhow::Error::from)?;
-    if let Err(failure) = platform
-        .put(&object_key, value.clone(), Condition::Absent)
-        .await
-    {
+    if let Err(failure) = platform.put(&object_key, value.clone(), Condition::Absent).await {
         let stands = platform.get(&object_key).await?;
         if stands.is_none_or(|object| object.value != value) {
             return Err(failure.into());
         }
     }
-    let granted = Granted {
-        id: made.record.id.to_string(),
-        account: account.to_owned(),
-        key: made.text,
-    };
+    let granted =
+        Granted { id: made.record.id.to_string(), account: account.to_owned(), key: made.text };
     Ok(print(line.output, &granted, || granted.key.clone()))
 }
 
@@ -238,10 +210,7 @@
         if !record.withdrawn {
             record.withdrawn = true;
             let value = serde_json::to_string(&record).map_err(anyhow::Error::from)?;
-            match platform
-                .put(&object_key, value, Condition::Version(object.version))
-                .await
-            {
+            match platform.put(&object_key, value, Condition::Version(object.version)).await {
                 Ok(_) => {}
                 // Read again: it may be withdrawn by now, by this write or by another operator.
                 Err(Failure::Conflict | Failure::NoAnswer) => continue,
@@ -249,9 +218,7 @@
             }
         }
         let account = record.account.clone();
-        return Ok(print(line.output, &record.id, || {
-            format!("withdrawn: {id} of {account}")
-        }));
+        return Ok(print(line.output, &record.id, || format!("withdrawn: {id} of {account}")));
     }
 }
 
@@ -277,11 +244,7 @@
     Ok(print(line.output, &lines, || {
         let mut text = format!("{:<14} {:<24} state", "id", "account");
         for key in &lines {
-            let state = if key.withdrawn {
-                "withdrawn"
-            } else {
-                "granted"
-            };
+            let state = if key.withdrawn { "withdrawn" } else { "granted" };
             text.push_str(&format!("\n{:<14} {:<24} {state}", key.id, key.account));
         }
         text
@@ -292,22 +255,12 @@
     let url = format!("{}{path}", base.trim_end_matches('/'));
     let lost = |error: String| Problem::NoAnswer(format!("{url} does not answer: {error}"));
     let http = ntex::client::Client::new().await;
-    let response = http
-        .get(&url)
-        .send()
-        .await
-        .map_err(|error| lost(error.to_string()))?;
+    let response = http.get(&url).send().await.map_err(|error| lost(error.to_string()))?;
     if response.status() == ntex::http::StatusCode::NOT_FOUND {
         return Ok(None);
     }
-    let body = response
-        .body()
-        .limit(64 << 20)
-        .await
-        .map_err(|error| lost(error.to_string()))?;
-    serde_json::from_slice(&body)
-        .map(Some)
-        .map_err(|error| lost(error.to_string()))
+    let body = response.body().limit(64 << 20).await.map_err(|error| lost(error.to_string()))?;
+    serde_json::from_slice(&body).map(Some).map_err(|error| lost(error.to_string()))
 }
 
 async fn read_status(line: &cli::Operator) -> Result<admin::Status, Problem> {
@@ -385,10 +338,7 @@
 
 async fn explain_request(line: &cli::Operator, request: &str) -> Result<String, Problem> {
     let status = read_status(line).await?;
-    let entries = status
-        .members
-        .iter()
-        .filter(|member| member.role == "entry");
+    let entries = status.members.iter().filter(|member| member.role == "entry");
     let path = format!("/explain/{request}");
     for entry in entries {
         let base = format!("http://{}", entry.admin_addr);
@@ -397,9 +347,7 @@
             return Ok(print(line.output, &story, || story_text(&story, &entry.id)));
         }
     }
-    Err(Problem::Other(anyhow::anyhow!(
-        "no entry remembers the request {request}"
-    )))
+    Err(Problem::Other(anyhow::anyhow!("no entry remembers the request {request}")))
 }
 
 fn story_text(story: &explain::Story, entry: &str) -> String {
@@ -420,11 +368,7 @@
                 Some(wait_ms) => format!("first token in {wait_ms} ms"),
                 None => "no answer".to_owned(),
             };
-            let prefix = if asked.knows_prefix {
-                ", knows the prompt's head"
-            } else {
-                ""
-            };
+            let prefix = if asked.knows_prefix { ", knows the prompt's head" } else { "" };
             text.push_str(&format!(
                 "\n    asked {} in {}: {offer}{prefix}",
                 asked.endpoint, asked.zone
@@ -433,12 +377,8 @@
         let chosen = attempt.chosen.as_deref().unwrap_or("none");
         text.push_str(&format!("\n    chose {chosen}: {}", attempt.outcome));
     }
-    let first = story
-        .first_token_ms
-        .map_or("none".to_owned(), |ms| format!("after {ms} ms"));
-    let queue = story
-        .queue_ms
-        .map_or("unknown".to_owned(), |ms| format!("{ms} ms"));
+    let first = story.first_token_ms.map_or("none".to_owned(), |ms| format!("after {ms} ms"));
+    let queue = story.queue_ms.map_or("unknown".to_owned(), |ms| format!("{ms} ms"));
     text.push_str(&format!(
         "\n  waited {queue} at the endpoint, first token {first}, {} tokens, {} bytes, {} ms in all\n  status {}, outcome {}{}",
         story.tokens,
@@ -471,20 +411,13 @@
                 claims::State::Done(_) => return None,
             };
             let holder = record.holder.daemon.to_string();
-            Some(ClaimLine {
-                key: object.key.to_string(),
-                state,
-                holder,
-            })
+            Some(ClaimLine { key: object.key.to_string(), state, holder })
         })
         .collect();
     Ok(print(line.output, &lines, || {
         let mut text = format!("{:<64} {:<8} holder", "key", "state");
         for claim in &lines {
-            text.push_str(&format!(
-                "\n{:<64} {:<8} {}",
-                claim.key, claim.state, claim.holder
-            ));
+            text.push_str(&format!("\n{:<64} {:<8} {}", claim.key, claim.state, claim.holder));
         }
         text
     }))
@@ -515,9 +448,7 @@
                 body: Some(body.to_string().into_bytes()),
             });
             let value = serde_json::to_string(&record).map_err(anyhow::Error::from)?;
-            platform
-                .put(key, value, Condition::Version(object.version))
-                .await?;
+            platform.put(key, value, Condition::Version(object.version)).await?;
         }
     }
     Ok(print(line.output, &key, || format!("resolved: {key}")))
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -38,11 +38,7 @@
 impl Pace {
     /// A request's first token came this long after it was sent to the endpoint.
     pub fn first_token(&mut self, after_ms: u64, now_ms: u64) {
-        let weight = if self.start_seen_ms.is_some() {
-            NEWEST
-        } else {
-            1.0
-        };
+        let weight = if self.start_seen_ms.is_some() { NEWEST } else { 1.0 };
         let known_ms = self.aged_start_ms(now_ms);
         self.start_ms = known_ms + (after_ms as f64 - known_ms) * weight;
         self.start_seen_ms = Some(now_ms);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -31,10 +31,7 @@
 impl Target {
     #[must_use]
     pub fn of(place: &membership::Place) -> Self {
-        Self {
-            work_addr: place.work_addr,
-            endpoint: place.endpoint,
-        }
+        Self { work_addr: place.work_addr, endpoint: place.endpoint }
     }
 }
 
@@ -53,10 +50,7 @@
 impl Silent {
     /// The endpoint did not answer an ask, or its link broke.
     pub fn missed(&mut self, target: Target, now_ms: u64) {
-        let silence = self.targets.entry(target).or_insert(Silence {
-            until_ms: 0,
-            length_ms: 0,
-        });
+        let silence = self.targets.entry(target).or_insert(Silence { until_ms: 0, length_ms: 0 });
         if silence.until_ms > now_ms {
             return;
         }
@@ -71,9 +65,7 @@
 
     #[must_use]
     pub fn is_silent(&self, target: Target, now_ms: u64) -> bool {
-        self.targets
-            .get(&target)
-            .is_some_and(|silence| silence.until_ms > now_ms)
+        self.targets.get(&target).is_some_and(|silence| silence.until_ms > now_ms)
     }
 }
 
@@ -86,30 +78,18 @@
     avoid: impl Fn(Target) -> bool,
     random: &mut impl Rng,
 ) -> Vec<&'a membership::Place> {
-    let open: Vec<&membership::Place> = places
-        .iter()
-        .filter(|place| !avoid(Target::of(place)))
-        .collect();
-    let near: Vec<&membership::Place> = open
-        .iter()
-        .copied()
-        .filter(|place| place.zone == own_zone)
-        .collect();
+    let open: Vec<&membership::Place> =
+        places.iter().filter(|place| !avoid(Target::of(place))).collect();
+    let near: Vec<&membership::Place> =
+        open.iter().copied().filter(|place| place.zone == own_zone).collect();
     let mut picked: Vec<&membership::Place> = Vec::with_capacity(width);
     picked.extend(rendezvous(&open, prefix));
     // One endpoint of another zone is always among those asked where there is one, else a zone
     // whose endpoints are all slow would keep its callers while the next zone idles.
-    let near_wanted = if near.len() < open.len() {
-        width.saturating_sub(1)
-    } else {
-        width
-    };
+    let near_wanted = if near.len() < open.len() { width.saturating_sub(1) } else { width };
     for (group, wanted) in [(&near, near_wanted), (&open, width)] {
-        let left: Vec<&membership::Place> = group
-            .iter()
-            .copied()
-            .filter(|place| !picked.contains(place))
-            .collect();
+        let left: Vec<&membership::Place> =
+            group.iter().copied().filter(|place| !picked.contains(place)).collect();
         let missing = wanted.saturating_sub(picked.len());
         picked.extend(left.choose_multiple(random, missing).copied());
     }
@@ -117,23 +97,13 @@
 }
 
 fn rendezvous<'a>(places: &[&'a membership::Place], prefix: u64) -> Option<&'a membership::Place> {
-    places
-        .iter()
-        .copied()
-        .max_by_key(|place| xxh3::xxh3_64_with_seed(place.id.as_bytes(), prefix))
+    places.iter().copied().max_by_key(|place| xxh3::xxh3_64_with_seed(place.id.as_bytes(), prefix))
 }
 
 /// The offer to take, out of those that came; lower is better.
 #[must_use]
 pub fn cost_ms(offer: &wire::Offer, same_zone: bool) -> u32 {
     let zone_ms = if same_zone { 0 } else { OTHER_ZONE_MS };
-    let prefix_ms = if offer.knows_prefix {
-        0
-    } else {
-        PREFIX_BONUS_MS
-    };
-    offer
-        .first_token_ms
-        .saturating_add(zone_ms)
-        .saturating_add(prefix_ms)
+    let prefix_ms = if offer.knows_prefix { 0 } else { PREFIX_BONUS_MS };
+    offer.first_token_ms.saturating_add(zone_ms).saturating_add(prefix_ms)
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -84,10 +84,7 @@
             .build(ntex::SharedCfg::default())
             .await
             .map_err(|error| anyhow::anyhow!("cannot make an HTTP client: {error:?}"))?;
-        Ok(Self {
-            http,
-            url: url.trim_end_matches('/').to_owned(),
-        })
+        Ok(Self { http, url: url.trim_end_matches('/').to_owned() })
     }
 
     async fn call<T: DeserializeOwned>(
@@ -110,9 +107,9 @@
             .await
             .map_err(|_| Failure::NoAnswer)?
             .map_err(|error| match error {
-                client::error::ClientError::Connect(_) => Failure::Down,
-                _ => Failure::NoAnswer,
-            })?;
+            client::error::ClientError::Connect(_) => Failure::Down,
+            _ => Failure::NoAnswer,
+        })?;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
             StatusCode::CONFLICT => Err(Failure::Conflict),
@@ -121,9 +118,7 @@
                     .await
                     .map_err(|_| Failure::NoAnswer)?
                     .map_err(|_| Failure::NoAnswer)?;
-                serde_json::from_slice(&bytes)
-                    .map(Some)
-                    .map_err(|_| Failure::NoAnswer)
+                serde_json::from_slice(&bytes).map(Some).map_err(|_| Failure::NoAnswer)
             }
             StatusCode::SERVICE_UNAVAILABLE => Err(Failure::Down),
             _ => Err(Failure::NoAnswer),
@@ -137,9 +132,7 @@
         body: String,
         wait_ms: u32,
     ) -> Result<T, Failure> {
-        self.call(method, path, body, wait_ms)
-            .await?
-            .ok_or(Failure::NoAnswer)
+        self.call(method, path, body, wait_ms).await?.ok_or(Failure::NoAnswer)
     }
 
     /// Waits for changes under a prefix after a revision; an empty listing when none came in time.
@@ -148,8 +141,7 @@
     /// When the store is down or gives no answer.
     pub async fn watch(&self, prefix: &str, after: u64) -> Result<store::Listing, Failure> {
         let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={WATCH_MS}");
-        self.must(Method::GET, &path, String::new(), WATCH_MS + CALL_MS)
-            .await
+        self.must(Method::GET, &path, String::new(), WATCH_MS + CALL_MS).await
     }
 
     /// Reads the lagging list of instances and endpoints.
@@ -157,8 +149,7 @@
     /// # Errors
     /// When the platform is down or gives no answer.
     pub async fn roster(&self) -> Result<Roster, Failure> {
-        self.must(Method::GET, "/instances", String::new(), CALL_MS)
-            .await
+        self.must(Method::GET, "/instances", String::new(), CALL_MS).await
     }
 
     /// Reads the endpoints of an availability zone.
@@ -166,13 +157,7 @@
     /// # Errors
     /// When the platform is down or gives no answer.
     pub async fn endpoints(&self, zone: &str) -> Result<EndpointList, Failure> {
-        self.must(
-            Method::GET,
-            &format!("/endpoints/{zone}"),
-            String::new(),
-            CALL_MS,
-        )
-        .await
+        self.must(Method::GET, &format!("/endpoints/{zone}"), String::new(), CALL_MS).await
     }
 
     /// Sends an order for endpoints of a zone; no longer than the order may take.
@@ -182,9 +167,8 @@
     pub async fn order(&self, zone: &str, order: &orders::Order) -> Result<(), Failure> {
         let body = serde_json::to_string(order).map_err(|_| Failure::Down)?;
         let path = format!("/endpoints/{zone}/orders");
-        let _: serde_json::Value = self
-            .must(Method::POST, &path, body, orders::SEND_MS as u32)
-            .await?;
+        let _: serde_json::Value =
+            self.must(Method::POST, &path, body, orders::SEND_MS as u32).await?;
         Ok(())
     }
 
@@ -201,13 +185,7 @@
 
 impl ObjectStore for Platform {
     async fn get(&self, key: &str) -> Result<Option<store::Object>, Failure> {
-        self.call(
-            Method::GET,
-            &format!("/objects/{key}"),
-            String::new(),
-            CALL_MS,
-        )
-        .await
+        self.call(Method::GET, &format!("/objects/{key}"), String::new(), CALL_MS).await
     }
 
     async fn put(&self, key: &str, value: String, condition: Condition) -> Result<u64, Failure> {
@@ -222,19 +200,11 @@
 
     async fn delete(&self, key: &str, version: u64) -> Result<(), Failure> {
         let path = format!("/objects/{key}?if_version={version}");
-        let _: serde_json::Value = self
-            .must(Method::DELETE, &path, String::new(), CALL_MS)
-            .await?;
+        let _: serde_json::Value = self.must(Method::DELETE, &path, String::new(), CALL_MS).await?;
         Ok(())
     }
 
     async fn list(&self, prefix: &str) -> Result<store::Listing, Failure> {
-        self.must(
-            Method::GET,
-            &format!("/list?prefix={prefix}"),
-            String::new(),
-            CALL_MS,
-        )
-        .await
+        self.must(Method::GET, &format!("/list?prefix={prefix}"), String::new(), CALL_MS).await
     }
 }
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -141,10 +141,7 @@
             .iter()
             .map(|rule| {
                 let share = places as u64 * rule.guaranteed_ppm / config::PPM;
-                Lane {
-                    reserved: (share as usize).max(1),
-                    ..Lane::default()
-                }
+                Lane { reserved: (share as usize).max(1), ..Lane::default() }
             })
             .collect();
         let reserved: usize = lanes.iter().map(|lane| lane.reserved).sum();
@@ -248,24 +245,15 @@
             return None;
         }
         let in_headroom = running + self.headroom(slots) >= slots;
-        let class = self
-            .owed_class()
-            .or_else(|| self.highest_class(in_headroom))?;
+        let class = self.owed_class().or_else(|| self.highest_class(in_headroom))?;
         self.since_protected = self.since_protected.saturating_add(1);
         let ticket = self.head(class)?;
         let job = self.remove(ticket)?;
         let lane = &mut self.lanes[class];
-        let charge = lane
-            .counters
-            .start(&job.account, job.share, job.estimate_tokens);
+        let charge = lane.counters.start(&job.account, job.share, job.estimate_tokens);
         lane.served_tokens += job.estimate_tokens;
         self.total_tokens += job.estimate_tokens;
-        Some(Started {
-            version: self.version,
-            backlog: lane.backlog,
-            charge,
-            job,
-        })
+        Some(Started { version: self.version, backlog: lane.backlog, charge, job })
     }
 
     /// Takes out the jobs whose time to be given up has come.
@@ -284,9 +272,7 @@
     /// When [`Self::expire`] next has something to give up.
     #[must_use]
     pub fn next_expiry_ms(&self) -> Option<u64> {
-        self.give_up
-            .first_key_value()
-            .map(|((at_ms, _), ())| *at_ms)
+        self.give_up.first_key_value().map(|((at_ms, _), ())| *at_ms)
     }
 
     /// A started job has had this much service so far.
@@ -311,12 +297,7 @@
         self.progress(&mut started, tokens);
         let back = started.charge.tokens - tokens;
         let lane = &mut self.lanes[usize::from(started.job.class.0)];
-        lane.counters.finish(
-            &started.job.account,
-            started.job.share,
-            started.charge,
-            tokens,
-        );
+        lane.counters.finish(&started.job.account, started.job.share, started.charge, tokens);
         // The endpoint's whole service is not taken back: it only ever grows, so that no class's
         // start mark can lie above it.
         if lane.backlog == started.backlog {
@@ -327,10 +308,7 @@
     /// Takes out everything that waits.
     pub fn drain(&mut self) -> Vec<Job> {
         let tickets: Vec<Ticket> = self.jobs.keys().collect();
-        tickets
-            .into_iter()
-            .filter_map(|ticket| self.remove(ticket))
-            .collect()
+        tickets.into_iter().filter_map(|ticket| self.remove(ticket)).collect()
     }
 
     fn insert(&mut self, job: Job) -> Ticket {
@@ -347,20 +325,14 @@
         }
         lane.waiting += 1;
         lane.counters.wait(&account);
-        lane.accounts
-            .entry(account)
-            .or_default()
-            .insert((target_at_ms, ticket));
+        lane.accounts.entry(account).or_default().insert((target_at_ms, ticket));
         ticket
     }
 
     fn head(&self, class: usize) -> Option<Ticket> {
         let lane = &self.lanes[class];
         let account = lane.counters.next()?;
-        lane.accounts
-            .get(account)?
-            .first()
-            .map(|(_, ticket)| *ticket)
+        lane.accounts.get(account)?.first().map(|(_, ticket)| *ticket)
     }
 
     fn headroom(&self, slots: usize) -> usize {
@@ -411,10 +383,7 @@
     }
 
     fn common_used(&self) -> usize {
-        self.lanes
-            .iter()
-            .map(|lane| lane.waiting.saturating_sub(lane.reserved))
-            .sum()
+        self.lanes.iter().map(|lane| lane.waiting.saturating_sub(lane.reserved)).sum()
     }
 
     /// A job in a common place of the lowest unprotected class below the given one.
@@ -441,9 +410,7 @@
         let hog_share = self.share_of(class, hog)?;
         let own_weighted = own as u64 * u64::from(hog_share);
         let hog_weighted = held as u64 * u64::from(newcomer.share);
-        (own_weighted < hog_weighted)
-            .then(|| self.last_of(class, hog))
-            .flatten()
+        (own_weighted < hog_weighted).then(|| self.last_of(class, hog)).flatten()
     }
 
     fn hog(&self, class: usize) -> Option<&CompactString> {
@@ -460,10 +427,7 @@
     }
 
     fn held(&self, class: usize, account: &str) -> usize {
-        self.lanes[class]
-            .accounts
-            .get(account)
-            .map_or(0, BTreeSet::len)
+        self.lanes[class].accounts.get(account).map_or(0, BTreeSet::len)
     }
 
     fn share_of(&self, class: usize, account: &CompactString) -> Option<u32> {
@@ -472,10 +436,6 @@
     }
 
     fn last_of(&self, class: usize, account: &CompactString) -> Option<Ticket> {
-        self.lanes[class]
-            .accounts
-            .get(account)?
-            .last()
-            .map(|(_, ticket)| *ticket)
+        self.lanes[class].accounts.get(account)?.last().map(|(_, ticket)| *ticket)
     }
 }
--- a/src/scaler.rs
+++ b/src/scaler.rs
@@ -61,11 +61,7 @@
             return;
         };
         if self.epoch != Some(epoch) {
-            *self = Self {
-                epoch: Some(epoch),
-                next_look_ms: now_ms + QUIET_MS,
-                ..Self::default()
-            };
+            *self = Self { epoch: Some(epoch), next_look_ms: now_ms + QUIET_MS, ..Self::default() };
         }
         if now_ms < self.next_look_ms {
             return;
@@ -99,9 +95,7 @@
             let plan = self.plan(control, zone, &list, service).await;
             let action = match plan {
                 scaling::Plan::Hold => continue,
-                scaling::Plan::Start => orders::Action::Start {
-                    service: service.name.clone(),
-                },
+                scaling::Plan::Start => orders::Action::Start { service: service.name.clone() },
                 scaling::Plan::Stop => match self.drained(control, lease, zone, service).await {
                     Some(endpoint) => orders::Action::Stop { endpoint },
                     None => continue,
@@ -120,10 +114,7 @@
         for line in &list.endpoints {
             let is_live = line.standing == platform::Standing::Live;
             if is_live && self.live.insert(line.id.clone()) && !first {
-                self.planners
-                    .entry(line.service.clone())
-                    .or_default()
-                    .came_up(now_ms);
+                self.planners.entry(line.service.clone()).or_default().came_up(now_ms);
             }
         }
     }
@@ -137,10 +128,7 @@
     ) -> scaling::Plan {
         let loads = loads(control, zone, &service.name, None).await;
         let count = |standing| {
-            let lines = list
-                .endpoints
-                .iter()
-                .filter(|line| line.service == service.name);
+            let lines = list.endpoints.iter().filter(|line| line.service == service.name);
             lines.filter(|line| line.standing == standing).count() as u32
         };
         let offers = || loads.iter().filter_map(|load| load.offer.as_ref());
@@ -235,13 +223,8 @@
     if known.is_some_and(|known| known.epoch > order.epoch) {
         return Ok(false);
     }
-    let condition = before.map_or(Condition::Absent, |object| {
-        Condition::Version(object.version)
-    });
-    let intent = orders::Intent {
-        epoch: order.epoch,
-        order: Some(order.clone()),
-    };
+    let condition = before.map_or(Condition::Absent, |object| Condition::Version(object.version));
+    let intent = orders::Intent { epoch: order.epoch, order: Some(order.clone()) };
     let value = serde_json::to_string(&intent).unwrap_or_default();
     match store.put(&key, value, condition).await {
         Ok(_) => Ok(true),
@@ -258,11 +241,7 @@
 ) -> Vec<Load> {
     let snapshot = control.hub.snapshot.load_full();
     let all = snapshot.places(&control.settings.region, service);
-    let places = all
-        .iter()
-        .filter(|place| place.zone == zone)
-        .cloned()
-        .collect();
+    let places = all.iter().filter(|place| place.zone == zone).cloned().collect();
     loads_of(control, places, drain).await
 }
 
@@ -272,10 +251,8 @@
     places: Vec<membership::Place>,
     drain: Option<lease::Epoch>,
 ) -> Vec<Load> {
-    let mut loads: Vec<Load> = places
-        .into_iter()
-        .map(|place| Load { place, offer: None })
-        .collect();
+    let mut loads: Vec<Load> =
+        places.into_iter().map(|place| Load { place, offer: None }).collect();
     let local = SocketAddr::new(control.settings.peer_addr.ip(), 0);
     let Ok(socket) = UdpSocket::bind(local).await else {
         return loads;
--- a/src/scaling.rs
+++ b/src/scaling.rs
@@ -59,11 +59,7 @@
 
 impl Default for Planner {
     fn default() -> Self {
-        Self {
-            samples: VecDeque::new(),
-            start_ms: FIRST_START_MS,
-            ordered_ms: VecDeque::new(),
-        }
+        Self { samples: VecDeque::new(), start_ms: FIRST_START_MS, ordered_ms: VecDeque::new() }
     }
 }
 
@@ -94,15 +90,8 @@
 
     fn note(&mut self, seen: Seen, now_ms: u64) {
         let work_slots = f64::from(seen.running + seen.waiting);
-        self.samples.push_back(Sample {
-            at_ms: now_ms,
-            work_slots,
-        });
-        while self
-            .samples
-            .front()
-            .is_some_and(|first| first.at_ms + STOP_AFTER_MS < now_ms)
-        {
+        self.samples.push_back(Sample { at_ms: now_ms, work_slots });
+        while self.samples.front().is_some_and(|first| first.at_ms + STOP_AFTER_MS < now_ms) {
             self.samples.pop_front();
         }
     }
@@ -127,19 +116,12 @@
             // A new holder has not watched for long enough to say what is not needed.
             return u32::MAX;
         }
-        let most = self
-            .samples
-            .iter()
-            .map(|sample| sample.work_slots)
-            .fold(0.0, f64::max);
+        let most = self.samples.iter().map(|sample| sample.work_slots).fold(0.0, f64::max);
         Self::endpoints_for(most, seen)
     }
 
     fn slope_per_ms(&self, now_ms: u64) -> f64 {
-        let recent = self
-            .samples
-            .iter()
-            .filter(|sample| sample.at_ms + SLOPE_MS >= now_ms);
+        let recent = self.samples.iter().filter(|sample| sample.at_ms + SLOPE_MS >= now_ms);
         let (mut count, mut sum_x, mut sum_y, mut sum_xx, mut sum_xy) = (0.0, 0.0, 0.0, 0.0, 0.0);
         for sample in recent {
             let x = sample.at_ms as f64 - now_ms as f64;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -139,27 +139,15 @@
 impl Checked for Entry {
     fn check(&self) -> Result<(), (jsonc::Path, String)> {
         self.daemon.check()?;
-        require(
-            self.workers > 0,
-            crate::path!["workers"],
-            "at least one worker is needed",
-        )?;
-        require(
-            self.ask_width > 0,
-            crate::path!["ask_width"],
-            "at least one endpoint is asked",
-        )
+        require(self.workers > 0, crate::path!["workers"], "at least one worker is needed")?;
+        require(self.ask_width > 0, crate::path!["ask_width"], "at least one endpoint is asked")
     }
 }
 
 impl Checked for Side {
     fn check(&self) -> Result<(), (jsonc::Path, String)> {
         self.daemon.check()?;
-        require(
-            !self.endpoints.is_empty(),
-            crate::path!["endpoints"],
-            "no endpoint is named",
-        )?;
+        require(!self.endpoints.is_empty(), crate::path!["endpoints"], "no endpoint is named")?;
         for (index, endpoint) in self.endpoints.iter().enumerate() {
             require(
                 host_port(&endpoint.url).is_some(),
@@ -173,11 +161,7 @@
 
 impl Daemon {
     fn check(&self) -> Result<(), (jsonc::Path, String)> {
-        require(
-            !self.id.is_empty(),
-            crate::path!["daemon", "id"],
-            "the id is empty",
-        )?;
+        require(!self.id.is_empty(), crate::path!["daemon", "id"], "the id is empty")?;
         require(
             self.fleet_secret.chars().count() >= MIN_SECRET_CHARS,
             crate::path!["daemon", "fleet_secret"],
@@ -192,20 +176,13 @@
 }
 
 fn require(holds: bool, path: jsonc::Path, sentence: &str) -> Result<(), (jsonc::Path, String)> {
-    if holds {
-        Ok(())
-    } else {
-        Err((path, sentence.to_owned()))
-    }
+    if holds { Ok(()) } else { Err((path, sentence.to_owned())) }
 }
 
 /// The socket address in `http://IP:PORT`.
 #[must_use]
 pub fn host_port(url: &str) -> Option<SocketAddr> {
-    url.strip_prefix("http://")?
-        .trim_end_matches('/')
-        .parse()
-        .ok()
+    url.strip_prefix("http://")?.trim_end_matches('/').parse().ok()
 }
 
 /// Reads settings from a text.
@@ -215,9 +192,7 @@
 pub fn parse<T: Checked>(text: &str) -> Result<T, jsonc::Mistake> {
     let document = jsonc::Document::parse(text)?;
     let settings: T = document.read()?;
-    settings
-        .check()
-        .map_err(|(path, sentence)| document.mistake(&path, sentence))?;
+    settings.check().map_err(|(path, sentence)| document.mistake(&path, sentence))?;
     Ok(settings)
 }
 
--- a/src/side/endpoint.rs
+++ b/src/side/endpoint.rs
@@ -119,9 +119,7 @@
         self.slots.set(text.map_or(1, |text| text.slots as usize));
         let places = text.map_or(0, |text| text.max_queue as usize);
         let rules = queue::ClassRule::of(&in_force.model);
-        let mut old = self
-            .queue
-            .replace(queue::Queue::new(in_force.version, rules, places));
+        let mut old = self.queue.replace(queue::Queue::new(in_force.version, rules, places));
         Some((old.drain(), Arc::clone(&in_force.model)))
     }
 
@@ -136,7 +134,6 @@
     ) -> u32 {
         let ahead = self.queue.borrow().ahead_of(class, account, share);
         let pace = self.pace.borrow();
-        pace.wait_ms(ahead, self.running.get(), self.slots())
-            .saturating_add(pace.start_ms(now_ms))
+        pace.wait_ms(ahead, self.running.get(), self.slots()).saturating_add(pace.start_ms(now_ms))
     }
 }
--- a/src/side/mod.rs
+++ b/src/side/mod.rs
@@ -85,23 +85,11 @@
     };
     let daemon = settings.daemon.clone();
     admin::spawn(&daemon, Arc::clone(&hub), None, metrics, sockets.admin)?;
-    control::spawn(
-        daemon,
-        identity,
-        Arc::clone(&hub),
-        log.clone(),
-        sockets.peer,
-    )?;
+    control::spawn(daemon, identity, Arc::clone(&hub), log.clone(), sockets.peer)?;
     bound::announce(&settings.daemon, settings.work_addr);
     let side = open(settings, Arc::clone(&hub), log, boot).await?;
-    task::spawn_local(asks::serve(
-        Rc::clone(&side),
-        UdpSocket::from_std(work.udp)?,
-    ));
-    task::spawn_local(entries::serve(
-        Rc::clone(&side),
-        TcpListener::from_std(work.tcp)?,
-    ));
+    task::spawn_local(asks::serve(Rc::clone(&side), UdpSocket::from_std(work.udp)?));
+    task::spawn_local(entries::serve(Rc::clone(&side), TcpListener::from_std(work.tcp)?));
     task::spawn_local(sweep(Rc::clone(&side)));
     logging::stop_signal().await;
     side.drain().await;
@@ -122,11 +110,7 @@
         .build(ntex::SharedCfg::default())
         .await
         .map_err(|error| anyhow::anyhow!("cannot make an HTTP client: {error:?}"))?;
-    let endpoints = settings
-        .endpoints
-        .iter()
-        .map(endpoint::Endpoint::new)
-        .collect();
+    let endpoints = settings.endpoints.iter().map(endpoint::Endpoint::new).collect();
     Ok(Rc::new(Side {
         secret: wire::Secret::fleet(&settings.daemon.fleet_secret),
         spans: logging::span_sink(&settings.daemon),
@@ -159,10 +143,7 @@
     }
 
     fn holder(&self) -> claims::Holder {
-        claims::Holder {
-            daemon: self.settings.daemon.id.clone(),
-            boot: self.boot,
-        }
+        claims::Holder { daemon: self.settings.daemon.id.clone(), boot: self.boot }
     }
 
     /// Whether a claim's holder may still be running its call.
--- a/src/side/run.rs
+++ b/src/side/run.rs
@@ -66,11 +66,7 @@
     /// Nothing is left to be sent to its caller.
     pub(super) fn is_delivered(&self) -> bool {
         let ended = matches!(*self.phase.borrow(), Phase::Ended);
-        let read = self
-            .subscriber
-            .borrow()
-            .as_ref()
-            .is_none_or(|s| s.reader.is_done());
+        let read = self.subscriber.borrow().as_ref().is_none_or(|s| s.reader.is_done());
         ended && read
     }
 
@@ -105,11 +101,7 @@
         let Some(subscriber) = subscriber.as_ref() else {
             return false;
         };
-        let ahead = self
-            .answer
-            .borrow()
-            .length()
-            .saturating_sub(subscriber.reader.offset);
+        let ahead = self.answer.borrow().length().saturating_sub(subscriber.reader.offset);
         ahead > MAX_BEHIND_BYTES
     }
 
@@ -166,18 +158,11 @@
         }
         if !run.answer.borrow().reaches_back_to(submit.from_offset) {
             let refusal = error::Refusal::unknown(error::Kind::LinkLost);
-            return send_refusal(
-                outbox,
-                stream,
-                refusal.detail("The answer is no longer held."),
-            );
+            return send_refusal(outbox, stream, refusal.detail("The answer is no longer held."));
         }
         run.answer.borrow_mut().replayed |= submit.request != run.submit.request;
         let reader = answer::Reader::new(stream, submit.from_offset, submit.credit_bytes.into());
-        let new = Subscriber {
-            outbox: outbox.clone(),
-            reader,
-        };
+        let new = Subscriber { outbox: outbox.clone(), reader };
         let former = run.subscriber.replace(Some(new));
         run.alone_since_ms.set(None);
         if let Some(former) = former.filter(|former| !former.reader.is_done()) {
@@ -195,9 +180,8 @@
         outbox: &link::Outbox,
     ) -> Result<(), error::Refusal> {
         let refuse = error::Refusal::not_run;
-        let endpoint = self
-            .endpoint(submit.endpoint)
-            .ok_or_else(|| refuse(error::Kind::NoEndpoint))?;
+        let endpoint =
+            self.endpoint(submit.endpoint).ok_or_else(|| refuse(error::Kind::NoEndpoint))?;
         if endpoint.service != submit.service {
             return Err(refuse(error::Kind::NoEndpoint));
         }
@@ -209,16 +193,11 @@
         if self.is_withdrawn(&submit.key) {
             return Err(refuse(error::Kind::KeyWithdrawn));
         }
-        let in_force = snapshot
-            .config
-            .as_ref()
-            .ok_or_else(|| refuse(error::Kind::NotReady))?;
+        let in_force = snapshot.config.as_ref().ok_or_else(|| refuse(error::Kind::NotReady))?;
         let config = &in_force.model;
         // The entry's configuration may be newer by the time it takes to spread; another side may
         // have it already.
-        let class = config
-            .class(&submit.class)
-            .ok_or_else(|| refuse(error::Kind::NotReady))?;
+        let class = config.class(&submit.class).ok_or_else(|| refuse(error::Kind::NotReady))?;
         let now_ms = self.now_ms();
         let share = config.share_of(&submit.account);
         let expected_ms = endpoint.first_token_ms(class, &submit.account, share, now_ms);
@@ -249,10 +228,7 @@
 
     fn insert(&self, submit: wire::Submit, outbox: &link::Outbox, now_ms: u64) -> Rc<Run> {
         let reader = answer::Reader::new(submit.stream, 0, submit.credit_bytes.into());
-        let subscriber = Subscriber {
-            outbox: outbox.clone(),
-            reader,
-        };
+        let subscriber = Subscriber { outbox: outbox.clone(), reader };
         let (request, idempotency) = (submit.request.clone(), submit.idempotency);
         let deadline_ms = now_ms + u64::from(submit.deadline_ms).min(MAX_DEADLINE_MS);
         let span = trace::Span::start("queue", submit.trace);
@@ -300,9 +276,8 @@
     /// Gives a job that is no longer queued its final answer, with when to come back.
     fn refuse_job(&self, endpoint: &endpoint::Endpoint, job: &queue::Job, kind: error::Kind) {
         let Some(run) = self.run_of(job) else { return };
-        let retry_after_ms = endpoint
-            .first_token_ms(job.class, &job.account, job.share, self.now_ms())
-            .max(1);
+        let retry_after_ms =
+            endpoint.first_token_ms(job.class, &job.account, job.share, self.now_ms()).max(1);
         let refusal = error::Refusal::not_run(kind).retry_after_ms(retry_after_ms);
         self.finish(&run, answer::Ending::Refused(refusal));
     }
@@ -463,10 +438,7 @@
 
     fn run_read_by(&self, stream: wire::StreamId, outbox: &link::Outbox) -> Option<Rc<Run>> {
         let reads = |run: &&Rc<Run>| {
-            run.subscriber
-                .borrow()
-                .as_ref()
-                .is_some_and(|reader| reader.is(stream, outbox))
+            run.subscriber.borrow().as_ref().is_some_and(|reader| reader.is(stream, outbox))
         };
         self.runs.borrow().values().find(reads).cloned()
     }
@@ -476,10 +448,7 @@
         let now_ms = self.now_ms();
         for run in self.runs.borrow().values() {
             let mut subscriber = run.subscriber.borrow_mut();
-            if subscriber
-                .as_ref()
-                .is_some_and(|reader| reader.outbox.is_same(outbox))
-            {
+            if subscriber.as_ref().is_some_and(|reader| reader.outbox.is_same(outbox)) {
                 *subscriber = None;
                 run.alone_since_ms.set(Some(now_ms));
             }
--- a/src/side/run/call.rs
+++ b/src/side/run/call.rs
@@ -31,10 +31,7 @@
     let output_tokens = u64::from(counter.tokens());
     account(&side, &run, &outcome, started, begin_ms, output_tokens);
     let ending = match outcome {
-        Ok(()) => answer::Ending::Whole {
-            tokens: counter.tokens(),
-            queue_ms: queue_ms as u32,
-        },
+        Ok(()) => answer::Ending::Whole { tokens: counter.tokens(), queue_ms: queue_ms as u32 },
         Err(refusal) => answer::Ending::Refused(refusal),
     };
     side.finish(&run, ending);
@@ -59,30 +56,17 @@
     let prompt_tokens = u64::from(run.submit.prompt_tokens);
     // After a change of configuration the queue is another one, and the charge went with the old.
     if endpoint.version() == started.version() {
-        endpoint
-            .queue
-            .borrow_mut()
-            .finish(started, prompt_tokens + output_tokens);
+        endpoint.queue.borrow_mut().finish(started, prompt_tokens + output_tokens);
     }
     if outcome.is_ok() {
         let service_ms = side.now_ms() - begin_ms;
-        endpoint
-            .pace
-            .borrow_mut()
-            .finished(service_ms, output_tokens);
+        endpoint.pace.borrow_mut().finished(service_ms, output_tokens);
     }
     if !run.sent.get() {
         return;
     }
-    let line = usage::Line {
-        account: run.account().clone(),
-        service: run.submit.service.clone(),
-    };
-    let figures = usage::Figures {
-        requests: 1,
-        prompt_tokens,
-        output_tokens,
-    };
+    let line = usage::Line { account: run.account().clone(), service: run.submit.service.clone() };
+    let figures = usage::Figures { requests: 1, prompt_tokens, output_tokens };
     side.hub.count(&line, figures);
     metrics::counter!("briarwinch_output_tokens_total").increment(output_tokens);
     metrics::counter!("briarwinch_runs_total").increment(1);
@@ -106,10 +90,7 @@
     // The key may have been withdrawn, or the deadline passed, while the store was asked.
     if let Some(refusal) = run.stopped.borrow().clone() {
         settle_soon(side, Unsettled::Release(claim));
-        return Err(error::Refusal {
-            ran: error::Ran::No,
-            ..refusal
-        });
+        return Err(error::Refusal { ran: error::Ran::No, ..refusal });
     }
     let outcome = exchange(side, run, started, counter).await;
     match &outcome {
@@ -165,26 +146,17 @@
     };
     let mut answer = run.answer.borrow_mut();
     answer.replayed = true;
-    answer.top = Some(answer::Top {
-        status: saved.status,
-        headers: saved.headers,
-    });
+    answer.top = Some(answer::Top { status: saved.status, headers: saved.headers });
     answer.push(&body);
     Ok(())
 }
 
 fn saved(answer: &answer::Answer) -> claims::SavedAnswer {
-    let (status, headers) = answer
-        .top
-        .as_ref()
-        .map_or((502, Vec::new()), |top| (top.status, top.headers.clone()));
+    let (status, headers) =
+        answer.top.as_ref().map_or((502, Vec::new()), |top| (top.status, top.headers.clone()));
     let short = answer.held_bytes() <= claims::MAX_ANSWER_BYTES;
     let body = short.then(|| answer.piece(0, claims::MAX_ANSWER_BYTES).to_vec());
-    claims::SavedAnswer {
-        status,
-        headers,
-        body,
-    }
+    claims::SavedAnswer { status, headers, body }
 }
 
 /// What the store has still to be told of a claim.
@@ -240,10 +212,7 @@
             if run.sent.get() {
                 return refusal;
             }
-            return error::Refusal {
-                ran: error::Ran::No,
-                ..refusal
-            };
+            return error::Refusal { ran: error::Ran::No, ..refusal };
         }
         run.wake.notified().await;
     }
@@ -295,10 +264,8 @@
         other => error::Refusal::unknown(error::Kind::EndpointFailed).detail(format!("({other})")),
     })?;
     let is_stream = is_event_stream(&response);
-    run.answer.borrow_mut().top = Some(answer::Top {
-        status: response.status().as_u16(),
-        headers: headers(&response),
-    });
+    run.answer.borrow_mut().top =
+        Some(answer::Top { status: response.status().as_u16(), headers: headers(&response) });
     if run.submit.repeatable {
         run.flush();
     }
@@ -406,10 +373,7 @@
         .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()))
         .filter_map(|(name, value)| {
             let value = value.to_str().ok()?.to_owned();
-            Some(wire::Header {
-                name: name.as_str().into(),
-                value,
-            })
+            Some(wire::Header { name: name.as_str().into(), value })
         })
         .collect()
 }
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -123,9 +123,7 @@
         keys.truncate(KEYS_PER_NEWS);
         let newest = self.newest.as_ref();
         wire::News {
-            config: newest
-                .filter(|text| text.version > pull.config_version)
-                .cloned(),
+            config: newest.filter(|text| text.version > pull.config_version).cloned(),
             keys,
             more_keys,
             roster: (self.roster.revision > pull.roster_revision).then(|| self.roster.clone()),
@@ -160,19 +158,13 @@
         let mut changed = Changed::default();
         for object in objects {
             if object.key == store::CONFIG_KEY {
-                let text = wire::ConfigText {
-                    version: object.version,
-                    text: object.value,
-                };
+                let text = wire::ConfigText { version: object.version, text: object.value };
                 changed.config |= self.take_config(text);
             } else if object.key.starts_with(store::KEYS_PREFIX) {
                 let Ok(record) = serde_json::from_str(&object.value) else {
                     continue;
                 };
-                let versioned = keys::Versioned {
-                    revision: object.version,
-                    record,
-                };
+                let versioned = keys::Versioned { revision: object.version, record };
                 changed.keys |= Arc::make_mut(&mut self.keys).take(versioned);
             }
         }
@@ -195,10 +187,7 @@
                 });
             }
             Err(mistake) => {
-                self.refused = Some(Refused {
-                    version: text.version,
-                    mistake,
-                });
+                self.refused = Some(Refused { version: text.version, mistake });
             }
         }
         self.newest = Some(text);
@@ -239,20 +228,14 @@
     leaving: &HashSet<&str>,
 ) -> HashMap<CompactString, Vec<membership::Place>> {
     let mut places: HashMap<CompactString, Vec<membership::Place>> = HashMap::new();
-    for member in fleet
-        .iter()
-        .filter(|member| member.state == membership::State::Ready)
-    {
+    for member in fleet.iter().filter(|member| member.state == membership::State::Ready) {
         if leaving.contains(member.id.as_str()) {
             continue;
         }
         for place in member.places() {
             if !leaving.contains(place.id.as_str()) {
                 let service = place.service.clone();
-                places
-                    .entry(place_key(&member.region, &service))
-                    .or_default()
-                    .push(place);
+                places.entry(place_key(&member.region, &service)).or_default().push(place);
             }
         }
     }
@@ -277,9 +260,7 @@
     /// Endpoints of a service in a region that take work.
     #[must_use]
     pub fn places(&self, region: &str, service: &str) -> &[membership::Place] {
-        self.places
-            .get(&place_key(region, service))
-            .map_or(&[], Vec::as_slice)
+        self.places.get(&place_key(region, service)).map_or(&[], Vec::as_slice)
     }
 
     #[must_use]
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -35,21 +35,13 @@
             } else if self.in_data {
                 self.tokens += 1;
             }
-            *self = Self {
-                matched: Some(0),
-                in_data: false,
-                done_matched: 0,
-                ..*self
-            };
+            *self = Self { matched: Some(0), in_data: false, done_matched: 0, ..*self };
             return;
         }
         if self.in_data {
             let expected = DONE.get(self.done_matched).copied();
-            self.done_matched = if expected == Some(byte) {
-                self.done_matched + 1
-            } else {
-                DONE.len() + 1
-            };
+            self.done_matched =
+                if expected == Some(byte) { self.done_matched + 1 } else { DONE.len() + 1 };
             return;
         }
         let Some(matched) = self.matched else { return };
--- a/src/store.rs
+++ b/src/store.rs
@@ -55,10 +55,7 @@
 }
 
 /// The object API as the system uses it.
-#[expect(
-    async_fn_in_trait,
-    reason = "all users run on one thread and need no Send"
-)]
+#[expect(async_fn_in_trait, reason = "all users run on one thread and need no Send")]
 pub trait ObjectStore {
     /// Reads an object.
     async fn get(&self, key: &str) -> Result<Option<Object>, Failure>;
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -17,19 +17,13 @@
     /// A new trace.
     #[must_use]
     pub fn root() -> Self {
-        Self {
-            trace: rand::random::<u128>() | 1,
-            span: rand::random::<u64>() | 1,
-        }
+        Self { trace: rand::random::<u128>() | 1, span: rand::random::<u64>() | 1 }
     }
 
     /// A span below this one.
     #[must_use]
     pub fn child(self) -> Self {
-        Self {
-            trace: self.trace,
-            span: rand::random::<u64>() | 1,
-        }
+        Self { trace: self.trace, span: rand::random::<u64>() | 1 }
     }
 
     /// Reads a `traceparent` header.
@@ -81,16 +75,8 @@
     /// Starts a span below `parent`.
     #[must_use]
     pub fn start(name: &'static str, parent: Context) -> Self {
-        let wall_us = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |age| age.as_micros());
-        Self {
-            context: parent.child(),
-            parent: parent.span,
-            name,
-            wall_us,
-            start: Instant::now(),
-        }
+        let wall_us = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_micros());
+        Self { context: parent.child(), parent: parent.span, name, wall_us, start: Instant::now() }
     }
 
     /// Ends the span; writes it if spans are on.
--- a/src/usage.rs
+++ b/src/usage.rs
@@ -94,11 +94,7 @@
 
 impl From<Totals> for Vec<Entry> {
     fn from(totals: Totals) -> Self {
-        totals
-            .lines
-            .into_iter()
-            .map(|(line, figures)| Entry { line, figures })
-            .collect()
+        totals.lines.into_iter().map(|(line, figures)| Entry { line, figures }).collect()
     }
 }
 
@@ -120,10 +116,7 @@
             .lines
             .iter()
             .map(|(line, figures)| {
-                (
-                    line.clone(),
-                    figures.less(former.lines.get(line).copied().unwrap_or_default()),
-                )
+                (line.clone(), figures.less(former.lines.get(line).copied().unwrap_or_default()))
             })
             .filter(|(_, figures)| !figures.is_zero())
             .collect();
@@ -132,9 +125,7 @@
 
     #[must_use]
     pub fn sum(&self) -> Figures {
-        self.lines
-            .values()
-            .fold(Figures::default(), |sum, figures| sum + *figures)
+        self.lines.values().fold(Figures::default(), |sum, figures| sum + *figures)
     }
 
     #[must_use]
@@ -219,12 +210,7 @@
         let figures = ran.beyond(before);
         let mut cumulative = before.clone();
         cumulative.merge(&figures);
-        Self {
-            window,
-            figures,
-            cumulative,
-            nonce,
-        }
+        Self { window, figures, cumulative, nonce }
     }
 
     /// The report of this window: the same whoever sends it.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -381,12 +381,7 @@
 impl Opener {
     #[must_use]
     pub fn new(secret: Secret) -> Self {
-        Self {
-            secret,
-            number: 0,
-            pending: Vec::new(),
-            consumed: 0,
-        }
+        Self { secret, number: 0, pending: Vec::new(), consumed: 0 }
     }
 
     /// Takes in received bytes.
@@ -423,11 +418,7 @@
     /// Goes on under another key with the bytes not yet read.
     #[must_use]
     pub fn rekey(self, secret: Secret) -> Self {
-        Self {
-            secret,
-            number: 0,
-            ..self
-        }
+        Self { secret, number: 0, ..self }
     }
 }
 
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -106,17 +106,11 @@
 
 fn note(shared: &Shared, request: &HttpRequest, body: &str) {
     let mut record = shared.record.lock().expect("no holder of this lock panics");
-    let headers = request
-        .headers()
-        .iter()
-        .filter_map(|(_, value)| value.to_str().ok());
+    let headers = request.headers().iter().filter_map(|(_, value)| value.to_str().ok());
     record.key_seen |= serve::holds_key(body)
         || serve::holds_key(&request.uri().to_string())
         || headers.into_iter().any(serve::holds_key);
-    let id = request
-        .headers()
-        .get("x-request-id")
-        .and_then(|value| value.to_str().ok());
+    let id = request.headers().get("x-request-id").and_then(|value| value.to_str().ok());
     if let Some(id) = id {
         *record.runs.entry(id.to_owned()).or_default() += 1;
     }
@@ -131,48 +125,25 @@
     let Ok(body) = serde_json::from_str::<Body>(&body) else {
         return HttpResponse::BadRequest().json(&json!({"error": {"message": "not a completion"}}));
     };
-    let prompt = body
-        .messages
-        .last()
-        .map_or(body.prompt, |message| message.content.clone());
+    let prompt = body.messages.last().map_or(body.prompt, |message| message.content.clone());
     let count = body.max_tokens.unwrap_or(16);
-    let permit = Arc::clone(&shared.slots)
-        .acquire_owned()
-        .await
-        .expect("never closed");
+    let permit = Arc::clone(&shared.slots).acquire_owned().await.expect("never closed");
     shared.running.fetch_add(1, Ordering::Relaxed);
-    let running = Running {
-        shared: (*shared).clone(),
-        whole: false,
-        _permit: permit,
-    };
+    let running = Running { shared: (*shared).clone(), whole: false, _permit: permit };
     let prefill_ms = shared.options.prefill_ms * (prompt.len() as u64 / 4 + 1) / 1000;
     sleep(Duration::from_millis(prefill_ms)).await;
     if body.stream {
-        let tokens = TokenStream {
-            running,
-            prompt,
-            count,
-            place: 0,
-            next: Box::pin(sleep(Duration::ZERO)),
-        };
-        return HttpResponse::Ok()
-            .content_type("text/event-stream")
-            .streaming(tokens);
+        let tokens =
+            TokenStream { running, prompt, count, place: 0, next: Box::pin(sleep(Duration::ZERO)) };
+        return HttpResponse::Ok().content_type("text/event-stream").streaming(tokens);
     }
-    sleep(Duration::from_millis(
-        shared.options.token_ms * u64::from(count),
-    ))
-    .await;
+    sleep(Duration::from_millis(shared.options.token_ms * u64::from(count))).await;
     finish_whole(running, &prompt, count)
 }
 
 fn finish_whole(mut running: Running, prompt: &str, count: u32) -> HttpResponse {
     running.whole = true;
-    running
-        .shared
-        .generated
-        .fetch_add(u64::from(count), Ordering::Relaxed);
+    running.shared.generated.fetch_add(u64::from(count), Ordering::Relaxed);
     HttpResponse::Ok().json(&json!({
         "object": "chat.completion",
         "choices": [{"index": 0, "finish_reason": "stop",
@@ -223,10 +194,7 @@
         self.place += 1;
         let at = Instant::now() + Duration::from_millis(self.running.shared.options.token_ms);
         self.next = Box::pin(sleep_until(at));
-        self.running
-            .shared
-            .generated
-            .fetch_add(1, Ordering::Relaxed);
+        self.running.shared.generated.fetch_add(1, Ordering::Relaxed);
         let chunk = json!({"object": "chat.completion.chunk", "choices": [{"index": 0,
             "delta": {"content": tokens::token(&self.prompt, place)}, "finish_reason": null}]});
         Poll::Ready(Some(Ok(Bytes::from(format!("data: {chunk}\n\n")))))
--- a/standin/src/load.rs
+++ b/standin/src/load.rs
@@ -103,11 +103,7 @@
     let mut tasks = Vec::new();
     for number in 0_u64.. {
         let in_burst = at_s > options.seconds * 0.5 && at_s < options.seconds * 0.75;
-        let rate = if in_burst {
-            options.rate * options.burst
-        } else {
-            options.rate
-        };
+        let rate = if in_burst { options.rate * options.burst } else { options.rate };
         at_s += -(1.0 - random.random::<f64>()).ln() / rate;
         if at_s >= options.seconds {
             break;
@@ -123,11 +119,7 @@
         tokio::time::sleep(wait).await;
         let (http, tallies) = (http.clone(), Rc::clone(&tallies));
         tasks.push(tokio::task::spawn_local(async move {
-            tallies
-                .borrow_mut()
-                .entry(line.class.clone())
-                .or_default()
-                .sent += 1;
+            tallies.borrow_mut().entry(line.class.clone()).or_default().sent += 1;
             let outcome = send(&http, &target, key.as_deref(), &line, &prompt).await;
             note(&tallies, &line, &outcome);
         }));
@@ -171,12 +163,7 @@
     line: &Line,
     prompt: &str,
 ) -> Outcome {
-    let mut outcome = Outcome {
-        end: End::Whole,
-        first: None,
-        gaps: Vec::new(),
-        tokens: 0,
-    };
+    let mut outcome = Outcome { end: End::Whole, first: None, gaps: Vec::new(), tokens: 0 };
     outcome.end = match exchange(http, target, key, line, prompt, &mut outcome).await {
         Ok(end) => end,
         Err(error) => End::Wrong(format!("no answer: {error}")),
@@ -192,24 +179,13 @@
     prompt: &str,
 ) -> (client::ClientRequest, String) {
     let (request, body) = match &line.kind {
-        Kind::Chat {
-            model,
-            stream,
-            max_tokens,
-            ..
-        } => {
+        Kind::Chat { model, stream, max_tokens, .. } => {
             let body = json!({"model": model, "stream": stream, "max_tokens": max_tokens,
                 "messages": [{"role": "user", "content": prompt}]});
-            (
-                http.post(format!("{target}/v1/chat/completions")),
-                body.to_string(),
-            )
+            (http.post(format!("{target}/v1/chat/completions")), body.to_string())
         }
         Kind::Lookup { service } => (
-            http.get(format!(
-                "{target}/services/{service}/orders?mark={}",
-                mark(prompt)
-            )),
+            http.get(format!("{target}/services/{service}/orders?mark={}", mark(prompt))),
             String::new(),
         ),
         Kind::Payment { service } => (
@@ -240,10 +216,7 @@
 ) -> anyhow::Result<End> {
     let begin = Instant::now();
     let (request, body) = request(http, target, key, line, prompt);
-    let response = request
-        .send_body(body)
-        .await
-        .map_err(|error| anyhow::anyhow!("{error}"))?;
+    let response = request.send_body(body).await.map_err(|error| anyhow::anyhow!("{error}"))?;
     let status = response.status();
     if !status.is_success() {
         let body = response.body().await.unwrap_or_default();
@@ -252,19 +225,10 @@
             .and_then(|body| body["error"]["code"].as_str().map(str::to_owned));
         return Ok(End::Refused(code.unwrap_or_else(|| status.to_string())));
     }
-    if let Kind::Chat {
-        stream: true,
-        max_tokens,
-        ..
-    } = line.kind
-    {
+    if let Kind::Chat { stream: true, max_tokens, .. } = line.kind {
         return read_stream(&response, prompt, max_tokens, begin, outcome).await;
     }
-    let body = response
-        .body()
-        .limit(8 << 20)
-        .await
-        .map_err(|error| anyhow::anyhow!("{error}"))?;
+    let body = response.body().limit(8 << 20).await.map_err(|error| anyhow::anyhow!("{error}"))?;
     outcome.first = Some(begin.elapsed());
     let body: serde_json::Value = serde_json::from_slice(&body)?;
     Ok(check_whole(line, prompt, &body, outcome))
@@ -284,11 +248,7 @@
             body["body"].as_str() == Some(&json!({"mark": mark(prompt)}).to_string())
         }
     };
-    if right {
-        End::Whole
-    } else {
-        End::Wrong(format!("another answer: {body}"))
-    }
+    if right { End::Whole } else { End::Wrong(format!("another answer: {body}")) }
 }
 
 async fn read_stream(
@@ -313,10 +273,7 @@
                 if outcome.tokens == max_tokens {
                     return Ok(End::Whole);
                 }
-                return Ok(End::Wrong(format!(
-                    "{} of {max_tokens} tokens",
-                    outcome.tokens
-                )));
+                return Ok(End::Wrong(format!("{} of {max_tokens} tokens", outcome.tokens)));
             }
             let now = Instant::now();
             match outcome.first {
@@ -325,9 +282,7 @@
             }
             last = now;
             let chunk: serde_json::Value = serde_json::from_str(data)?;
-            let token = chunk["choices"][0]["delta"]["content"]
-                .as_str()
-                .unwrap_or_default();
+            let token = chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
             if token != tokens::token(prompt, outcome.tokens) {
                 return Ok(End::Wrong(format!("token {} is {token}", outcome.tokens)));
             }
@@ -355,9 +310,8 @@
     match &outcome.end {
         End::Whole => {
             tally.whole += 1;
-            let in_time = outcome
-                .first
-                .is_some_and(|first| first.as_millis() as u64 <= line.target_ms);
+            let in_time =
+                outcome.first.is_some_and(|first| first.as_millis() as u64 <= line.target_ms);
             if in_time {
                 tally.in_time += 1;
                 tally.goodput_tokens += u64::from(outcome.tokens);
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -33,9 +33,7 @@
 
 fn main() -> anyhow::Result<()> {
     let line = Line::parse();
-    let runner = ntex::rt::System::build()
-        .disable_signals()
-        .build(ntex::rt::DefaultRuntime);
+    let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
     runner.block_on(async move {
         match line.part {
             Part::Platform(options) => platform::run(options).await,
--- a/standin/src/plan.rs
+++ b/standin/src/plan.rs
@@ -28,18 +28,9 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Kind {
-    Chat {
-        model: String,
-        stream: bool,
-        prompt_chars: usize,
-        max_tokens: u32,
-    },
-    Lookup {
-        service: String,
-    },
-    Payment {
-        service: String,
-    },
+    Chat { model: String, stream: bool, prompt_chars: usize, max_tokens: u32 },
+    Lookup { service: String },
+    Payment { service: String },
 }
 
 /// Reads a plan.
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -112,10 +112,7 @@
 impl State {
     fn at(&self, key: &str, as_of: u64) -> Option<(u64, &String)> {
         let versions = self.objects.get(key)?;
-        let seen = versions
-            .iter()
-            .rev()
-            .find(|(version, _)| as_of == 0 || *version <= as_of)?;
+        let seen = versions.iter().rev().find(|(version, _)| as_of == 0 || *version <= as_of)?;
         seen.1.as_ref().map(|value| (seen.0, value))
     }
 
@@ -164,9 +161,7 @@
         if faults.delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         }
-        faults
-            .down
-            .then(|| HttpResponse::ServiceUnavailable().finish())
+        faults.down.then(|| HttpResponse::ServiceUnavailable().finish())
     }
 
     fn answer_write(&self, outcome: Result<u64, u64>) -> HttpResponse {
@@ -192,9 +187,8 @@
 
 fn query<T: std::str::FromStr>(request: &HttpRequest, name: &str) -> Option<T> {
     let query = request.uri().query()?;
-    let pair = query
-        .split('&')
-        .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name));
+    let pair =
+        query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name));
     pair?.1.parse().ok()
 }
 
@@ -278,18 +272,13 @@
     while state.instances.len() > 1 && state.instances[1].0.elapsed() >= lag {
         state.instances.pop_front();
     }
-    let visible = state
-        .instances
-        .front()
-        .filter(|(since, ..)| since.elapsed() >= lag);
+    let visible = state.instances.front().filter(|(since, ..)| since.elapsed() >= lag);
     let (revision, list) = match visible {
         Some((_, revision, list)) => (*revision, list.clone()),
         None => (0, BTreeMap::new()),
     };
-    let list: Vec<_> = list
-        .iter()
-        .map(|(id, standing)| json!({"id": id, "standing": standing}))
-        .collect();
+    let list: Vec<_> =
+        list.iter().map(|(id, standing)| json!({"id": id, "standing": standing})).collect();
     HttpResponse::Ok().json(&json!({"revision": revision, "instances": list}))
 }
 
@@ -307,11 +296,7 @@
         None => state.instances_now.remove(&set.id),
     };
     state.instances_revision += 1;
-    let entry = (
-        Instant::now(),
-        state.instances_revision,
-        state.instances_now.clone(),
-    );
+    let entry = (Instant::now(), state.instances_revision, state.instances_now.clone());
     state.instances.push_back(entry);
     HttpResponse::Ok().finish()
 }
@@ -347,8 +332,7 @@
 ) -> HttpResponse {
     let mut state = shared.lock();
     let zone = state.zones.entry(zone.into_inner()).or_default();
-    zone.endpoints
-        .insert(set.id.clone(), (set.service.clone(), set.standing.clone()));
+    zone.endpoints.insert(set.id.clone(), (set.service.clone(), set.standing.clone()));
     HttpResponse::Ok().finish()
 }
 
@@ -365,12 +349,8 @@
     let epoch = order["epoch"].as_u64().unwrap_or(0);
     let stale = epoch < zone.newest_epoch;
     let accepted = !(shared.checks_fence && stale);
-    let known = zone
-        .orders
-        .iter()
-        .any(|known| known["order"]["nonce"] == order["nonce"]);
-    zone.orders
-        .push(json!({"order": &*order, "accepted": accepted, "stale": stale}));
+    let known = zone.orders.iter().any(|known| known["order"]["nonce"] == order["nonce"]);
+    zone.orders.push(json!({"order": &*order, "accepted": accepted, "stale": stale}));
     if !accepted {
         return HttpResponse::Conflict().finish();
     }
@@ -415,16 +395,9 @@
 
 async fn record(shared: App_) -> HttpResponse {
     let state = shared.lock();
-    let orders: BTreeMap<_, _> = state
-        .zones
-        .iter()
-        .map(|(name, zone)| (name, &zone.orders))
-        .collect();
-    let stored = state
-        .objects
-        .values()
-        .flatten()
-        .filter_map(|(_, value)| value.as_deref());
+    let orders: BTreeMap<_, _> =
+        state.zones.iter().map(|(name, zone)| (name, &zone.orders)).collect();
+    let stored = state.objects.values().flatten().filter_map(|(_, value)| value.as_deref());
     let key_seen = stored.into_iter().any(serve::holds_key);
     HttpResponse::Ok().json(&json!({
         "revision": state.revision,
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -37,10 +37,7 @@
 
 pub async fn run(options: Options) -> anyhow::Result<()> {
     let listener = serve::bind(options.listen)?;
-    let shared = Shared {
-        options,
-        record: Arc::default(),
-    };
+    let shared = Shared { options, record: Arc::default() };
     HttpServer::new(async move || {
         App::new()
             .state(shared.clone())
@@ -71,19 +68,12 @@
     shared: web::types::State<Shared>,
 ) -> HttpResponse {
     let text = |name: &str| {
-        request
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned)
+        request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
     let number = {
         let mut record = shared.record.lock().expect("no holder of this lock panics");
         record.calls += 1;
-        let headers = request
-            .headers()
-            .iter()
-            .filter_map(|(_, value)| value.to_str().ok());
+        let headers = request.headers().iter().filter_map(|(_, value)| value.to_str().ok());
         record.key_seen |= serve::holds_key(&body)
             || serve::holds_key(&request.uri().to_string())
             || headers.into_iter().any(serve::holds_key);
--- a/tests/processes/bad_input.rs
+++ b/tests/processes/bad_input.rs
@@ -9,11 +9,7 @@
 
 #[test]
 fn bad_input_gets_a_clear_answer_and_hurts_nobody() {
-    let fleet = Fleet::start(Shape {
-        entries: 1,
-        engines: 1,
-        ..Shape::default()
-    });
+    let fleet = Fleet::start(Shape { entries: 1, engines: 1, ..Shape::default() });
     let key = fleet.grant("court");
     let entry = &fleet.entries[0];
     let bearer = format!("Bearer {key}");
@@ -22,15 +18,10 @@
     let chat = "/v1/chat/completions";
     let good = fleet::chat_body("good", 2, true);
     let wrong_secret = format!("{}0", &key[..key.len() - 1]);
-    let wrong_secret = if wrong_secret == key {
-        format!("{}1", &key[..key.len() - 1])
-    } else {
-        wrong_secret
-    };
+    let wrong_secret =
+        if wrong_secret == key { format!("{}1", &key[..key.len() - 1]) } else { wrong_secret };
     let no_key = ureq::post(&format!("{}{chat}", entry.url()));
-    let bad_key = no_key
-        .clone()
-        .set("authorization", &format!("Bearer {wrong_secret}"));
+    let bad_key = no_key.clone().set("authorization", &format!("Bearer {wrong_secret}"));
     let no_model = json!({"messages": [{"content": "x"}]}).to_string();
     let other_model = json!({"model": "gpt", "messages": [{"content": "x"}]}).to_string();
     let with_key = fleet::chat_body(&format!("my key is {key}"), 2, true);
@@ -38,67 +29,30 @@
         (post(chat), "{\"model\": ", 400, "invalid_request"),
         (post(chat), no_model.as_str(), 400, "invalid_request"),
         (post(chat), other_model.as_str(), 404, "unknown_model"),
-        (
-            post(chat).set("briarwinch-class", "first"),
-            good.as_str(),
-            400,
-            "unknown_class",
-        ),
-        (
-            post(chat).set("briarwinch-deadline-ms", "soon"),
-            good.as_str(),
-            400,
-            "invalid_request",
-        ),
+        (post(chat).set("briarwinch-class", "first"), good.as_str(), 400, "unknown_class"),
+        (post(chat).set("briarwinch-deadline-ms", "soon"), good.as_str(), 400, "invalid_request"),
         (no_key, good.as_str(), 401, "missing_key"),
         (bad_key, good.as_str(), 401, "invalid_key"),
         (post("/v1/embeddings"), good.as_str(), 404, "unknown_path"),
-        (
-            post("/services/mint/coins"),
-            good.as_str(),
-            404,
-            "unknown_service",
-        ),
-        (
-            post("/services/juru-tulis/v1/x"),
-            good.as_str(),
-            404,
-            "unknown_service",
-        ),
-        (
-            post("/services/loket/payments"),
-            "{}",
-            400,
-            "idempotency_key_required",
-        ),
+        (post("/services/mint/coins"), good.as_str(), 404, "unknown_service"),
+        (post("/services/juru-tulis/v1/x"), good.as_str(), 404, "unknown_service"),
+        (post("/services/loket/payments"), "{}", 400, "idempotency_key_required"),
         (post(chat), with_key.as_str(), 400, "key_in_request"),
     ];
     for (request, body, status, code) in cases {
         let answer = fleet::send(request, body);
-        assert_eq!(
-            (answer.status, answer.code().as_str()),
-            (status, code),
-            "{}",
-            answer.text
-        );
+        assert_eq!((answer.status, answer.code().as_str()), (status, code), "{}", answer.text);
         assert_eq!(answer.ran.as_deref(), Some("no"), "{code}");
     }
     let long = fleet::chat_body(&"x".repeat(200_000), 2, true);
     let answer = fleet::send(post(chat), &long);
-    assert_eq!(
-        (answer.status, answer.code().as_str()),
-        (413, "body_too_large")
-    );
+    assert_eq!((answer.status, answer.code().as_str()), (413, "body_too_large"));
 
     half_a_request(entry, &bearer);
     garbage(&fleet);
 
     let record = fleet.engines[0].record();
-    assert_eq!(
-        record["runs"],
-        json!({}),
-        "nothing of this reached the engine"
-    );
+    assert_eq!(record["runs"], json!({}), "nothing of this reached the engine");
     let answer = fleet::send(post(chat), &good);
     fleet::assert_whole(&answer.text, "good", 2);
 }
@@ -113,10 +67,7 @@
     stream.write_all(head.as_bytes()).expect("the entry reads");
     let mut answer = String::new();
     let _ = stream.read_to_string(&mut answer);
-    assert!(
-        answer.is_empty() || answer.starts_with("HTTP/1.1 4"),
-        "{answer}"
-    );
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 4"), "{answer}");
 }
 
 /// Bytes that are no messages of this fleet are dropped and counted.
@@ -125,11 +76,7 @@
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
     for length in [0, 1, 15, 16, 17, 1400, 4000] {
         let bytes: Vec<u8> = (0..length).map(|at| (at * 31) as u8).collect();
-        for addr in [
-            &side.work_addr,
-            &side.peer_addr,
-            &fleet.entries[0].peer_addr,
-        ] {
+        for addr in [&side.work_addr, &side.peer_addr, &fleet.entries[0].peer_addr] {
             socket.send_to(&bytes, addr).expect("loopback takes it");
         }
     }
--- a/tests/processes/billing.rs
+++ b/tests/processes/billing.rs
@@ -15,10 +15,7 @@
         let window = report["window"].as_u64().expect("a window");
         let figures = report["figures"].clone();
         if let Some(before) = windows.insert(window, figures.clone()) {
-            assert_eq!(
-                before, figures,
-                "window {window} reported with other figures"
-            );
+            assert_eq!(before, figures, "window {window} reported with other figures");
         }
     }
     windows
@@ -32,20 +29,12 @@
 /// while. Whoever reports next must report the same figures, and nothing that ran may be missing.
 #[test]
 fn reports_add_up_through_a_holders_death_and_lost_answers() {
-    let mut fleet = Fleet::start(Shape {
-        entries: 3,
-        engines: 1,
-        token_ms: 1,
-        ..Shape::default()
-    });
+    let mut fleet = Fleet::start(Shape { entries: 3, engines: 1, token_ms: 1, ..Shape::default() });
     let key = fleet.grant("court");
     let mut tokens = 0;
     let mut ask = |entry: &fleet::Daemon, count: u32| {
         let prompt = format!("billed {tokens}");
-        let answer = fleet::send(
-            fleet::chat(entry, &key),
-            &fleet::chat_body(&prompt, count, true),
-        );
+        let answer = fleet::send(fleet::chat(entry, &key), &fleet::chat_body(&prompt, count, true));
         fleet::assert_whole(&answer.text, &prompt, count);
         tokens += u64::from(count);
         tokens
@@ -55,16 +44,12 @@
         fleet.fail_platform(&json!({"lose_answers": round}));
     }
     let expected = ask(&fleet.entries[2], 10);
-    fleet::wait_for("all is reported", || {
-        (reported_tokens(&fleet) == expected).then_some(())
-    });
+    fleet::wait_for("all is reported", || (reported_tokens(&fleet) == expected).then_some(()));
 
     let holder = fleet::wait_for("somebody holds the duty", || {
         fleet.entries.iter().position(|entry| {
             let duties = entry.status()["duties"].clone();
-            duties
-                .as_array()
-                .is_some_and(|list| list.iter().any(|duty| duty["held_here"] == true))
+            duties.as_array().is_some_and(|list| list.iter().any(|duty| duty["held_here"] == true))
         })
     });
     fleet.entries[holder].process.kill();
--- a/tests/processes/configuration.rs
+++ b/tests/processes/configuration.rs
@@ -5,9 +5,7 @@
 use crate::fleet::{self, Daemon, Fleet, Shape};
 
 fn version(daemon: &Daemon) -> u64 {
-    daemon.status()["config_version"]
-        .as_u64()
-        .expect("a version")
+    daemon.status()["config_version"].as_u64().expect("a version")
 }
 
 fn changed(target_ms: u32) -> Value {
@@ -24,31 +22,21 @@
 /// it first. If only that one knew, the change would be lost until the store is back.
 #[test]
 fn accepted_change_spreads_without_the_store_and_its_reader() {
-    let mut fleet = Fleet::start(Shape {
-        entries: 3,
-        ..Shape::default()
-    });
+    let mut fleet = Fleet::start(Shape { entries: 3, ..Shape::default() });
     let before = version(&fleet.entries[0]);
     let (code, text) = fleet.apply(&changed(4321).to_string());
     assert_eq!(code, 0, "{text}");
     fleet::wait_for("somebody has read it", || {
-        all(&fleet)
-            .any(|daemon| version(daemon) > before)
-            .then_some(())
+        all(&fleet).any(|daemon| version(daemon) > before).then_some(())
     });
     fleet.fail_platform(&json!({"down": true}));
-    let knew_first = fleet
-        .entries
-        .iter()
-        .position(|entry| version(entry) > before);
+    let knew_first = fleet.entries.iter().position(|entry| version(entry) > before);
     if let Some(first) = knew_first {
         fleet.entries[first].process.kill();
         fleet.entries.remove(first);
     }
     fleet::wait_for("it is in force everywhere", || {
-        all(&fleet)
-            .all(|daemon| version(daemon) > before)
-            .then_some(())
+        all(&fleet).all(|daemon| version(daemon) > before).then_some(())
     });
 }
 
@@ -78,20 +66,13 @@
 fn invalid_text_in_the_store_is_refused_by_name() {
     let fleet = Fleet::start(Shape::default());
     let good = version(&fleet.entries[0]);
-    let url = format!(
-        "{}/objects/shared/config?if_version={good}",
-        fleet.platform.url
-    );
-    ureq::put(&url)
-        .send_string("{\"classes\": 7}")
-        .expect("the store takes any text");
+    let url = format!("{}/objects/shared/config?if_version={good}", fleet.platform.url);
+    ureq::put(&url).send_string("{\"classes\": 7}").expect("the store takes any text");
     fleet::wait_for("all refuse it", || {
         all(&fleet)
             .all(|daemon| {
                 let refused = daemon.status()["config_refused"].clone();
-                refused
-                    .as_str()
-                    .is_some_and(|why| why.contains("line 1, column 2"))
+                refused.as_str().is_some_and(|why| why.contains("line 1, column 2"))
             })
             .then_some(())
     });
@@ -100,16 +81,10 @@
     }
     let key = fleet.grant("court");
     let request = fleet::chat(&fleet.entries[0], &key);
-    fleet::assert_whole(
-        &fleet::send(request, &fleet::chat_body("on", 2, true)).text,
-        "on",
-        2,
-    );
+    fleet::assert_whole(&fleet::send(request, &fleet::chat_body("on", 2, true)).text, "on", 2);
     assert_eq!(fleet.apply(&changed(999).to_string()).0, 0);
     fleet::wait_for("the next good one is in force", || {
-        all(&fleet)
-            .all(|daemon| version(daemon) > good)
-            .then_some(())
+        all(&fleet).all(|daemon| version(daemon) > good).then_some(())
     });
 }
 
@@ -117,11 +92,7 @@
 /// it has not seen.
 #[test]
 fn racing_operators_are_told() {
-    let fleet = Fleet::start(Shape {
-        entries: 1,
-        engines: 1,
-        ..Shape::default()
-    });
+    let fleet = Fleet::start(Shape { entries: 1, engines: 1, ..Shape::default() });
     let seen = version(&fleet.entries[0]).to_string();
     let name = format!("briarwinch-race-{}.jsonc", std::process::id());
     let file = std::env::temp_dir().join(name);
@@ -151,30 +122,17 @@
             lines
                 .iter()
                 .flat_map(|line| line["endpoints"].as_array().cloned().unwrap_or_default())
-                .any(|endpoint| {
-                    endpoint["out_because"]
-                        .as_str()
-                        .is_some_and(|why| !why.is_empty())
-                })
+                .any(|endpoint| endpoint["out_because"].as_str().is_some_and(|why| !why.is_empty()))
         };
-        fleet
-            .entries
-            .iter()
-            .chain(&fleet.sides)
-            .all(knows)
-            .then_some(())
+        fleet.entries.iter().chain(&fleet.sides).all(knows).then_some(())
     });
-    let before = fleet.engines[0].record()["runs"]
-        .as_object()
-        .map_or(0, |runs| runs.len());
+    let before = fleet.engines[0].record()["runs"].as_object().map_or(0, |runs| runs.len());
     for number in 0..30 {
         let prompt = format!("after {number}");
         let request = fleet::chat(&fleet.entries[number % 2], &key);
         let answer = fleet::send(request, &fleet::chat_body(&prompt, 1, true));
         fleet::assert_whole(&answer.text, &prompt, 1);
     }
-    let after = fleet.engines[0].record()["runs"]
-        .as_object()
-        .map_or(0, |runs| runs.len());
+    let after = fleet.engines[0].record()["runs"].as_object().map_or(0, |runs| runs.len());
     assert_eq!(before, after);
 }
--- a/tests/processes/fake_side.rs
+++ b/tests/processes/fake_side.rs
@@ -34,10 +34,7 @@
 
 fn prompt_of(submit: &wire::Submit) -> String {
     let body: serde_json::Value = serde_json::from_slice(&submit.call.body).expect("a chat body");
-    body["messages"][0]["content"]
-        .as_str()
-        .expect("a prompt")
-        .to_owned()
+    body["messages"][0]["content"].as_str().expect("a prompt").to_owned()
 }
 
 struct FakeSide {
@@ -55,9 +52,7 @@
     let taken_up = Arc::new(AtomicU32::new(0));
     let counter = Arc::clone(&taken_up);
     std::thread::spawn(move || {
-        let runner = ntex::rt::System::build()
-            .disable_signals()
-            .build(ntex::rt::DefaultRuntime);
+        let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
         runner.block_on(serve(settings, manner, counter));
     });
     taken_up
@@ -68,10 +63,7 @@
     let mut work_addr = "127.0.0.1:0".parse().expect("an address");
     let work = bound::Pair::bind(&mut work_addr).expect("a free port");
     let peer = bound::Pair::bind(&mut settings.peer_addr).expect("a free port");
-    let endpoint = membership::Endpoint {
-        id: "fake".into(),
-        service: "juru-tulis".into(),
-    };
+    let endpoint = membership::Endpoint { id: "fake".into(), service: "juru-tulis".into() };
     let identity = control::Identity {
         role: membership::Role::Side,
         work_addr: Some(work_addr),
@@ -81,12 +73,7 @@
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let hub = Arc::new(control::Hub::default());
     control::spawn(settings, identity, hub, log, peer).expect("a thread");
-    let side = Rc::new(FakeSide {
-        manner,
-        secret,
-        runs: Default::default(),
-        taken_up,
-    });
+    let side = Rc::new(FakeSide { manner, secret, runs: Default::default(), taken_up });
     task::spawn_local(answer_asks(
         Rc::clone(&side),
         UdpSocket::from_std(work.udp).expect("a socket"),
@@ -120,10 +107,7 @@
             waiting: 0,
         };
         let bytes = wire::seal_datagram(&side.secret, &wire::Datagram::Offer(offer));
-        socket
-            .send_to(&bytes.expect("short"), from)
-            .await
-            .expect("loopback takes it");
+        socket.send_to(&bytes.expect("short"), from).await.expect("loopback takes it");
     }
 }
 
@@ -137,9 +121,7 @@
             side.taken_up.fetch_add(1, Ordering::Relaxed);
         } else {
             let prompt = prompt_of(&submit);
-            side.runs
-                .borrow_mut()
-                .insert(submit.request.to_string(), prompt);
+            side.runs.borrow_mut().insert(submit.request.to_string(), prompt);
         }
         let prompt = side.runs.borrow()[submit.request.as_str()].clone();
         let body = body_for(&prompt);
@@ -156,46 +138,23 @@
 }
 
 fn head(stream: wire::StreamId) -> wire::ToEntry {
-    let field = wire::Header {
-        name: "content-type".into(),
-        value: "text/event-stream".to_owned(),
-    };
-    wire::ToEntry::Head(wire::Head {
-        stream,
-        status: 200,
-        headers: vec![field],
-        replayed: false,
-    })
+    let field = wire::Header { name: "content-type".into(), value: "text/event-stream".to_owned() };
+    wire::ToEntry::Head(wire::Head { stream, status: 200, headers: vec![field], replayed: false })
 }
 
 fn data(stream: wire::StreamId, body: &[u8], from: usize, to: usize) -> wire::ToEntry {
     let bytes = body[from..to.min(body.len())].to_vec();
-    wire::ToEntry::Data(wire::Data {
-        stream,
-        offset: from as u64,
-        bytes,
-    })
+    wire::ToEntry::Data(wire::Data { stream, offset: from as u64, bytes })
 }
 
 fn end(stream: wire::StreamId, body: &[u8]) -> wire::ToEntry {
-    wire::ToEntry::End(wire::End {
-        stream,
-        length: body.len() as u64,
-        tokens: TOKENS,
-        queue_ms: 0,
-    })
+    wire::ToEntry::End(wire::End { stream, length: body.len() as u64, tokens: TOKENS, queue_ms: 0 })
 }
 
 fn crossed(outbox: &link::Outbox, submit: &wire::Submit, body: &[u8]) {
     let stream = submit.stream;
-    let before = wire::StreamId {
-        generation: stream.generation.wrapping_sub(1),
-        ..stream
-    };
-    let beside = wire::StreamId {
-        slot: stream.slot + 1000,
-        ..stream
-    };
+    let before = wire::StreamId { generation: stream.generation.wrapping_sub(1), ..stream };
+    let beside = wire::StreamId { slot: stream.slot + 1000, ..stream };
     let stray = vec![b'X'; 100];
     outbox.send(&head(stream));
     for from in (0..body.len()).step_by(100) {
@@ -237,20 +196,13 @@
 }
 
 fn fleet_with(manner: Manner) -> (Fleet, Arc<AtomicU32>, String) {
-    let fleet = Fleet::start(Shape {
-        entries: 1,
-        engines: 0,
-        ..Shape::default()
-    });
+    let fleet = Fleet::start(Shape { entries: 1, engines: 0, ..Shape::default() });
     let taken_up = spawn(&fleet, manner);
     let key = fleet.grant("court");
     fleet::wait_for("the entry knows the fake side", || {
         let members = fleet.entries[0].status()["members"].clone();
         let members = members.as_array().cloned().unwrap_or_default();
-        members
-            .iter()
-            .any(|member| member["id"] == "side-fake")
-            .then_some(())
+        members.iter().any(|member| member["id"] == "side-fake").then_some(())
     });
     (fleet, taken_up, key)
 }
@@ -267,10 +219,7 @@
         fleet::assert_whole(&answer.text, &prompt, TOKENS);
     }
     let stale = fleet.entries[0].metric("briarwinch_stale_frames_total");
-    assert!(
-        stale > 100.0,
-        "{stale} stale frames were dropped and counted"
-    );
+    assert!(stale > 100.0, "{stale} stale frames were dropped and counted");
 }
 
 /// The connection between entry and side is cut, twice, while the answer comes. The same run is
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -34,19 +34,10 @@
     };
     if answer.status == 200 {
         let (tokens, whole) = fleet::stream_tokens(&answer.text);
-        let expected: Vec<String> = (0..count)
-            .map(|place| fleet::token(&prompt, place))
-            .collect();
-        assert_eq!(
-            tokens[..],
-            expected[..tokens.len()],
-            "never another's tokens"
-        );
+        let expected: Vec<String> = (0..count).map(|place| fleet::token(&prompt, place)).collect();
+        assert_eq!(tokens[..], expected[..tokens.len()], "never another's tokens");
         let says_so = answer.text.contains("event: error");
-        assert!(
-            whole && tokens.len() == expected.len() || says_so,
-            "neither whole nor told so"
-        );
+        assert!(whole && tokens.len() == expected.len() || says_so, "neither whole nor told so");
         *told.whole.lock().expect("no panic") += u32::from(whole);
     }
     note_refusal(&answer, told);
@@ -113,12 +104,8 @@
 #[test]
 fn promises_hold_under_mixed_faults() {
     println!("seed {SEED}, {ROUNDS} faults");
-    let mut fleet = Fleet::start(Shape {
-        engines: 3,
-        drain_ms: 3000,
-        call_ms: 20,
-        ..Shape::default()
-    });
+    let mut fleet =
+        Fleet::start(Shape { engines: 3, drain_ms: 3000, call_ms: 20, ..Shape::default() });
     let url = fleet.service.url.clone();
     let second = fleet.spawn_side("side-loket-2", "loket", &url);
     fleet.sides.push(second);
@@ -153,17 +140,10 @@
     let not_run = told.not_run.into_inner().expect("no panic");
     let paid = told.paid.into_inner().expect("no panic");
     let whole = told.whole.into_inner().expect("no panic");
-    println!(
-        "{whole} whole answers, {} payments, {} refusals not run",
-        paid.len(),
-        not_run.len()
-    );
+    println!("{whole} whole answers, {} payments, {} refusals not run", paid.len(), not_run.len());
     assert!(whole > 0 && !paid.is_empty());
     for request in &not_run {
-        assert!(
-            !fleet.has_run(request),
-            "{request} was said not to have run"
-        );
+        assert!(!fleet.has_run(request), "{request} was said not to have run");
     }
     let record = fleet.service.record();
     let keys = record["keys"].as_object().expect("a map");
@@ -171,16 +151,9 @@
         assert_eq!(runs, &json!(1), "{name}");
     }
     for name in paid {
-        assert!(
-            keys.contains_key(&name),
-            "{name} was answered and never ran"
-        );
+        assert!(keys.contains_key(&name), "{name} was answered and never ran");
     }
-    for standin in fleet
-        .engines
-        .iter()
-        .chain([&fleet.service, &fleet.platform])
-    {
+    for standin in fleet.engines.iter().chain([&fleet.service, &fleet.platform]) {
         assert_eq!(standin.record()["key_seen"], json!(false));
     }
 }
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -16,10 +16,7 @@
 /// Where the binaries are: beside the test's own.
 pub fn binary(name: &str) -> PathBuf {
     let own = std::env::current_exe().expect("a running test has a path");
-    let folder = own
-        .parent()
-        .and_then(|deps| deps.parent())
-        .expect("target/PROFILE/deps");
+    let folder = own.parent().and_then(|deps| deps.parent()).expect("target/PROFILE/deps");
     folder.join(name)
 }
 
@@ -51,9 +48,7 @@
             .unwrap_or_else(|error| panic!("cannot start {name}: {error}"));
         let mut output = BufReader::new(child.stdout.take().expect("piped"));
         let mut first_line = String::new();
-        output
-            .read_line(&mut first_line)
-            .expect("the process prints its address");
+        output.read_line(&mut first_line).expect("the process prints its address");
         // Whatever else it prints is read, so that it is never blocked by a full pipe.
         std::thread::spawn(move || {
             let _ = std::io::copy(&mut output, &mut std::io::sink());
@@ -72,11 +67,9 @@
 
     /// Waits for its end; the exit code.
     pub fn wait(&mut self) -> i32 {
-        wait_for("a process ends", || {
-            self.child.try_wait().expect("own child")
-        })
-        .code()
-        .unwrap_or(-1)
+        wait_for("a process ends", || self.child.try_wait().expect("own child"))
+            .code()
+            .unwrap_or(-1)
     }
 }
 
@@ -95,15 +88,8 @@
 impl Standin {
     pub fn spawn(arguments: &[&str]) -> Self {
         let process = Process::spawn("briarwinch-standin", arguments);
-        let addr = process
-            .first_line
-            .trim()
-            .strip_prefix("listening ")
-            .expect("its address");
-        Self {
-            url: format!("http://{addr}"),
-            process,
-        }
+        let addr = process.first_line.trim().strip_prefix("listening ").expect("its address");
+        Self { url: format!("http://{addr}"), process }
     }
 
     /// What it has recorded.
@@ -124,11 +110,8 @@
 impl Daemon {
     fn spawn(binary: &str, settings: &Value) -> Self {
         let folder = std::env::temp_dir();
-        let name = format!(
-            "briarwinch-test-{}-{:x}.jsonc",
-            std::process::id(),
-            rand::random::<u64>()
-        );
+        let name =
+            format!("briarwinch-test-{}-{:x}.jsonc", std::process::id(), rand::random::<u64>());
         let file = folder.join(name);
         std::fs::write(&file, settings.to_string()).expect("the folder for temporary files");
         let process = Process::spawn(binary, &["--settings", &file.display().to_string()]);
@@ -149,9 +132,7 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        ureq::get(&format!("{}/ready", self.admin_url))
-            .call()
-            .is_ok()
+        ureq::get(&format!("{}/ready", self.admin_url)).call().is_ok()
     }
 
     pub fn status(&self) -> Value {
@@ -166,19 +147,13 @@
     /// The value of a metric summed over its labels.
     pub fn metric(&self, name: &str) -> f64 {
         let text = self.metrics();
-        let lines = text
-            .lines()
-            .filter(|line| line.starts_with(name) && !line.starts_with('#'));
-        lines
-            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
-            .sum()
+        let lines = text.lines().filter(|line| line.starts_with(name) && !line.starts_with('#'));
+        lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
     }
 }
 
 pub fn get_json(url: &str) -> Value {
-    let answer = ureq::get(url)
-        .call()
-        .unwrap_or_else(|error| panic!("{url}: {error}"));
+    let answer = ureq::get(url).call().unwrap_or_else(|error| panic!("{url}: {error}"));
     answer.into_json().expect("JSON")
 }
 
@@ -198,10 +173,7 @@
     }
 
     pub fn code(&self) -> String {
-        self.json()["error"]["code"]
-            .as_str()
-            .unwrap_or_default()
-            .to_owned()
+        self.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
     }
 }
 
@@ -217,25 +189,12 @@
         Err(ureq::Error::Transport(_)) => return None,
     };
     let header = |name: &str| response.header(name).map(str::to_owned);
-    let (status, ran, request) = (
-        response.status(),
-        header("briarwinch-ran"),
-        header("briarwinch-request"),
-    );
-    let (replayed, retry_after) = (
-        header("briarwinch-replayed").is_some(),
-        header("retry-after"),
-    );
+    let (status, ran, request) =
+        (response.status(), header("briarwinch-ran"), header("briarwinch-request"));
+    let (replayed, retry_after) = (header("briarwinch-replayed").is_some(), header("retry-after"));
     let mut text = String::new();
     response.into_reader().read_to_string(&mut text).ok()?;
-    Some(Answer {
-        status,
-        ran,
-        request,
-        replayed,
-        retry_after,
-        text,
-    })
+    Some(Answer { status, ran, request, replayed, retry_after, text })
 }
 
 /// The configuration that the tests use unless they say otherwise.
@@ -396,12 +355,7 @@
     /// Runs the operator's tool; its exit code and output.
     pub fn operate(&self, arguments: &[&str]) -> (i32, String) {
         let output = Command::new(binary("briarwinch"))
-            .args([
-                "--platform",
-                &self.platform.url,
-                "--admin",
-                &self.entries[0].admin_url,
-            ])
+            .args(["--platform", &self.platform.url, "--admin", &self.entries[0].admin_url])
             .args(arguments)
             .output()
             .expect("the operator's tool starts");
@@ -411,11 +365,8 @@
     }
 
     pub fn apply(&self, text: &str) -> (i32, String) {
-        let name = format!(
-            "briarwinch-text-{}-{:x}.jsonc",
-            std::process::id(),
-            rand::random::<u64>()
-        );
+        let name =
+            format!("briarwinch-text-{}-{:x}.jsonc", std::process::id(), rand::random::<u64>());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, text).expect("the folder for temporary files");
         let outcome = self.operate(&["apply", &file.display().to_string()]);
@@ -430,11 +381,7 @@
         for entry in &self.entries {
             wait_for("an entry knows the key", || {
                 let models = ureq::get(&format!("{}/v1/models", entry.url()));
-                models
-                    .set("authorization", &format!("Bearer {key}"))
-                    .call()
-                    .is_ok()
-                    .then_some(())
+                models.set("authorization", &format!("Bearer {key}")).call().is_ok().then_some(())
             });
         }
         key
@@ -449,18 +396,14 @@
     /// Tells the platform how to fail.
     pub fn fail_platform(&self, faults: &Value) {
         let url = format!("{}/control/faults", self.platform.url);
-        ureq::post(&url)
-            .send_json(faults)
-            .expect("the stand-in obeys");
+        ureq::post(&url).send_json(faults).expect("the stand-in obeys");
     }
 
     /// Sets what the platform's lagging list says of an instance or endpoint.
     pub fn list_instance(&self, id: &str, standing: &str) {
         let url = format!("{}/control/instances", self.platform.url);
         let line = json!({"id": id, "standing": standing});
-        ureq::post(&url)
-            .send_json(line)
-            .expect("the stand-in obeys");
+        ureq::post(&url).send_json(line).expect("the stand-in obeys");
     }
 
     /// Runs of requests at all engines.
@@ -531,11 +474,7 @@
 pub fn assert_whole(text: &str, prompt: &str, count: u32) {
     let expected: Vec<String> = (0..count).map(|place| token(prompt, place)).collect();
     let (tokens, whole) = stream_tokens(text);
-    let right = tokens
-        .iter()
-        .zip(&expected)
-        .take_while(|(got, wanted)| got == wanted)
-        .count();
+    let right = tokens.iter().zip(&expected).take_while(|(got, wanted)| got == wanted).count();
     let tail = &text[text.len().saturating_sub(400)..];
     assert!(
         tokens == expected && whole,
@@ -554,10 +493,7 @@
     /// Sends a request and reads up to its first token.
     pub fn open(request: ureq::Request, body: &str) -> Self {
         let response = request.send_string(body).expect("a head");
-        let mut reading = Self {
-            reader: Box::new(response.into_reader()),
-            text: String::new(),
-        };
+        let mut reading = Self { reader: Box::new(response.into_reader()), text: String::new() };
         while stream_tokens(&reading.text).0.is_empty() {
             assert!(reading.read(), "a first token");
         }
@@ -569,8 +505,7 @@
         match self.reader.read(&mut buffer) {
             Ok(0) | Err(_) => false,
             Ok(count) => {
-                self.text
-                    .push_str(&String::from_utf8_lossy(&buffer[..count]));
+                self.text.push_str(&String::from_utf8_lossy(&buffer[..count]));
                 true
             }
         }
--- a/tests/processes/keys.rs
+++ b/tests/processes/keys.rs
@@ -6,11 +6,7 @@
 
 /// One slot at one engine, so that a second request has to wait.
 fn narrow() -> Shape {
-    let mut shape = Shape {
-        engines: 1,
-        token_ms: 30,
-        ..Shape::default()
-    };
+    let mut shape = Shape { engines: 1, token_ms: 30, ..Shape::default() };
     shape.config["services"]["juru-tulis"]["slots"] = 1.into();
     shape
 }
@@ -32,32 +28,17 @@
         fleet.withdraw(&key);
         (queued.join().expect("no panic"), running.rest())
     });
-    assert_eq!(
-        (queued.status, queued.code().as_str()),
-        (401, "key_withdrawn")
-    );
+    assert_eq!((queued.status, queued.code().as_str()), (401, "key_withdrawn"));
     assert_eq!(queued.ran.as_deref(), Some("no"));
-    assert!(
-        !fleet.has_run(&queued.request.expect("its name")),
-        "said not run"
-    );
-    assert!(
-        running.contains("event: error") && running.contains("key_withdrawn"),
-        "{running}"
-    );
-    assert!(
-        !fleet::stream_tokens(&running).1,
-        "not ended as a whole answer"
-    );
+    assert!(!fleet.has_run(&queued.request.expect("its name")), "said not run");
+    assert!(running.contains("event: error") && running.contains("key_withdrawn"), "{running}");
+    assert!(!fleet::stream_tokens(&running).1, "not ended as a whole answer");
     for entry in &fleet.entries {
         let answer = fleet::send(fleet::chat(entry, &key), &body);
         assert_eq!(answer.code(), "key_withdrawn");
     }
     // The account's other key is not touched.
-    let answer = fleet::send(
-        fleet::chat(entry, &other),
-        &fleet::chat_body("short", 2, true),
-    );
+    let answer = fleet::send(fleet::chat(entry, &other), &fleet::chat_body("short", 2, true));
     fleet::assert_whole(&answer.text, "short", 2);
 }
 
@@ -65,11 +46,7 @@
 /// withdrawn key would work there for as long as the store is out of reach.
 #[test]
 fn withdrawn_key_stops_at_an_entry_without_the_store() {
-    let fleet = Fleet::start(Shape {
-        entries: 1,
-        engines: 1,
-        ..Shape::default()
-    });
+    let fleet = Fleet::start(Shape { entries: 1, engines: 1, ..Shape::default() });
     let key = fleet.grant("court");
     let cut_off = fleet.spawn_entry_without_store("entry-cut-off");
     let body = fleet::chat_body("cut", 2, true);
--- a/tests/processes/orders.rs
+++ b/tests/processes/orders.rs
@@ -9,10 +9,7 @@
 
 fn orders(fleet: &Fleet) -> Vec<Value> {
     let record = fleet.platform.record();
-    record["orders"][ZONE]
-        .as_array()
-        .cloned()
-        .unwrap_or_default()
+    record["orders"][ZONE].as_array().cloned().unwrap_or_default()
 }
 
 fn epoch(order: &Value) -> u64 {
@@ -22,9 +19,7 @@
 fn set_endpoint(fleet: &Fleet, id: &str, standing: &str) {
     let url = format!("{}/control/endpoints/{ZONE}", fleet.platform.url);
     let line = json!({"id": id, "service": "juru-tulis", "standing": standing});
-    ureq::post(&url)
-        .send_json(line)
-        .expect("the stand-in obeys");
+    ureq::post(&url).send_json(line).expect("the stand-in obeys");
 }
 
 fn holder(fleet: &Fleet) -> Option<usize> {
@@ -43,25 +38,16 @@
 /// fencing numbers, so nothing but the term and the intent stands between.
 #[test]
 fn woken_holder_orders_nothing_after_its_successor() {
-    let mut shape = Shape {
-        entries: 3,
-        engines: 1,
-        ..Shape::default()
-    };
+    let mut shape = Shape { entries: 3, engines: 1, ..Shape::default() };
     shape.config["services"]["juru-tulis"]["endpoints"] = json!({"least": 9, "most": 9});
     let fleet = Fleet::start(shape);
     set_endpoint(&fleet, "first", "live");
-    fleet::wait_for("the first order", || {
-        (!orders(&fleet).is_empty()).then_some(())
-    });
+    fleet::wait_for("the first order", || (!orders(&fleet).is_empty()).then_some(()));
     let frozen = fleet::wait_for("a holder", || holder(&fleet));
     fleet.entries[frozen].process.signal(Signal::SIGSTOP);
     let before = epoch(&orders(&fleet)[0]);
     fleet::wait_for("the successor orders", || {
-        orders(&fleet)
-            .iter()
-            .any(|order| epoch(order) > before)
-            .then_some(())
+        orders(&fleet).iter().any(|order| epoch(order) > before).then_some(())
     });
     fleet.entries[frozen].process.signal(Signal::SIGCONT);
     let count = orders(&fleet).len();
@@ -70,18 +56,11 @@
         set_endpoint(&fleet, &format!("ordered-{number}"), "live");
     }
     set_endpoint(&fleet, "first", "leaving");
-    fleet::wait_for("more orders", || {
-        (orders(&fleet).len() > count).then_some(())
-    });
+    fleet::wait_for("more orders", || (orders(&fleet).len() > count).then_some(()));
     let epochs: Vec<u64> = orders(&fleet).iter().map(epoch).collect();
-    assert!(
-        epochs.is_sorted(),
-        "an old epoch after a newer one: {epochs:?}"
-    );
-    let nonces: std::collections::HashSet<String> = orders(&fleet)
-        .iter()
-        .map(|order| order["order"]["nonce"].to_string())
-        .collect();
+    assert!(epochs.is_sorted(), "an old epoch after a newer one: {epochs:?}");
+    let nonces: std::collections::HashSet<String> =
+        orders(&fleet).iter().map(|order| order["order"]["nonce"].to_string()).collect();
     assert_eq!(nonces.len(), epochs.len(), "no order was sent twice");
 }
 
@@ -89,27 +68,17 @@
 /// ordered until the store is back, and then there is one holder again.
 #[test]
 fn nothing_is_ordered_without_the_store() {
-    let mut shape = Shape {
-        entries: 2,
-        engines: 1,
-        ..Shape::default()
-    };
+    let mut shape = Shape { entries: 2, engines: 1, ..Shape::default() };
     shape.config["services"]["juru-tulis"]["endpoints"] = json!({"least": 9, "most": 9});
     let fleet = Fleet::start(shape);
     set_endpoint(&fleet, "first", "live");
-    fleet::wait_for("the first order", || {
-        (!orders(&fleet).is_empty()).then_some(())
-    });
+    fleet::wait_for("the first order", || (!orders(&fleet).is_empty()).then_some(()));
     fleet.fail_platform(&json!({"down": true}));
     let count = orders(&fleet).len();
-    fleet::wait_for("nobody holds the duty any more", || {
-        holder(&fleet).is_none().then_some(())
-    });
+    fleet::wait_for("nobody holds the duty any more", || holder(&fleet).is_none().then_some(()));
     assert_eq!(orders(&fleet).len(), count);
     fleet.fail_platform(&json!({}));
-    fleet::wait_for("orders go on", || {
-        (orders(&fleet).len() > count).then_some(())
-    });
+    fleet::wait_for("orders go on", || (orders(&fleet).len() > count).then_some(()));
     let epochs: Vec<u64> = orders(&fleet).iter().map(epoch).collect();
     assert!(epochs.is_sorted(), "{epochs:?}");
 }
