--- a/tests/processes/overload.rs
+++ b/tests/processes/overload.rs
@@ -9,12 +9,7 @@
 /// all get their answers.
 #[test]
 fn flood_of_lookups_sheds_no_hearing_summary() {
-    let mut shape = Shape {
-        entries: 1,
-        engines: 1,
-        token_ms: 5,
-        ..Shape::default()
-    };
+    let mut shape = Shape { entries: 1, engines: 1, token_ms: 5, ..Shape::default() };
     shape.config["services"]["juru-tulis"]["slots"] = 1.into();
     shape.config["services"]["juru-tulis"]["max_queue"] = 8.into();
     let fleet = Fleet::start(shape);
@@ -30,43 +25,21 @@
     };
     let (lookups, summaries) = thread::scope(|scope| {
         let send = &send;
-        let lookups: Vec<_> = (0..40)
-            .map(|number| scope.spawn(move || send("lookup", number)))
-            .collect();
-        let summaries: Vec<_> = (0..4)
-            .map(|number| scope.spawn(move || send("hearing-summary", number)))
-            .collect();
+        let lookups: Vec<_> =
+            (0..40).map(|number| scope.spawn(move || send("lookup", number))).collect();
+        let summaries: Vec<_> =
+            (0..4).map(|number| scope.spawn(move || send("hearing-summary", number))).collect();
         let join = |handles: Vec<thread::ScopedJoinHandle<'_, fleet::Answer>>| {
-            handles
-                .into_iter()
-                .map(|handle| handle.join().expect("no panic"))
-                .collect::<Vec<_>>()
+            handles.into_iter().map(|handle| handle.join().expect("no panic")).collect::<Vec<_>>()
         };
         (join(lookups), join(summaries))
     });
     assert!(summaries.iter().all(|answer| answer.status == 200));
-    let refused: Vec<_> = lookups
-        .iter()
-        .filter(|answer| answer.status != 200)
-        .collect();
-    assert!(
-        !refused.is_empty() && refused.len() < lookups.len(),
-        "{} refused",
-        refused.len()
-    );
+    let refused: Vec<_> = lookups.iter().filter(|answer| answer.status != 200).collect();
+    assert!(!refused.is_empty() && refused.len() < lookups.len(), "{} refused", refused.len());
     for answer in refused {
-        assert_eq!(
-            (answer.status, answer.ran.as_deref()),
-            (429, Some("no")),
-            "{}",
-            answer.text
-        );
-        let seconds: u32 = answer
-            .retry_after
-            .as_ref()
-            .expect("when")
-            .parse()
-            .expect("seconds");
+        assert_eq!((answer.status, answer.ran.as_deref()), (429, Some("no")), "{}", answer.text);
+        let seconds: u32 = answer.retry_after.as_ref().expect("when").parse().expect("seconds");
         assert!(seconds >= 1);
         assert!(!fleet.has_run(answer.request.as_ref().expect("its name")));
     }
--- a/tests/processes/path.rs
+++ b/tests/processes/path.rs
@@ -9,20 +9,13 @@
     let fleet = Fleet::start(Shape::default());
     let key = fleet.grant("court");
     for entry in &fleet.entries {
-        let streamed = fleet::send(
-            fleet::chat(entry, &key),
-            &fleet::chat_body("exhibits", 8, true),
-        );
+        let streamed =
+            fleet::send(fleet::chat(entry, &key), &fleet::chat_body("exhibits", 8, true));
         assert_eq!(streamed.status, 200);
         fleet::assert_whole(&streamed.text, "exhibits", 8);
 
-        let whole = fleet::send(
-            fleet::chat(entry, &key),
-            &fleet::chat_body("exhibits", 8, false),
-        );
-        let content: String = (0..8)
-            .map(|place| fleet::token("exhibits", place))
-            .collect();
+        let whole = fleet::send(fleet::chat(entry, &key), &fleet::chat_body("exhibits", 8, false));
+        let content: String = (0..8).map(|place| fleet::token("exhibits", place)).collect();
         assert_eq!(whole.json()["choices"][0]["message"]["content"], content);
     }
 
@@ -46,36 +39,24 @@
     let request = answer.request.expect("its name");
     let (code, story) = fleet.operate(&["explain", &request]);
     assert_eq!(code, 0, "{story}");
-    assert!(
-        story.contains("account court") && story.contains("outcome whole"),
-        "{story}"
-    );
+    assert!(story.contains("account court") && story.contains("outcome whole"), "{story}");
 
     let (code, status) = fleet.operate(&["status"]);
     assert_eq!(code, 0);
     assert!(status.contains("side-loket"), "{status}");
 
     // No key reached an endpoint or the store.
-    for standin in fleet
-        .engines
-        .iter()
-        .chain([&fleet.service, &fleet.platform])
-    {
+    for standin in fleet.engines.iter().chain([&fleet.service, &fleet.platform]) {
         assert_eq!(standin.record()["key_seen"], json!(false));
     }
 }
 
 #[test]
 fn a_caller_that_hangs_up_is_cancelled_at_the_engine() {
-    let fleet = Fleet::start(Shape {
-        token_ms: 50,
-        ..Shape::default()
-    });
+    let fleet = Fleet::start(Shape { token_ms: 50, ..Shape::default() });
     let key = fleet.grant("court");
     let request = fleet::chat(&fleet.entries[0], &key);
-    let response = request
-        .send_string(&fleet::chat_body("dropped", 2000, true))
-        .expect("a head");
+    let response = request.send_string(&fleet::chat_body("dropped", 2000, true)).expect("a head");
     let mut reader = response.into_reader();
     let mut first = [0; 1];
     std::io::Read::read_exact(&mut reader, &mut first).expect("the first byte");
--- a/tests/processes/stops.rs
+++ b/tests/processes/stops.rs
@@ -12,10 +12,7 @@
     let mut count = 0;
     while !done.load(Ordering::Relaxed) {
         let prompt = format!("under load {who} {count}");
-        let answer = fleet::send(
-            fleet::chat(entry, key),
-            &fleet::chat_body(&prompt, 10, true),
-        );
+        let answer = fleet::send(fleet::chat(entry, key), &fleet::chat_body(&prompt, 10, true));
         assert_eq!(answer.status, 200, "{}", answer.text);
         fleet::assert_whole(&answer.text, &prompt, 10);
         count += 1;
@@ -27,10 +24,7 @@
 /// stenographer of 19 March lost such a draft halfway.
 #[test]
 fn stopping_a_side_cuts_no_request() {
-    let mut fleet = Fleet::start(Shape {
-        token_ms: 10,
-        ..Shape::default()
-    });
+    let mut fleet = Fleet::start(Shape { token_ms: 10, ..Shape::default() });
     let key = fleet.grant("court");
     let done = AtomicBool::new(false);
     let drafts: Vec<Reading> = (0..4)
@@ -50,10 +44,7 @@
         stopping.process.signal(Signal::SIGTERM);
         assert_eq!(stopping.process.wait(), 0);
         done.store(true, Ordering::Relaxed);
-        askers
-            .into_iter()
-            .map(|asker| asker.join().expect("all whole"))
-            .collect()
+        askers.into_iter().map(|asker| asker.join().expect("all whole")).collect()
     });
     assert!(counts.iter().all(|count| *count > 0), "{counts:?}");
     for (number, draft) in drafts.into_iter().enumerate() {
@@ -65,10 +56,7 @@
 /// else, so the balancer turns away, and ends only when the last answer is whole.
 #[test]
 fn stopping_an_entry_cuts_no_request() {
-    let mut fleet = Fleet::start(Shape {
-        token_ms: 10,
-        ..Shape::default()
-    });
+    let mut fleet = Fleet::start(Shape { token_ms: 10, ..Shape::default() });
     let key = fleet.grant("court");
     let mut stopping = fleet.entries.remove(0);
     let drafts: Vec<Reading> = (0..6)
@@ -78,14 +66,9 @@
         })
         .collect();
     stopping.process.signal(Signal::SIGTERM);
-    fleet::wait_for("it is not ready any more", || {
-        (!stopping.is_ready()).then_some(())
-    });
+    fleet::wait_for("it is not ready any more", || (!stopping.is_ready()).then_some(()));
     // The balancer has not noticed yet: a late request is served all the same.
-    let late = fleet::send(
-        fleet::chat(&stopping, &key),
-        &fleet::chat_body("late", 3, true),
-    );
+    let late = fleet::send(fleet::chat(&stopping, &key), &fleet::chat_body("late", 3, true));
     fleet::assert_whole(&late.text, "late", 3);
     for (number, draft) in drafts.into_iter().enumerate() {
         fleet::assert_whole(&draft.rest(), &format!("draft {number}"), 200);
@@ -96,20 +79,13 @@
 /// A stop has an upper time. What still runs then is ended and told so, not cut without a word.
 #[test]
 fn what_outlasts_the_drain_is_told_so() {
-    let mut fleet = Fleet::start(Shape {
-        engines: 1,
-        token_ms: 30,
-        drain_ms: 500,
-        ..Shape::default()
-    });
+    let mut fleet =
+        Fleet::start(Shape { engines: 1, token_ms: 30, drain_ms: 500, ..Shape::default() });
     let key = fleet.grant("court");
     let body = fleet::chat_body("endless", 4000, true);
     let reading = Reading::open(fleet::chat(&fleet.entries[0], &key), &body);
     fleet.sides[0].process.signal(Signal::SIGTERM);
     let text = reading.rest();
-    assert!(
-        text.contains("event: error") && text.contains("draining"),
-        "{text}"
-    );
+    assert!(text.contains("event: error") && text.contains("draining"), "{text}");
     assert_eq!(fleet.sides[0].process.wait(), 0);
 }
--- a/tests/processes/streams.rs
+++ b/tests/processes/streams.rs
@@ -13,10 +13,7 @@
 /// generated, and paid for, a second time.
 #[test]
 fn answer_outlives_the_entry_that_carried_it() {
-    let mut fleet = Fleet::start(Shape {
-        token_ms: 20,
-        ..Shape::default()
-    });
+    let mut fleet = Fleet::start(Shape { token_ms: 20, ..Shape::default() });
     let key = fleet.grant("court");
     let body = fleet::chat_body("draft", 120, true);
     let request = |entry: &fleet::Daemon| {
@@ -36,40 +33,26 @@
 /// silently shortened answer would be taken for the whole one.
 #[test]
 fn stream_says_that_it_ended_early_when_its_side_dies() {
-    let mut fleet = Fleet::start(Shape {
-        engines: 1,
-        token_ms: 30,
-        ..Shape::default()
-    });
+    let mut fleet = Fleet::start(Shape { engines: 1, token_ms: 30, ..Shape::default() });
     let key = fleet.grant("court");
     let body = fleet::chat_body("lost", 400, true);
     let reading = Reading::open(fleet::chat(&fleet.entries[0], &key), &body);
     fleet.sides[0].process.kill();
     let text = reading.rest();
-    assert!(
-        text.contains("event: error") && text.contains("link_lost"),
-        "{text}"
-    );
+    assert!(text.contains("event: error") && text.contains("link_lost"), "{text}");
     assert!(text.contains("\"ran\":\"unknown\""), "{text}");
 }
 
 /// An engine dies in the middle of an answer and closes its connection like one that is done.
 #[test]
 fn stream_says_that_it_ended_early_when_its_engine_dies() {
-    let mut fleet = Fleet::start(Shape {
-        engines: 1,
-        token_ms: 30,
-        ..Shape::default()
-    });
+    let mut fleet = Fleet::start(Shape { engines: 1, token_ms: 30, ..Shape::default() });
     let key = fleet.grant("court");
     let body = fleet::chat_body("lost", 400, true);
     let reading = Reading::open(fleet::chat(&fleet.entries[0], &key), &body);
     fleet.engines[0].process.kill();
     let text = reading.rest();
-    assert!(
-        text.contains("event: error") && text.contains("endpoint_failed"),
-        "{text}"
-    );
+    assert!(text.contains("event: error") && text.contains("endpoint_failed"), "{text}");
 }
 
 /// An engine that marks the end of its answer only by closing the connection dies: its close looks
@@ -89,11 +72,7 @@
             let _ = stream.write_all(format!("{head}data: {token}\n\n").as_bytes());
         }
     });
-    let mut fleet = Fleet::start(Shape {
-        entries: 1,
-        engines: 0,
-        ..Shape::default()
-    });
+    let mut fleet = Fleet::start(Shape { entries: 1, engines: 0, ..Shape::default() });
     let side = fleet.spawn_side("side-closing", "juru-tulis", &url);
     fleet.sides.push(side);
     fleet.wait_until_whole();
@@ -116,10 +95,7 @@
     let request = fleet::chat(&fleet.entries[0], &key);
     let sent = std::thread::spawn(move || fleet::send(request, &body));
     let busy = fleet::wait_for("an engine has the request", || {
-        fleet
-            .engines
-            .iter()
-            .position(|engine| engine.record()["running"] == json!(1))
+        fleet.engines.iter().position(|engine| engine.record()["running"] == json!(1))
     });
     fleet.sides[busy].process.kill();
     let answer = sent.join().expect("no panic");
@@ -144,9 +120,7 @@
         let prompt = format!("woken {:x}", rand::random::<u32>());
         let request = fleet::chat(&fleet.entries[0], &key);
         fleet::send(request, &fleet::chat_body(&prompt, 1, true));
-        let runs = fleet.engines[0].record()["runs"]
-            .as_object()
-            .map_or(0, |runs| runs.len());
+        let runs = fleet.engines[0].record()["runs"].as_object().map_or(0, |runs| runs.len());
         (runs > 0).then_some(())
     });
 }
@@ -155,11 +129,7 @@
 /// the first asks go unanswered. Callers would be refused though the endpoint is there.
 #[test]
 fn brief_stall_of_the_only_side_costs_time_and_no_answer() {
-    let fleet = Fleet::start(Shape {
-        entries: 1,
-        engines: 1,
-        ..Shape::default()
-    });
+    let fleet = Fleet::start(Shape { entries: 1, engines: 1, ..Shape::default() });
     let key = fleet.grant("court");
     for number in 0..5 {
         let prompt = format!("stalled {number}");
@@ -183,24 +153,13 @@
 /// its bytes would fill the shared link and every other caller of that link would wait behind it.
 #[test]
 fn slow_caller_blocks_no_other() {
-    let fleet = Fleet::start(Shape {
-        entries: 1,
-        engines: 1,
-        token_ms: 0,
-        ..Shape::default()
-    });
+    let fleet = Fleet::start(Shape { entries: 1, engines: 1, token_ms: 0, ..Shape::default() });
     let key = fleet.grant("court");
     let entry = &fleet.entries[0];
-    let slow = Reading::open(
-        fleet::chat(entry, &key),
-        &fleet::chat_body("slow", 150_000, true),
-    );
+    let slow = Reading::open(fleet::chat(entry, &key), &fleet::chat_body("slow", 150_000, true));
     for number in 0..50 {
         let prompt = format!("quick {number}");
-        let answer = fleet::send(
-            fleet::chat(entry, &key),
-            &fleet::chat_body(&prompt, 20, true),
-        );
+        let answer = fleet::send(fleet::chat(entry, &key), &fleet::chat_body(&prompt, 20, true));
         fleet::assert_whole(&answer.text, &prompt, 20);
     }
     fleet::assert_whole(&slow.rest(), "slow", 150_000);
@@ -210,13 +169,8 @@
 /// the prompt, so one that strayed from another stream would be noticed.
 #[test]
 fn thousands_of_streams_share_links_and_stay_apart() {
-    let mut shape = Shape {
-        entries: 1,
-        engines: 2,
-        token_ms: 5,
-        engine_slots: 2000,
-        ..Shape::default()
-    };
+    let mut shape =
+        Shape { entries: 1, engines: 2, token_ms: 5, engine_slots: 2000, ..Shape::default() };
     shape.config["services"]["juru-tulis"]["slots"] = 2000.into();
     shape.config["services"]["juru-tulis"]["max_queue"] = 4000.into();
     let fleet = Fleet::start(shape);
@@ -226,38 +180,17 @@
         "model": "juru-tulis", "stream": true, "prompt_chars": 80, "max_tokens": 20});
     std::fs::write(&plan, json!({"lines": [line]}).to_string()).expect("a temporary file");
     let output = Command::new(fleet::binary("briarwinch-standin"))
-        .args([
-            "load",
-            "--target",
-            &fleet.entries[0].url(),
-            "--key",
-            &key,
-            "--seconds",
-            "4",
-        ])
-        .args([
-            "--rate",
-            "600",
-            "--seed",
-            "11",
-            "--plan",
-            &plan.display().to_string(),
-        ])
+        .args(["load", "--target", &fleet.entries[0].url(), "--key", &key, "--seconds", "4"])
+        .args(["--rate", "600", "--seed", "11", "--plan", &plan.display().to_string()])
         .output()
         .expect("load starts");
     std::fs::remove_file(&plan).expect("written above");
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     let last = text.lines().last().unwrap_or_default().to_owned();
-    let counts: Vec<u64> = last
-        .split(' ')
-        .filter_map(|word| word.parse().ok())
-        .collect();
+    let counts: Vec<u64> = last.split(' ').filter_map(|word| word.parse().ok()).collect();
     assert!(
         counts.len() == 2 && counts[0] == counts[1] && counts[0] > 2000,
         "{text}{:?}",
-        String::from_utf8_lossy(&output.stderr)
-            .lines()
-            .take(5)
-            .collect::<Vec<_>>()
+        String::from_utf8_lossy(&output.stderr).lines().take(5).collect::<Vec<_>>()
     );
 }
--- a/tests/properties/bytes.rs
+++ b/tests/properties/bytes.rs
@@ -107,9 +107,7 @@
 #[test]
 fn replayed_frame_does_not_open() {
     let mut bytes = Vec::new();
-    Sealer::new(secret().link(1, 2))
-        .seal(&"order".to_owned(), &mut bytes)
-        .expect("short");
+    Sealer::new(secret().link(1, 2)).seal(&"order".to_owned(), &mut bytes).expect("short");
     let mut other = Opener::new(secret().link(1, 3));
     other.push(&bytes);
     assert_eq!(other.read::<String>(), Err(wire::Reject::Seal));
--- a/tests/properties/claims.rs
+++ b/tests/properties/claims.rs
@@ -41,27 +41,13 @@
         1 => Just(Death::AfterSend),
         1 => Just(Death::NotSent),
     ];
-    let one = (
-        prop::collection::vec(fate(), 0..10),
-        0..3_u64,
-        death,
-        prop::bool::weighted(0.1),
-    )
-        .prop_map(|(fates, side, dies, other_body)| Try {
-            fates,
-            side,
-            dies,
-            other_body,
-        });
+    let one = (prop::collection::vec(fate(), 0..10), 0..3_u64, death, prop::bool::weighted(0.1))
+        .prop_map(|(fates, side, dies, other_body)| Try { fates, side, dies, other_body });
     prop::collection::vec(one, 1..12)
 }
 
 fn saved(run: u64) -> SavedAnswer {
-    SavedAnswer {
-        status: 200,
-        headers: Vec::new(),
-        body: Some(run.to_string().into_bytes()),
-    }
+    SavedAnswer { status: 200, headers: Vec::new(), body: Some(run.to_string().into_bytes()) }
 }
 
 proptest! {
@@ -130,30 +116,11 @@
         state: State::Running,
         nonce,
         request_digest: [0; 16],
-        holder: Holder {
-            daemon: "side".into(),
-            boot,
-        },
+        holder: Holder { daemon: "side".into(), boot },
     };
-    let first = now(claims::claim(
-        &store,
-        "claims/k".to_owned(),
-        record(1, 1),
-        |_| true,
-    ));
+    let first = now(claims::claim(&store, "claims/k".to_owned(), record(1, 1), |_| true));
     assert!(matches!(first, Outcome::Go(_)));
-    let second = now(claims::claim(
-        &store,
-        "claims/k".to_owned(),
-        record(2, 2),
-        |_| false,
-    ));
-    let Outcome::Refuse {
-        refusal,
-        open: None,
-    } = second
-    else {
-        panic!("{second:?}")
-    };
+    let second = now(claims::claim(&store, "claims/k".to_owned(), record(2, 2), |_| false));
+    let Outcome::Refuse { refusal, open: None } = second else { panic!("{second:?}") };
     assert_eq!(refusal.kind, briarwinch::error::Kind::ClaimUnresolved);
 }
--- a/tests/properties/fake_store.rs
+++ b/tests/properties/fake_store.rs
@@ -74,11 +74,7 @@
             Fate::Lost => Err(Failure::NoAnswer),
             Fate::Delayed => {
                 let key = key.to_owned();
-                self.delayed.borrow_mut().push(Delayed {
-                    key,
-                    value,
-                    if_version,
-                });
+                self.delayed.borrow_mut().push(Delayed { key, value, if_version });
                 Err(Failure::NoAnswer)
             }
             Fate::Down => Err(Failure::Down),
@@ -128,10 +124,7 @@
                 value: value.clone(),
             })
             .collect();
-        Ok(Listing {
-            revision: self.revision.get(),
-            objects,
-        })
+        Ok(Listing { revision: self.revision.get(), objects })
     }
 }
 
--- a/tests/properties/lease.rs
+++ b/tests/properties/lease.rs
@@ -26,16 +26,14 @@
         prop_oneof![8 => Just(0_u64), 2 => 0..20_000_u64],
         prop::bool::weighted(0.1),
     )
-        .prop_map(
-            |(out_ms, back_ms, answer_lost, down, frozen_ms, stale)| Call {
-                out_ms,
-                back_ms,
-                answer_lost,
-                down,
-                frozen_ms,
-                stale,
-            },
-        )
+        .prop_map(|(out_ms, back_ms, answer_lost, down, frozen_ms, stale)| Call {
+            out_ms,
+            back_ms,
+            answer_lost,
+            down,
+            frozen_ms,
+            stale,
+        })
 }
 
 #[derive(Clone, Debug)]
@@ -99,11 +97,7 @@
                 Outcome::Written(self.history.len() as u64)
             }
         };
-        if fate.answer_lost {
-            Outcome::Nothing
-        } else {
-            outcome
-        }
+        if fate.answer_lost { Outcome::Nothing } else { outcome }
     }
 }
 
@@ -139,10 +133,9 @@
         }
         let effect = match self.contender.step(clock) {
             Step::Read => Effect::Read,
-            Step::Write(write) => Effect::Write {
-                if_version: write.if_version,
-                record: write.record,
-            },
+            Step::Write(write) => {
+                Effect::Write { if_version: write.if_version, record: write.record }
+            }
             Step::WaitUntil(at_ms) => {
                 self.wait_until_ms = at_ms - self.clock_offset_ms;
                 return;
@@ -225,58 +218,25 @@
 #[test]
 fn woken_holder_knows_that_its_term_is_over() {
     let mut holder = Contender::new("holder".into(), 1);
-    holder.read(
-        Seen {
-            version: 0,
-            record: None,
-        },
-        0,
-        0,
-    );
+    holder.read(Seen { version: 0, record: None }, 0, 0);
     assert!(matches!(holder.step(0), Step::Write(_)));
     holder.written(1, 700);
-    let last = (0..2 * TERM_MS)
-        .rev()
-        .find(|now| holder.epoch(*now).is_some());
-    assert_eq!(
-        last,
-        Some(TERM_MS - MARGIN_MS - 1),
-        "counted from before the write was sent"
-    );
+    let last = (0..2 * TERM_MS).rev().find(|now| holder.epoch(*now).is_some());
+    assert_eq!(last, Some(TERM_MS - MARGIN_MS - 1), "counted from before the write was sent");
 }
 
 /// A daemon stops as planned and gives its lease back, so that the next one need not wait.
 #[test]
 fn released_lease_is_taken_at_once() {
     let mut holder = Contender::new("holder".into(), 1);
-    holder.read(
-        Seen {
-            version: 0,
-            record: None,
-        },
-        0,
-        0,
-    );
-    let Step::Write(_) = holder.step(0) else {
-        panic!("it takes the free lease")
-    };
+    holder.read(Seen { version: 0, record: None }, 0, 0);
+    let Step::Write(_) = holder.step(0) else { panic!("it takes the free lease") };
     holder.written(1, 10);
     holder.release();
     assert_eq!(holder.epoch(20), None, "it no longer acts");
-    let Step::Write(write) = holder.step(20) else {
-        panic!("it gives the lease back")
-    };
+    let Step::Write(write) = holder.step(20) else { panic!("it gives the lease back") };
     let mut rival = Contender::new("rival".into(), 2);
-    rival.read(
-        Seen {
-            version: 2,
-            record: Some(write.record),
-        },
-        30,
-        30,
-    );
-    let Step::Write(taken) = rival.step(30) else {
-        panic!("it need not wait")
-    };
+    rival.read(Seen { version: 2, record: Some(write.record) }, 30, 30);
+    let Step::Write(taken) = rival.step(30) else { panic!("it need not wait") };
     assert_eq!(taken.record.epoch, Epoch(2));
 }
--- a/tests/properties/queue.rs
+++ b/tests/properties/queue.rs
@@ -10,22 +10,10 @@
 
 /// Seven classes as the users' target has them; two are protected.
 fn rules() -> Vec<ClassRule> {
-    [
-        (90, true),
-        (80, true),
-        (70, false),
-        (60, false),
-        (40, false),
-        (20, false),
-        (10, false),
-    ]
-    .into_iter()
-    .map(|(priority, protected)| ClassRule {
-        priority,
-        protected,
-        guaranteed_ppm: 50_000,
-    })
-    .collect()
+    [(90, true), (80, true), (70, false), (60, false), (40, false), (20, false), (10, false)]
+        .into_iter()
+        .map(|(priority, protected)| ClassRule { priority, protected, guaranteed_ppm: 50_000 })
+        .collect()
 }
 
 fn job(id: u64, class: u16, account: u8, tokens: u64) -> Job {
--- a/tests/properties/spread.rs
+++ b/tests/properties/spread.rs
@@ -35,11 +35,7 @@
         role: Role::Side,
         region: "r".into(),
         zone: "z".into(),
-        state: if version.is_multiple_of(3) {
-            State::Draining
-        } else {
-            State::Ready
-        },
+        state: if version.is_multiple_of(3) { State::Draining } else { State::Ready },
         peer_addr: ([127, 0, 0, 1], 1).into(),
         admin_addr: ([127, 0, 0, 1], 2).into(),
         work_addr: None,
--- a/tests/properties/usage.rs
+++ b/tests/properties/usage.rs
@@ -11,12 +11,7 @@
 #[derive(Clone, Debug)]
 enum Act {
     /// Usage at a daemon in the current window or, when its count was held up, an earlier one.
-    Run {
-        daemon: usize,
-        account: u8,
-        tokens: u64,
-        windows_ago: u64,
-    },
+    Run { daemon: usize, account: u8, tokens: u64, windows_ago: u64 },
     /// A daemon writes its sheet.
     Flush { daemon: usize },
     /// A daemon dies; what it had not written is lost.
@@ -44,10 +39,7 @@
 }
 
 fn line(account: u8) -> Line {
-    Line {
-        account: format!("account-{account}").into(),
-        service: "juru-tulis".into(),
-    }
+    Line { account: format!("account-{account}").into(), service: "juru-tulis".into() }
 }
 
 proptest! {
