--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -4,6 +4,7 @@
 //! `cargo bench --bench policy` prints one JSON line a scenario, policy and class, then a table.
 //! `cargo bench --bench policy -- SCENARIO` runs one scenario.
 
+mod arrivals;
 mod engine;
 mod report;
 mod scenario;
--- a/benches/slopes/main.rs
+++ b/benches/slopes/main.rs
@@ -10,8 +10,9 @@
 
 use briarwinch::answer::{Answer, Reader, Top};
 use briarwinch::queue::{ClassRule, Job, Queue};
+use briarwinch::seal::{self, Secret};
 use briarwinch::spread::Shared;
-use briarwinch::wire::{self, ConfigText, Secret};
+use briarwinch::wire::{self, ConfigText};
 use briarwinch::{config, keys, membership, sse};
 
 const ROUNDS: usize = 15;
@@ -120,7 +121,7 @@
     let secret = Secret::fleet("a secret of the benches");
     for bytes in [130, 1300] {
         let frame = data_frame(bytes);
-        let mut sealer = wire::Sealer::new(secret.clone());
+        let mut sealer = seal::Sealer::new(secret.clone());
         let mut out = Vec::with_capacity(4 << 20);
         let seal = time_ns(2_000, || {
             out.clear();
@@ -130,8 +131,8 @@
         });
         print(&format!("frame: seal {bytes} bytes of an answer"), "ns", seal);
         let open = time_ns(2_000, || {
-            let mut sealer = wire::Sealer::new(secret.clone());
-            let mut opener = wire::Opener::new(secret.clone());
+            let mut sealer = seal::Sealer::new(secret.clone());
+            let mut opener = seal::Opener::new(secret.clone());
             out.clear();
             for _ in 0..2_000 {
                 sealer.seal(&frame, &mut out).expect("short");
@@ -164,12 +165,12 @@
     });
     let both = time_ns(2_000, || {
         for _ in 0..2_000 {
-            let bytes = wire::seal_datagram(&secret, &ask).expect("short");
-            black_box(wire::open_datagram(&secret, &bytes).expect("sealed"));
+            let bytes = seal::datagram(&secret, &ask).expect("short");
+            black_box(seal::open_datagram(&secret, &bytes).expect("sealed"));
         }
     });
     print("ask: seal and open", "ns", both);
-    let bytes = wire::seal_datagram(&secret, &ask).expect("short");
+    let bytes = seal::datagram(&secret, &ask).expect("short");
     print("ask: size", "bytes", bytes.len() as f64);
     let offer = wire::Datagram::Offer(wire::Offer {
         nonce: u64::MAX,
@@ -181,22 +182,22 @@
         running: 20,
         waiting: 100,
     });
-    let bytes = wire::seal_datagram(&secret, &offer).expect("short");
+    let bytes = seal::datagram(&secret, &offer).expect("short");
     print("offer: size", "bytes", bytes.len() as f64);
     let shared = fleet();
     let digest = shared.digest(([127, 0, 0, 1], 1).into(), false);
     let one = time_ns(2_000, || {
         for _ in 0..2_000 {
             let datagram = wire::Datagram::Digest(digest.clone());
-            let bytes = wire::seal_datagram(&secret, &datagram).expect("short");
-            let Ok(wire::Datagram::Digest(digest)) = wire::open_datagram(&secret, &bytes) else {
+            let bytes = seal::datagram(&secret, &datagram).expect("short");
+            let Ok(wire::Datagram::Digest(digest)) = seal::open_datagram(&secret, &bytes) else {
                 unreachable!("sealed above")
             };
             black_box((shared.is_behind(&digest), shared.is_ahead(&digest)));
         }
     });
     print("digest: seal, open and compare with 340 daemons", "ns", one);
-    let bytes = wire::seal_datagram(&secret, &wire::Datagram::Digest(digest)).expect("short");
+    let bytes = seal::datagram(&secret, &wire::Datagram::Digest(digest)).expect("short");
     print("digest: size", "bytes", bytes.len() as f64);
 }
 
--- a/benches/spread/main.rs
+++ b/benches/spread/main.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use briarwinch::spread::Shared;
-use briarwinch::{bound, control, link, membership, settings, wire};
+use briarwinch::{bound, control, hub, link, membership, seal, settings, wire};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task;
 
@@ -20,7 +20,7 @@
 const COUNTS: [usize; 5] = [10, 20, 40, 80, 160];
 
 struct Daemon {
-    hub: Arc<control::Hub>,
+    hub: Arc<hub::Hub>,
     addr: SocketAddr,
 }
 
@@ -51,7 +51,7 @@
     let mut settings = settings(number, seeds);
     let sockets = bound::Pair::bind(&mut settings.peer_addr).expect("a free port");
     let addr = settings.peer_addr;
-    let hub = Arc::new(control::Hub::default());
+    let hub = Arc::new(hub::Hub::default());
     let identity = control::Identity {
         role: membership::Role::Side,
         work_addr: None,
@@ -134,7 +134,7 @@
 }
 
 async fn serve_one(addr: SocketAddr, version: u64) {
-    let secret = wire::Secret::fleet(SECRET);
+    let secret = seal::Secret::fleet(SECRET);
     let mut own: SocketAddr = ([127, 0, 0, 1], 0).into();
     let sockets = bound::Pair::bind(&mut own).expect("a free port");
     let listener = TcpListener::from_std(sockets.tcp).expect("a listener");
@@ -147,7 +147,7 @@
     );
     shared.take_config(wire::ConfigText { version, text });
     let digest = wire::Datagram::Digest(shared.digest(own, true));
-    let bytes = wire::seal_datagram(&secret, &digest).expect("short");
+    let bytes = seal::datagram(&secret, &digest).expect("short");
     let shared = Rc::new(shared);
     udp.send_to(&bytes, addr).await.expect("loopback takes it");
     for _ in 0..64 {
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -8,7 +8,7 @@
 use ntex::web::{self, App, HttpResponse, HttpServer};
 use serde::{Deserialize, Serialize};
 
-use crate::{control, duties, explain, settings};
+use crate::{duties, explain, hub, settings};
 
 /// What `/status` says.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -54,7 +54,7 @@
 
 #[derive(Clone)]
 struct State {
-    hub: Arc<control::Hub>,
+    hub: Arc<hub::Hub>,
     ring: Option<Arc<explain::Ring>>,
     metrics: PrometheusHandle,
     id: CompactString,
@@ -67,7 +67,7 @@
 /// When the thread cannot be started.
 pub fn spawn(
     settings: &settings::Daemon,
-    hub: Arc<control::Hub>,
+    hub: Arc<hub::Hub>,
     ring: Option<Arc<explain::Ring>>,
     metrics: PrometheusHandle,
     listener: std::net::TcpListener,
--- a/src/billing.rs
+++ b/src/billing.rs
@@ -11,7 +11,7 @@
 use tokio::time;
 
 use crate::store::{Condition, Failure, ObjectStore};
-use crate::{control, lease, usage};
+use crate::{control, hub, lease, usage};
 
 /// Least pause between two writes of a sheet.
 const SHEET_MS: u64 = 3_000;
@@ -122,7 +122,7 @@
         let Some(billing) = billing else {
             return Ok(());
         };
-        let now_s = control::unix_ms() / 1000;
+        let now_s = hub::unix_ms() / 1000;
         let (version, progress) = match self.progress {
             Some(known) => known,
             None => read_progress(control, region, now_s / billing.window_s).await?,
--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,223 @@
+//! The rules of the operators' text, each with the path and the sentence of its mistake.
+
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+
+use super::{
+    Account, AccountKey, Billing, Class, ClassKey, Config, MAX_GUARANTEED_PPM, Service, ServiceKey,
+    ServiceKind, Text,
+};
+use crate::jsonc;
+
+const MAX_NAME_CHARS: usize = 64;
+
+/// The first rule broken: where, and a sentence.
+pub(super) type Broken = (jsonc::Path, String);
+
+fn index<'a, K>(
+    names: impl Iterator<Item = &'a CompactString>,
+    key: impl Fn(usize) -> K,
+) -> HashMap<CompactString, K> {
+    names.enumerate().map(|(at, name)| (name.clone(), key(at))).collect()
+}
+
+fn check_names(text: &Text) -> Result<(), Broken> {
+    let groups = [
+        ("classes", text.classes.keys().collect::<Vec<_>>()),
+        ("services", text.services.keys().collect()),
+        ("accounts", text.accounts.keys().collect()),
+    ];
+    for (group, names) in groups {
+        if names.len() >= usize::from(u16::MAX) {
+            return Err((crate::path![group], format!("too many {group}")));
+        }
+        for name in names {
+            let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+            if name.is_empty() || name.chars().count() > MAX_NAME_CHARS || !name.chars().all(plain)
+            {
+                let sentence = format!(
+                    "`{name}` is no name: 1 to {MAX_NAME_CHARS} letters, digits, `-`, `_` or `.`"
+                );
+                return Err((crate::path![group, name.as_str()], sentence));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn check_classes(text: &Text) -> Result<(), Broken> {
+    if text.classes.is_empty() {
+        return Err((crate::path!["classes"], "at least one class is needed".to_owned()));
+    }
+    let mut guaranteed_ppm = 0_u64;
+    for (name, class) in &text.classes {
+        let at = |field: &str| crate::path!["classes", name.as_str(), field];
+        if class.latency_target_ms == 0 {
+            return Err((at("latency_target_ms"), "the latency target is zero".to_owned()));
+        }
+        if class.guaranteed_ppm == 0 {
+            let sentence = "a class without a guaranteed share could wait forever";
+            return Err((at("guaranteed_ppm"), sentence.to_owned()));
+        }
+        guaranteed_ppm = guaranteed_ppm.saturating_add(class.guaranteed_ppm);
+        if guaranteed_ppm > MAX_GUARANTEED_PPM {
+            let sentence = format!(
+                "the guaranteed shares come to {guaranteed_ppm} ppm, over {MAX_GUARANTEED_PPM}"
+            );
+            return Err((at("guaranteed_ppm"), sentence));
+        }
+    }
+    Ok(())
+}
+
+fn check_models(
+    text: &Text,
+    names: &HashMap<CompactString, ServiceKey>,
+) -> Result<HashMap<CompactString, ServiceKey>, Broken> {
+    let mut models = HashMap::new();
+    for (name, service) in &text.services {
+        let at = crate::path!["services", name.as_str(), "models"];
+        let is_engine = service.kind == ServiceKind::Engine;
+        if is_engine == service.models.is_empty() {
+            let sentence = if is_engine {
+                format!("the engine service `{name}` names no model")
+            } else {
+                format!("the plain service `{name}` has no models")
+            };
+            return Err((at, sentence));
+        }
+        for (place, model) in service.models.iter().enumerate() {
+            if models.insert(model.clone(), names[name]).is_some() {
+                let path = crate::path!["services", name.as_str(), "models", place];
+                return Err((path, format!("the model `{model}` stands twice")));
+            }
+        }
+    }
+    Ok(models)
+}
+
+/// For each service all it needs, in the text's order; refuses unknown names and cycles.
+fn check_dependencies(
+    text: &Text,
+    names: &HashMap<CompactString, ServiceKey>,
+) -> Result<Vec<Vec<ServiceKey>>, Broken> {
+    for (name, service) in &text.services {
+        for (place, needed) in service.depends_on.iter().enumerate() {
+            if !names.contains_key(needed) {
+                let path = crate::path!["services", name.as_str(), "depends_on", place];
+                return Err((path, format!("`{needed}` is no service of this text")));
+            }
+        }
+    }
+    text.services
+        .keys()
+        .map(|name| {
+            let mut needs = Vec::new();
+            let mut open = vec![name];
+            while let Some(current) = open.pop() {
+                for needed in &text.services[current].depends_on {
+                    if needed == name {
+                        let path = crate::path!["services", name.as_str(), "depends_on"];
+                        return Err((path, format!("`{name}` depends on itself through a cycle")));
+                    }
+                    if !needs.contains(&names[needed]) {
+                        needs.push(names[needed]);
+                        open.push(needed);
+                    }
+                }
+            }
+            Ok(needs)
+        })
+        .collect()
+}
+
+fn check_services(
+    text: &Text,
+    classes: &HashMap<CompactString, ClassKey>,
+    needs: Vec<Vec<ServiceKey>>,
+) -> Result<Vec<Service>, Broken> {
+    let mut services = Vec::new();
+    for ((name, service), needs) in text.services.iter().zip(needs) {
+        let at = |field: &str| crate::path!["services", name.as_str(), field];
+        let default_class = find_class(classes, &service.default_class, at("default_class"))?;
+        if service.slots == 0 {
+            return Err((at("slots"), "an endpoint needs at least one slot".to_owned()));
+        }
+        if (service.max_queue as usize) < text.classes.len() {
+            let sentence = "the queue needs at least one place for each class";
+            return Err((at("max_queue"), sentence.to_owned()));
+        }
+        if service.endpoints.least > service.endpoints.most {
+            return Err((at("endpoints"), "`least` is greater than `most`".to_owned()));
+        }
+        let text = service.clone();
+        services.push(Service { name: name.clone(), text, default_class, needs });
+    }
+    Ok(services)
+}
+
+fn check_accounts(
+    text: &Text,
+    classes: &HashMap<CompactString, ClassKey>,
+) -> Result<Vec<Account>, Broken> {
+    let mut accounts = Vec::new();
+    for (name, account) in &text.accounts {
+        let at = |field: &str| crate::path!["accounts", name.as_str(), field];
+        if account.share == 0 {
+            return Err((at("share"), "the share is zero".to_owned()));
+        }
+        let default_class = account
+            .default_class
+            .as_ref()
+            .map(|class| find_class(classes, class, at("default_class")))
+            .transpose()?;
+        accounts.push(Account {
+            name: name.clone(),
+            share: account.share,
+            default_class,
+            max_concurrent: account.max_concurrent,
+        });
+    }
+    Ok(accounts)
+}
+
+fn check_billing(billing: Billing) -> Result<(), Broken> {
+    if billing.window_s == 0 {
+        return Err((crate::path!["billing", "window_s"], "the window is zero".to_owned()));
+    }
+    Ok(())
+}
+
+fn find_class(
+    classes: &HashMap<CompactString, ClassKey>,
+    name: &CompactString,
+    path: jsonc::Path,
+) -> Result<ClassKey, Broken> {
+    classes.get(name).copied().ok_or_else(|| (path, format!("`{name}` is no class of this text")))
+}
+
+/// Checks a text and makes its model.
+pub(super) fn build(text: Text) -> Result<Config, Broken> {
+    check_names(&text)?;
+    check_classes(&text)?;
+    let class_names = index(text.classes.keys(), |at| ClassKey(at as u16));
+    let service_names = index(text.services.keys(), |at| ServiceKey(at as u16));
+    let account_names = index(text.accounts.keys(), |at| AccountKey(at as u32));
+    let model_names = check_models(&text, &service_names)?;
+    let needs = check_dependencies(&text, &service_names)?;
+    let services = check_services(&text, &class_names, needs)?;
+    let accounts = check_accounts(&text, &class_names)?;
+    check_billing(text.billing)?;
+    let classes = text.classes.into_iter().map(|(name, text)| Class { name, text }).collect();
+    Ok(Config {
+        classes,
+        services,
+        accounts,
+        billing: text.billing,
+        class_names,
+        service_names,
+        account_names,
+        model_names,
+    })
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,101 +4,26 @@
 //! In come digests and pulls of peers and, in the few daemons that read for their zone, objects of
 //! the store. Out go snapshots, digests and news. Nothing on a request's path waits for it.
 
+mod peers;
+mod reader;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
-use arc_swap::ArcSwap;
-use compact_str::CompactString;
 use rand::seq::IteratorRandom;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task;
-use tokio::time;
 
-use crate::store::ObjectStore;
-use crate::{bound, duties, link, membership, platform, settings, spread, store, usage, wire};
+use crate::{bound, duties, hub, membership, platform, seal, settings, spread, store, wire};
 
-/// How often a daemon compares digests with peers.
-const DIGEST_MS: u64 = 1_000;
-/// Peers a digest goes to each time.
-const DIGEST_PEERS: usize = 2;
 /// Peers told at once when something changed here.
 const RUMOR_PEERS: usize = 3;
 /// Daemons of a zone that read the store for the others.
 const READERS_PER_ZONE: usize = 2;
-/// Pulls under way at the same time.
-const MAX_PULLS: usize = 4;
-/// How often a reader looks at the platform's lagging list.
-const ROSTER_MS: u64 = 2_000;
-/// Longest a reader waits before it tries a store again that was down; with jitter below.
-const STORE_RETRY_MS: u64 = 4_000;
-/// How long a starting daemon waits for peers before it reads the store itself.
-const PEERS_FIRST_MS: u64 = 700;
-
-/// What the control thread and the traffic threads of a daemon share.
-#[derive(Debug)]
-pub struct Hub {
-    pub snapshot: ArcSwap<spread::Snapshot>,
-    /// Counts snapshots, so that a traffic thread sees cheaply that there is a new one.
-    pub generation: AtomicU64,
-    pub ready: AtomicBool,
-    pub draining: AtomicBool,
-    /// The store answered last time.
-    pub store_up: AtomicBool,
-    pub sheet: Mutex<usage::Sheet>,
-    /// The shared state as the operators' listener shows it.
-    pub shared: Mutex<spread::Shared>,
-    pub duties: Mutex<Vec<duties::Status>>,
-    pub bytes_out: AtomicU64,
-    pub store_calls: AtomicU64,
-    started: Instant,
-}
-
-impl Default for Hub {
-    fn default() -> Self {
-        Self {
-            snapshot: ArcSwap::from_pointee(spread::Snapshot::default()),
-            generation: AtomicU64::new(0),
-            ready: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
-            store_up: AtomicBool::new(true),
-            sheet: Mutex::default(),
-            shared: Mutex::default(),
-            duties: Mutex::default(),
-            bytes_out: AtomicU64::new(0),
-            store_calls: AtomicU64::new(0),
-            started: Instant::now(),
-        }
-    }
-}
-
-impl Hub {
-    /// Time on this daemon's own clock.
-    #[must_use]
-    pub fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
-    }
-
-    /// Counts usage into the billing window of this moment.
-    pub fn count(&self, line: &usage::Line, figures: usage::Figures) {
-        let snapshot = self.snapshot.load();
-        let window_s = snapshot.config.as_ref().map_or(3600, |c| c.model.billing.window_s);
-        let window = usage::Window(unix_ms() / 1000 / window_s);
-        if let Ok(mut sheet) = self.sheet.lock() {
-            sheet.add(window, line, figures);
-        }
-    }
-}
-
-/// Milliseconds since 1970.
-#[must_use]
-pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
-}
 
 /// What a daemon says of itself.
 #[derive(Clone, Debug)]
@@ -114,11 +39,11 @@
 #[derive(Debug)]
 pub struct Control {
     pub settings: settings::Daemon,
-    pub hub: Arc<Hub>,
+    pub hub: Arc<hub::Hub>,
     pub log: slog::Logger,
     pub platform: platform::Platform,
     pub boot: u64,
-    secret: wire::Secret,
+    secret: seal::Secret,
     me: RefCell<membership::Member>,
     shared: RefCell<spread::Shared>,
     socket: UdpSocket,
@@ -134,7 +59,7 @@
 pub fn spawn(
     settings: settings::Daemon,
     identity: Identity,
-    hub: Arc<Hub>,
+    hub: Arc<hub::Hub>,
     log: slog::Logger,
     sockets: bound::Pair,
 ) -> anyhow::Result<()> {
@@ -151,12 +76,12 @@
 async fn run(
     settings: settings::Daemon,
     identity: Identity,
-    hub: Arc<Hub>,
+    hub: Arc<hub::Hub>,
     log: slog::Logger,
     sockets: bound::Pair,
 ) -> anyhow::Result<()> {
     let control = Rc::new(Control {
-        secret: wire::Secret::fleet(&settings.fleet_secret),
+        secret: seal::Secret::fleet(&settings.fleet_secret),
         me: RefCell::new(first_record(&settings, &identity, identity.boot)),
         shared: RefCell::default(),
         socket: UdpSocket::from_std(sockets.udp)?,
@@ -171,19 +96,19 @@
     });
     let listener = TcpListener::from_std(sockets.tcp)?;
     control.write_own_record();
-    task::spawn_local(serve_pulls(Rc::clone(&control), listener));
-    task::spawn_local(receive_datagrams(Rc::clone(&control)));
-    task::spawn_local(start(Rc::clone(&control)));
-    task::spawn_local(read_roster(Rc::clone(&control)));
+    task::spawn_local(peers::serve_pulls(Rc::clone(&control), listener));
+    task::spawn_local(peers::receive_datagrams(Rc::clone(&control)));
+    task::spawn_local(reader::start(Rc::clone(&control)));
+    task::spawn_local(reader::read_roster(Rc::clone(&control)));
     duties::spawn(&control, identity.role);
-    compare_digests(control).await;
+    peers::compare_digests(control).await;
     Ok(())
 }
 
 fn first_record(settings: &settings::Daemon, identity: &Identity, boot: u64) -> membership::Member {
     membership::Member {
         id: settings.id.clone(),
-        version: unix_ms() * 1000,
+        version: hub::unix_ms() * 1000,
         boot,
         role: identity.role,
         region: settings.region.clone(),
@@ -205,7 +130,7 @@
 
     /// The key that seals messages of this fleet.
     #[must_use]
-    pub fn secret(&self) -> &wire::Secret {
+    pub fn secret(&self) -> &seal::Secret {
         &self.secret
     }
 
@@ -321,7 +246,7 @@
 
     fn send_digest(&self, addr: SocketAddr, is_answer: bool) {
         let digest = self.shared.borrow().digest(self.settings.peer_addr, is_answer);
-        let Ok(bytes) = wire::seal_datagram(&self.secret, &wire::Datagram::Digest(digest)) else {
+        let Ok(bytes) = seal::datagram(&self.secret, &wire::Datagram::Digest(digest)) else {
             return;
         };
         self.hub.bytes_out.fetch_add(bytes.len() as u64, Ordering::Relaxed);
@@ -342,193 +267,3 @@
         self.write_own_record();
     }
 }
-
-async fn start(control: Rc<Control>) {
-    for addr in control.settings.seeds.clone() {
-        if addr != control.settings.peer_addr {
-            pull_soon(&control, addr);
-        }
-    }
-    time::sleep(Duration::from_millis(PEERS_FIRST_MS)).await;
-    loop {
-        if control.is_reader() || !control.hub.ready.load(Ordering::Acquire) {
-            read_store(&control).await;
-        } else {
-            time::sleep(Duration::from_millis(DIGEST_MS)).await;
-        }
-    }
-}
-
-/// Lists the shared objects and then watches them, for as long as this daemon is a reader.
-async fn read_store(control: &Rc<Control>) {
-    let listed = control.platform.list(store::SHARED_PREFIX).await;
-    control.store_answered(&listed);
-    let Ok(listing) = listed else {
-        return wait_for_store().await;
-    };
-    control.read_store.set(true);
-    let mut after = listing.revision;
-    control.take(|shared| shared.take_objects(listing.objects));
-    control.update_ready();
-    if !control.is_reader() {
-        // Only started without peers; wait for configuration a little before asking again.
-        return wait_for_store().await;
-    }
-    loop {
-        let watched = control.platform.watch(store::SHARED_PREFIX, after).await;
-        control.store_answered(&watched);
-        let Ok(listing) = watched else {
-            return wait_for_store().await;
-        };
-        if listing.revision < after {
-            // The store answers from an older state than it listed; start over with a listing.
-            return wait_for_store().await;
-        }
-        after = listing.revision;
-        control.take(|shared| shared.take_objects(listing.objects));
-        if !control.is_reader() {
-            return;
-        }
-    }
-}
-
-async fn wait_for_store() {
-    // All readers lose the store at the same moment. Without jitter they would come back to it at
-    // the same moment too, and its first minute would be its worst.
-    let wait_ms = rand::random_range(STORE_RETRY_MS / 8..STORE_RETRY_MS);
-    time::sleep(Duration::from_millis(wait_ms)).await;
-}
-
-async fn read_roster(control: Rc<Control>) {
-    loop {
-        let jitter_ms = rand::random_range(0..ROSTER_MS / 4);
-        time::sleep(Duration::from_millis(ROSTER_MS + jitter_ms)).await;
-        if !control.is_reader() {
-            continue;
-        }
-        let read = control.platform.roster().await;
-        control.hub.store_calls.fetch_add(1, Ordering::Relaxed);
-        if let Ok(roster) = read {
-            control.take(|shared| spread::Changed {
-                roster: shared.take_roster(roster),
-                ..Default::default()
-            });
-        }
-    }
-}
-
-async fn compare_digests(control: Rc<Control>) {
-    loop {
-        let jitter_ms = rand::random_range(0..DIGEST_MS / 5);
-        time::sleep(Duration::from_millis(DIGEST_MS - DIGEST_MS / 10 + jitter_ms)).await;
-        if control.hub.draining.load(Ordering::Acquire) {
-            control.set_state(membership::State::Draining);
-        }
-        control.send_digests(DIGEST_PEERS);
-    }
-}
-
-async fn receive_datagrams(control: Rc<Control>) {
-    let mut buffer = vec![0; wire::MAX_DATAGRAM_BYTES + 1];
-    loop {
-        let Ok((count, _)) = control.socket.recv_from(&mut buffer).await else {
-            continue;
-        };
-        match wire::open_datagram(&control.secret, &buffer[..count]) {
-            Ok(wire::Datagram::Digest(digest)) => receive_digest(&control, &digest),
-            Ok(_) => count_reject(wire::Reject::Message),
-            Err(reject) => count_reject(reject),
-        }
-    }
-}
-
-/// Counts bytes that were not taken as a message.
-pub fn count_reject(reject: wire::Reject) {
-    let reason = match reject {
-        wire::Reject::Size => "size",
-        wire::Reject::Seal => "seal",
-        wire::Reject::Message => "message",
-    };
-    metrics::counter!("briarwinch_rejected_messages_total", "reason" => reason).increment(1);
-}
-
-fn receive_digest(control: &Rc<Control>, digest: &membership::Digest) {
-    let (behind, ahead) = {
-        let shared = control.shared.borrow();
-        (shared.is_behind(digest), shared.is_ahead(digest))
-    };
-    if behind {
-        pull_soon(control, digest.sender);
-    }
-    if ahead && !digest.is_answer {
-        control.send_digest(digest.sender, true);
-    }
-    if !behind && control.shared.borrow().config.is_some() {
-        control.heard_peer.set(true);
-        control.update_ready();
-    }
-}
-
-fn pull_soon(control: &Rc<Control>, addr: SocketAddr) {
-    {
-        let mut pulls = control.pulls.borrow_mut();
-        if pulls.len() >= MAX_PULLS || !pulls.insert(addr) {
-            return;
-        }
-    }
-    let control = Rc::clone(control);
-    task::spawn_local(async move {
-        let pulled = time::timeout(Duration::from_millis(2 * link::OPEN_MS), pull(&control, addr));
-        if let Ok(Ok(())) = pulled.await {
-            control.heard_peer.set(true);
-            control.update_ready();
-        }
-        control.pulls.borrow_mut().remove(&addr);
-    });
-}
-
-async fn pull(control: &Control, addr: SocketAddr) -> std::io::Result<()> {
-    let name: &CompactString = &control.settings.id;
-    let mut link = link::connect(addr, &control.secret, name).await?;
-    loop {
-        let pull = control.shared.borrow().pull();
-        link.outbox.send(&pull);
-        let Some(news) = link.inbox.next::<wire::News>().await? else {
-            break;
-        };
-        let more = news.more_keys;
-        control.take(|shared| shared.take_news(news));
-        if !more {
-            break;
-        }
-    }
-    link.outbox.close();
-    Ok(())
-}
-
-async fn serve_pulls(control: Rc<Control>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(DIGEST_MS / 10)).await;
-            continue;
-        };
-        let control = Rc::clone(&control);
-        task::spawn_local(async move {
-            let served = serve_pull(&control, stream);
-            // A peer that greets and then says nothing must not be kept for ever.
-            let _ = time::timeout(Duration::from_millis(4 * link::OPEN_MS), served).await;
-        });
-    }
-}
-
-async fn serve_pull(control: &Control, stream: tokio::net::TcpStream) -> std::io::Result<()> {
-    let mut link = link::accept(stream, &control.secret, &control.settings.id).await?;
-    while let Some(pull) = link.inbox.next::<wire::Pull>().await? {
-        let news = control.shared.borrow().news_for(&pull);
-        link.outbox.send(&news);
-        let sent = link.outbox.backlog_bytes() as u64;
-        control.hub.bytes_out.fetch_add(sent, Ordering::Relaxed);
-    }
-    link.outbox.close();
-    Ok(())
-}
--- /dev/null
+++ b/src/control/peers.rs
@@ -0,0 +1,126 @@
+//! The control thread's sockets: digests out and in, pulls made and served.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use tokio::net::TcpListener;
+use tokio::{task, time};
+
+use super::Control;
+use crate::{link, membership, metric, seal, wire};
+
+/// How often a daemon compares digests with peers.
+const DIGEST_MS: u64 = 1_000;
+/// Peers a digest goes to each time.
+const DIGEST_PEERS: usize = 2;
+/// Pulls under way at the same time.
+const MAX_PULLS: usize = 4;
+
+pub(super) async fn compare_digests(control: Rc<Control>) {
+    loop {
+        let jitter_ms = rand::random_range(0..DIGEST_MS / 5);
+        time::sleep(Duration::from_millis(DIGEST_MS - DIGEST_MS / 10 + jitter_ms)).await;
+        if control.hub.draining.load(Ordering::Acquire) {
+            control.set_state(membership::State::Draining);
+        }
+        control.send_digests(DIGEST_PEERS);
+    }
+}
+
+pub(super) async fn receive_datagrams(control: Rc<Control>) {
+    let mut buffer = vec![0; seal::MAX_DATAGRAM_BYTES + 1];
+    loop {
+        let Ok((count, _)) = control.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        match seal::open_datagram(&control.secret, &buffer[..count]) {
+            Ok(wire::Datagram::Digest(digest)) => receive_digest(&control, &digest),
+            Ok(_) => metric::count_reject(seal::Reject::Message),
+            Err(reject) => metric::count_reject(reject),
+        }
+    }
+}
+
+fn receive_digest(control: &Rc<Control>, digest: &membership::Digest) {
+    let (behind, ahead) = {
+        let shared = control.shared.borrow();
+        (shared.is_behind(digest), shared.is_ahead(digest))
+    };
+    if behind {
+        pull_soon(control, digest.sender);
+    }
+    if ahead && !digest.is_answer {
+        control.send_digest(digest.sender, true);
+    }
+    if !behind && control.shared.borrow().config.is_some() {
+        control.heard_peer.set(true);
+        control.update_ready();
+    }
+}
+
+pub(super) fn pull_soon(control: &Rc<Control>, addr: SocketAddr) {
+    {
+        let mut pulls = control.pulls.borrow_mut();
+        if pulls.len() >= MAX_PULLS || !pulls.insert(addr) {
+            return;
+        }
+    }
+    let control = Rc::clone(control);
+    task::spawn_local(async move {
+        let pulled = time::timeout(Duration::from_millis(2 * link::OPEN_MS), pull(&control, addr));
+        if let Ok(Ok(())) = pulled.await {
+            control.heard_peer.set(true);
+            control.update_ready();
+        }
+        control.pulls.borrow_mut().remove(&addr);
+    });
+}
+
+async fn pull(control: &Control, addr: SocketAddr) -> std::io::Result<()> {
+    let name: &CompactString = &control.settings.id;
+    let mut link = link::connect(addr, &control.secret, name).await?;
+    loop {
+        let pull = control.shared.borrow().pull();
+        link.outbox.send(&pull);
+        let Some(news) = link.inbox.next::<wire::News>().await? else {
+            break;
+        };
+        let more = news.more_keys;
+        control.take(|shared| shared.take_news(news));
+        if !more {
+            break;
+        }
+    }
+    link.outbox.close();
+    Ok(())
+}
+
+pub(super) async fn serve_pulls(control: Rc<Control>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(Duration::from_millis(DIGEST_MS / 10)).await;
+            continue;
+        };
+        let control = Rc::clone(&control);
+        task::spawn_local(async move {
+            let served = serve_pull(&control, stream);
+            // A peer that greets and then says nothing must not be kept for ever.
+            let _ = time::timeout(Duration::from_millis(4 * link::OPEN_MS), served).await;
+        });
+    }
+}
+
+async fn serve_pull(control: &Control, stream: tokio::net::TcpStream) -> std::io::Result<()> {
+    let mut link = link::accept(stream, &control.secret, &control.settings.id).await?;
+    while let Some(pull) = link.inbox.next::<wire::Pull>().await? {
+        let news = control.shared.borrow().news_for(&pull);
+        link.outbox.send(&news);
+        let sent = link.outbox.backlog_bytes() as u64;
+        control.hub.bytes_out.fetch_add(sent, Ordering::Relaxed);
+    }
+    link.outbox.close();
+    Ok(())
+}
--- /dev/null
+++ b/src/control/reader.rs
@@ -0,0 +1,95 @@
+//! Reading the store: by every daemon that starts without peers, and then by the few readers of a
+//! zone for all the others.
+
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time;
+
+use super::{Control, peers};
+use crate::store::ObjectStore;
+use crate::{spread, store};
+
+/// How often a daemon that does not read looks whether it should.
+const RECHECK_MS: u64 = 1_000;
+/// How often a reader looks at the platform's lagging list.
+const ROSTER_MS: u64 = 2_000;
+/// Longest a reader waits before it tries a store again that was down; with jitter below.
+const STORE_RETRY_MS: u64 = 4_000;
+/// How long a starting daemon waits for peers before it reads the store itself.
+const PEERS_FIRST_MS: u64 = 700;
+
+pub(super) async fn start(control: Rc<Control>) {
+    for addr in control.settings.seeds.clone() {
+        if addr != control.settings.peer_addr {
+            peers::pull_soon(&control, addr);
+        }
+    }
+    time::sleep(Duration::from_millis(PEERS_FIRST_MS)).await;
+    loop {
+        if control.is_reader() || !control.hub.ready.load(Ordering::Acquire) {
+            read_store(&control).await;
+        } else {
+            time::sleep(Duration::from_millis(RECHECK_MS)).await;
+        }
+    }
+}
+
+/// Lists the shared objects and then watches them, for as long as this daemon is a reader.
+async fn read_store(control: &Rc<Control>) {
+    let listed = control.platform.list(store::SHARED_PREFIX).await;
+    control.store_answered(&listed);
+    let Ok(listing) = listed else {
+        return wait_for_store().await;
+    };
+    control.read_store.set(true);
+    let mut after = listing.revision;
+    control.take(|shared| shared.take_objects(listing.objects));
+    control.update_ready();
+    if !control.is_reader() {
+        // Only started without peers; wait for configuration a little before asking again.
+        return wait_for_store().await;
+    }
+    loop {
+        let watched = control.platform.watch(store::SHARED_PREFIX, after).await;
+        control.store_answered(&watched);
+        let Ok(listing) = watched else {
+            return wait_for_store().await;
+        };
+        if listing.revision < after {
+            // The store answers from an older state than it listed; start over with a listing.
+            return wait_for_store().await;
+        }
+        after = listing.revision;
+        control.take(|shared| shared.take_objects(listing.objects));
+        if !control.is_reader() {
+            return;
+        }
+    }
+}
+
+async fn wait_for_store() {
+    // All readers lose the store at the same moment. Without jitter they would come back to it at
+    // the same moment too, and its first minute would be its worst.
+    let wait_ms = rand::random_range(STORE_RETRY_MS / 8..STORE_RETRY_MS);
+    time::sleep(Duration::from_millis(wait_ms)).await;
+}
+
+pub(super) async fn read_roster(control: Rc<Control>) {
+    loop {
+        let jitter_ms = rand::random_range(0..ROSTER_MS / 4);
+        time::sleep(Duration::from_millis(ROSTER_MS + jitter_ms)).await;
+        if !control.is_reader() {
+            continue;
+        }
+        let read = control.platform.roster().await;
+        control.hub.store_calls.fetch_add(1, Ordering::Relaxed);
+        if let Ok(roster) = read {
+            control.take(|shared| spread::Changed {
+                roster: shared.take_roster(roster),
+                ..Default::default()
+            });
+        }
+    }
+}
--- a/src/entry/asks.rs
+++ b/src/entry/asks.rs
@@ -11,7 +11,7 @@
 use tokio::time;
 
 use super::Worker;
-use crate::{control, membership, placement, wire};
+use crate::{membership, metric, placement, seal, wire};
 
 /// How long after the first offer the others are waited for.
 const STRAGGLERS_MS: u64 = 3;
@@ -72,7 +72,7 @@
             let ask = wire::Ask { nonce, endpoint: place.endpoint, ..ask.clone() };
             let pending = Pending { target, late_at_ms, round: Rc::clone(&round) };
             self.asks.pending.borrow_mut().insert(nonce, pending);
-            let sealed = wire::seal_datagram(&self.common.secret, &wire::Datagram::Ask(ask));
+            let sealed = seal::datagram(&self.common.secret, &wire::Datagram::Ask(ask));
             if let (Some(socket), Ok(bytes)) = (&self.asks.socket, sealed) {
                 // An ask that does not leave is an endpoint that does not answer.
                 let _ = socket.try_send_to(&bytes, place.work_addr);
@@ -124,15 +124,15 @@
     let Some(socket) = &worker.asks.socket else {
         return;
     };
-    let mut buffer = vec![0; wire::MAX_DATAGRAM_BYTES + 1];
+    let mut buffer = vec![0; seal::MAX_DATAGRAM_BYTES + 1];
     loop {
         let Ok((count, _)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        match wire::open_datagram(&worker.common.secret, &buffer[..count]) {
+        match seal::open_datagram(&worker.common.secret, &buffer[..count]) {
             Ok(wire::Datagram::Offer(offer)) => worker.take_offer(offer),
-            Ok(_) => control::count_reject(wire::Reject::Message),
-            Err(reject) => control::count_reject(reject),
+            Ok(_) => metric::count_reject(seal::Reject::Message),
+            Err(reject) => metric::count_reject(reject),
         }
     }
 }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::task;
 
-use crate::{error, link, wire};
+use crate::{error, link, seal, wire};
 
 /// What comes in on a stream.
 #[derive(Debug)]
@@ -47,7 +47,7 @@
 /// All links of a traffic thread.
 #[derive(Debug)]
 pub(super) struct Links {
-    secret: wire::Secret,
+    secret: seal::Secret,
     name: CompactString,
     by_addr: RefCell<HashMap<SocketAddr, Rc<OnceCell<Rc<Link>>>>>,
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,8 +25,8 @@
 use tokio::{task, time};
 
 use crate::{
-    admin, bound, control, explain, logging, membership, metric, placement, retry, settings,
-    spread, trace, wire,
+    admin, bound, control, explain, hub, logging, membership, metric, placement, retry, seal,
+    settings, spread, trace,
 };
 
 /// How long an idle connection of a caller is kept.
@@ -42,9 +42,9 @@
 #[derive(Debug)]
 struct Common {
     settings: settings::Entry,
-    hub: Arc<control::Hub>,
+    hub: Arc<hub::Hub>,
     log: slog::Logger,
-    secret: wire::Secret,
+    secret: seal::Secret,
     spans: trace::Sink,
     ring: Arc<explain::Ring>,
     active: AtomicUsize,
@@ -70,7 +70,7 @@
 /// # Errors
 /// When an address cannot be bound.
 pub async fn run(mut settings: settings::Entry, log: slog::Logger) -> anyhow::Result<()> {
-    let hub = Arc::new(control::Hub::default());
+    let hub = Arc::new(hub::Hub::default());
     let metrics = metric::install()?;
     let ring = Arc::new(explain::Ring::default());
     let identity = control::Identity {
@@ -87,7 +87,7 @@
     control::spawn(daemon, identity, Arc::clone(&hub), log.clone(), sockets.peer)?;
     bound::announce(&settings.daemon, settings.listen_addr);
     let common = Arc::new(Common {
-        secret: wire::Secret::fleet(&settings.daemon.fleet_secret),
+        secret: seal::Secret::fleet(&settings.daemon.fleet_secret),
         spans: logging::span_sink(&settings.daemon),
         settings,
         hub,
--- /dev/null
+++ b/src/hub.rs
@@ -0,0 +1,70 @@
+//! What the control thread and the traffic threads of a daemon share.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwap;
+
+use crate::{duties, spread, usage};
+
+/// What the control thread and the traffic threads of a daemon share.
+#[derive(Debug)]
+pub struct Hub {
+    pub snapshot: ArcSwap<spread::Snapshot>,
+    /// Counts snapshots, so that a traffic thread sees cheaply that there is a new one.
+    pub generation: AtomicU64,
+    pub ready: AtomicBool,
+    pub draining: AtomicBool,
+    /// The store answered last time.
+    pub store_up: AtomicBool,
+    pub sheet: Mutex<usage::Sheet>,
+    /// The shared state as the operators' listener shows it.
+    pub shared: Mutex<spread::Shared>,
+    pub duties: Mutex<Vec<duties::Status>>,
+    pub bytes_out: AtomicU64,
+    pub store_calls: AtomicU64,
+    started: Instant,
+}
+
+impl Default for Hub {
+    fn default() -> Self {
+        Self {
+            snapshot: ArcSwap::from_pointee(spread::Snapshot::default()),
+            generation: AtomicU64::new(0),
+            ready: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            store_up: AtomicBool::new(true),
+            sheet: Mutex::default(),
+            shared: Mutex::default(),
+            duties: Mutex::default(),
+            bytes_out: AtomicU64::new(0),
+            store_calls: AtomicU64::new(0),
+            started: Instant::now(),
+        }
+    }
+}
+
+impl Hub {
+    /// Time on this daemon's own clock.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Counts usage into the billing window of this moment.
+    pub fn count(&self, line: &usage::Line, figures: usage::Figures) {
+        let snapshot = self.snapshot.load();
+        let window_s = snapshot.config.as_ref().map_or(3600, |c| c.model.billing.window_s);
+        let window = usage::Window(unix_ms() / 1000 / window_s);
+        if let Ok(mut sheet) = self.sheet.lock() {
+            sheet.add(window, line, figures);
+        }
+    }
+}
+
+/// Milliseconds since 1970.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
+}
--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -57,6 +57,14 @@
     root: ast::Value<'a>,
 }
 
+/// Comments and a comma after the last element, and nothing else beyond JSON: a name without quotes
+/// is a slip of the pen.
+const OPTIONS: jsonc_parser::ParseOptions = jsonc_parser::ParseOptions {
+    allow_comments: true,
+    allow_loose_object_property_names: false,
+    allow_trailing_commas: true,
+};
+
 /// The deepest nesting a text may have; deeper ones are refused before they are parsed, since the
 /// parser recurses and a hostile text would otherwise overflow the stack.
 const MAX_DEPTH: usize = 64;
@@ -68,7 +76,7 @@
     /// The first mistake of syntax, or a field that stands twice in one object.
     pub fn parse(text: &'a str) -> Result<Self, Mistake> {
         check_depth(text)?;
-        let parsed = jsonc_parser::parse_to_ast(text, &Default::default(), &Default::default())
+        let parsed = jsonc_parser::parse_to_ast(text, &Default::default(), &OPTIONS)
             .map_err(|error| mistake_at(text, error.range().start, error.kind().to_string()))?;
         let root =
             parsed.value.ok_or_else(|| mistake_at(text, 0, "the text is empty".to_owned()))?;
--- a/src/link.rs
+++ b/src/link.rs
@@ -13,7 +13,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::Notify;
 
-use crate::wire;
+use crate::{seal, wire};
 
 /// Longest time to connect and greet.
 pub const OPEN_MS: u64 = 1_000;
@@ -21,7 +21,7 @@
 const WRITE_MS: u64 = 5_000;
 const READ_BYTES: usize = 64 << 10;
 
-fn broken(reject: wire::Reject) -> io::Error {
+fn broken(reject: seal::Reject) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, reject)
 }
 
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 pub struct Inbox {
     stream: OwnedReadHalf,
-    opener: wire::Opener,
+    opener: seal::Opener,
     buffer: Vec<u8>,
 }
 
@@ -58,7 +58,7 @@
 
 #[derive(Debug)]
 struct OutboxState {
-    sealer: wire::Sealer,
+    sealer: seal::Sealer,
     buffer: Vec<u8>,
     closed: bool,
 }
@@ -72,7 +72,7 @@
 }
 
 impl Outbox {
-    fn new(sealer: wire::Sealer) -> Self {
+    fn new(sealer: seal::Sealer) -> Self {
         let state = OutboxState { sealer, buffer: Vec::new(), closed: false };
         Self { state: Rc::new(RefCell::new(state)), wake: Rc::new(Notify::new()) }
     }
@@ -156,7 +156,7 @@
 /// When it does not answer in time or is not of this fleet.
 pub async fn connect(
     addr: std::net::SocketAddr,
-    secret: &wire::Secret,
+    secret: &seal::Secret,
     me: &CompactString,
 ) -> io::Result<Link> {
     let open = async {
@@ -172,7 +172,7 @@
 /// When it does not greet in time or is not of this fleet.
 pub async fn accept(
     stream: TcpStream,
-    secret: &wire::Secret,
+    secret: &seal::Secret,
     me: &CompactString,
 ) -> io::Result<Link> {
     let greeting = greet(stream, secret, me, End::Server);
@@ -181,7 +181,7 @@
 
 async fn greet(
     stream: TcpStream,
-    secret: &wire::Secret,
+    secret: &seal::Secret,
     me: &CompactString,
     end: End,
 ) -> io::Result<Link> {
@@ -189,9 +189,9 @@
     let (read, mut write) = stream.into_split();
     let mine = wire::Greeting { daemon: me.clone(), nonce: rand::random(), version: wire::VERSION };
     let mut bytes = Vec::new();
-    wire::Sealer::new(secret.clone()).seal(&mine, &mut bytes).map_err(broken)?;
+    seal::Sealer::new(secret.clone()).seal(&mine, &mut bytes).map_err(broken)?;
     write.write_all(&bytes).await?;
-    let opener = wire::Opener::new(secret.clone());
+    let opener = seal::Opener::new(secret.clone());
     let mut inbox = Inbox { stream: read, opener, buffer: vec![0; READ_BYTES] };
     let theirs: wire::Greeting =
         inbox.next().await?.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
@@ -205,7 +205,7 @@
         End::Server => (to_client, to_server),
     };
     inbox.opener = inbox.opener.rekey(incoming);
-    let outbox = Outbox::new(wire::Sealer::new(outgoing));
+    let outbox = Outbox::new(seal::Sealer::new(outgoing));
     let writer = outbox.clone();
     tokio::task::spawn_local(async move {
         // Whatever ends the writing ends the link; the reader notices by the closed socket.
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -2,6 +2,8 @@
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
+use crate::seal;
+
 /// Bounds of histograms of seconds.
 const SECONDS: [f64; 12] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.41, 0.8, 1.5, 3.0, 10.0, 60.0];
 
@@ -15,3 +17,13 @@
         .and_then(PrometheusBuilder::install_recorder)
         .map_err(|error| anyhow::anyhow!("cannot install metrics: {error}"))
 }
+
+/// Counts bytes that were not taken as a message.
+pub fn count_reject(reject: seal::Reject) {
+    let reason = match reject {
+        seal::Reject::Size => "size",
+        seal::Reject::Seal => "seal",
+        seal::Reject::Message => "message",
+    };
+    metrics::counter!("briarwinch_rejected_messages_total", "reason" => reason).increment(1);
+}
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,12 +1,15 @@
 //! The operator's commands: check, diff, apply, keys, status, explain, duties, claims.
 
+mod resolve;
+mod tables;
+
 use std::path::Path;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::store::{self, Condition, Failure, ObjectStore};
-use crate::{admin, claims, cli, config, explain, jsonc, keys, platform};
+use crate::{admin, cli, config, explain, jsonc, keys, platform};
 
 /// How a command ended badly.
 #[derive(Debug, derive_more::Display, derive_more::From)]
@@ -64,8 +67,10 @@
         cli::Command::Explain { request } => explain_request(line, request).await,
         cli::Command::Duties => duties(line).await,
         cli::Command::Claims { command } => match command {
-            cli::ClaimCommand::List => list_claims(line).await,
-            cli::ClaimCommand::Resolve { key, outcome } => resolve(line, key, *outcome).await,
+            cli::ClaimCommand::List => resolve::list_claims(line).await,
+            cli::ClaimCommand::Resolve { key, outcome } => {
+                resolve::resolve(line, key, *outcome).await
+            }
         },
     }
 }
@@ -271,69 +276,12 @@
 
 async fn status(line: &cli::Operator) -> Result<String, Problem> {
     let status = read_status(line).await?;
-    Ok(print(line.output, &status, || status_text(&status)))
-}
-
-fn status_text(status: &admin::Status) -> String {
-    let mut text = format!(
-        "{} in {}: {}, store {}\nconfiguration {}, keys {} (revision {}), list {}",
-        status.daemon,
-        status.zone,
-        match (status.ready, status.draining) {
-            (_, true) => "draining",
-            (true, false) => "ready",
-            (false, false) => "starting",
-        },
-        if status.store_up { "up" } else { "down" },
-        status.config_version,
-        status.keys,
-        status.keys_revision,
-        status.roster_revision,
-    );
-    if let Some(refused) = &status.config_refused {
-        text.push_str(&format!("\nconfiguration refused: {refused}"));
-    }
-    text.push_str(&format!(
-        "\n\n{:<20} {:<6} {:<14} {:<9} endpoints",
-        "daemon", "role", "zone", "state"
-    ));
-    for member in &status.members {
-        let endpoints: Vec<String> = member
-            .endpoints
-            .iter()
-            .map(|endpoint| match endpoint.out_because.as_str() {
-                "" => format!("{} ({})", endpoint.id, endpoint.service),
-                why => format!("{} ({}) OUT: {why}", endpoint.id, endpoint.service),
-            })
-            .collect();
-        text.push_str(&format!(
-            "\n{:<20} {:<6} {:<14} {:<9} {}",
-            member.id,
-            member.role,
-            member.zone,
-            member.state,
-            endpoints.join(", ")
-        ));
-    }
-    text.push_str("\n\n");
-    text.push_str(&duties_text(status));
-    text
-}
-
-fn duties_text(status: &admin::Status) -> String {
-    let mut text = format!("{:<32} {:<16} {:<7} note", "duty", "holder", "epoch");
-    for duty in &status.duties {
-        text.push_str(&format!(
-            "\n{:<32} {:<16} {:<7} {}",
-            duty.duty, duty.holder, duty.epoch, duty.note
-        ));
-    }
-    text
+    Ok(print(line.output, &status, || tables::status_text(&status)))
 }
 
 async fn duties(line: &cli::Operator) -> Result<String, Problem> {
     let status = read_status(line).await?;
-    Ok(print(line.output, &status.duties, || duties_text(&status)))
+    Ok(print(line.output, &status.duties, || tables::duties_text(&status)))
 }
 
 async fn explain_request(line: &cli::Operator, request: &str) -> Result<String, Problem> {
@@ -344,112 +292,8 @@
         let base = format!("http://{}", entry.admin_addr);
         // An entry that has gone cannot tell; another may have carried the request.
         if let Ok(Some(story)) = fetch::<explain::Story>(&base, &path).await {
-            return Ok(print(line.output, &story, || story_text(&story, &entry.id)));
+            return Ok(print(line.output, &story, || tables::story_text(&story, &entry.id)));
         }
     }
     Err(Problem::Other(anyhow::anyhow!("no entry remembers the request {request}")))
 }
-
-fn story_text(story: &explain::Story, entry: &str) -> String {
-    let mut text = format!(
-        "request {} by entry {entry}\n  account {}, key {}, class {}, service {}, configuration {}\n  trace {}",
-        story.request,
-        story.account,
-        story.key,
-        story.class,
-        story.service,
-        story.config_version,
-        story.trace_id,
-    );
-    for (number, attempt) in story.attempts.iter().enumerate() {
-        text.push_str(&format!("\n  try {}:", number + 1));
-        for asked in &attempt.asked {
-            let offer = match asked.first_token_ms {
-                Some(wait_ms) => format!("first token in {wait_ms} ms"),
-                None => "no answer".to_owned(),
-            };
-            let prefix = if asked.knows_prefix { ", knows the prompt's head" } else { "" };
-            text.push_str(&format!(
-                "\n    asked {} in {}: {offer}{prefix}",
-                asked.endpoint, asked.zone
-            ));
-        }
-        let chosen = attempt.chosen.as_deref().unwrap_or("none");
-        text.push_str(&format!("\n    chose {chosen}: {}", attempt.outcome));
-    }
-    let first = story.first_token_ms.map_or("none".to_owned(), |ms| format!("after {ms} ms"));
-    let queue = story.queue_ms.map_or("unknown".to_owned(), |ms| format!("{ms} ms"));
-    text.push_str(&format!(
-        "\n  waited {queue} at the endpoint, first token {first}, {} tokens, {} bytes, {} ms in all\n  status {}, outcome {}{}",
-        story.tokens,
-        story.body_bytes,
-        story.total_ms,
-        story.status,
-        story.outcome,
-        if story.ran.is_empty() { String::new() } else { format!(", ran: {}", story.ran) },
-    ));
-    text
-}
-
-#[derive(Serialize)]
-struct ClaimLine {
-    key: String,
-    state: &'static str,
-    holder: String,
-}
-
-async fn list_claims(line: &cli::Operator) -> Result<String, Problem> {
-    let listing = open(line).await?.list("claims/").await?;
-    let lines: Vec<ClaimLine> = listing
-        .objects
-        .iter()
-        .filter_map(|object| {
-            let record: claims::Record = serde_json::from_str(&object.value).ok()?;
-            let state = match record.state {
-                claims::State::Running => "running",
-                claims::State::Unknown => "unknown",
-                claims::State::Done(_) => return None,
-            };
-            let holder = record.holder.daemon.to_string();
-            Some(ClaimLine { key: object.key.to_string(), state, holder })
-        })
-        .collect();
-    Ok(print(line.output, &lines, || {
-        let mut text = format!("{:<64} {:<8} holder", "key", "state");
-        for claim in &lines {
-            text.push_str(&format!("\n{:<64} {:<8} {}", claim.key, claim.state, claim.holder));
-        }
-        text
-    }))
-}
-
-async fn resolve(
-    line: &cli::Operator,
-    key: &str,
-    outcome: cli::ClaimOutcome,
-) -> Result<String, Problem> {
-    let platform = open(line).await?;
-    let object = platform
-        .get(key)
-        .await?
-        .ok_or_else(|| Problem::Other(anyhow::anyhow!("there is no claim {key}")))?;
-    let mut record: claims::Record =
-        serde_json::from_str(&object.value).map_err(anyhow::Error::from)?;
-    if matches!(record.state, claims::State::Done(_)) {
-        return Err(Problem::Other(anyhow::anyhow!("the claim is done already")));
-    }
-    match outcome {
-        cli::ClaimOutcome::NotRun => platform.delete(key, object.version).await?,
-        cli::ClaimOutcome::Ran => {
-            let body = serde_json::json!({"resolved": "an operator found that the call ran"});
-            record.state = claims::State::Done(claims::SavedAnswer {
-                status: 200,
-                headers: Vec::new(),
-                body: Some(body.to_string().into_bytes()),
-            });
-            let value = serde_json::to_string(&record).map_err(anyhow::Error::from)?;
-            platform.put(key, value, Condition::Version(object.version)).await?;
-        }
-    }
-    Ok(print(line.output, &key, || format!("resolved: {key}")))
-}
--- a/src/scaler.rs
+++ b/src/scaler.rs
@@ -13,7 +13,7 @@
 use tokio::time;
 
 use crate::store::{Condition, Failure, ObjectStore};
-use crate::{config, control, lease, membership, orders, platform, scaling, wire};
+use crate::{config, control, lease, membership, orders, platform, scaling, seal, wire};
 
 /// How often the zone is looked at.
 const LOOK_MS: u64 = 2_000;
@@ -265,17 +265,17 @@
             drain,
         };
         let datagram = wire::Datagram::LoadAsk(ask);
-        if let Ok(bytes) = wire::seal_datagram(control.secret(), &datagram) {
+        if let Ok(bytes) = seal::datagram(control.secret(), &datagram) {
             let _ = socket.try_send_to(&bytes, load.place.work_addr);
         }
     }
     let gather = async {
-        let mut buffer = vec![0; wire::MAX_DATAGRAM_BYTES + 1];
+        let mut buffer = vec![0; seal::MAX_DATAGRAM_BYTES + 1];
         while loads.iter().any(|load| load.offer.is_none()) {
             let Ok((count, _)) = socket.recv_from(&mut buffer).await else {
                 return;
             };
-            let opened = wire::open_datagram(control.secret(), &buffer[..count]);
+            let opened = seal::open_datagram(control.secret(), &buffer[..count]);
             if let Ok(wire::Datagram::Offer(offer)) = opened
                 && let Some(load) = loads.get_mut(offer.nonce as usize)
             {
--- a/src/side/asks.rs
+++ b/src/side/asks.rs
@@ -9,20 +9,20 @@
 use tokio::net::UdpSocket;
 
 use super::Side;
-use crate::{control, wire};
+use crate::{metric, seal, wire};
 
 /// Answers asks for as long as the process lives.
 pub(super) async fn serve(side: Rc<Side>, socket: UdpSocket) {
-    let mut buffer = vec![0; wire::MAX_DATAGRAM_BYTES + 1];
+    let mut buffer = vec![0; seal::MAX_DATAGRAM_BYTES + 1];
     loop {
         let Ok((count, from)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        match wire::open_datagram(&side.secret, &buffer[..count]) {
+        match seal::open_datagram(&side.secret, &buffer[..count]) {
             Ok(wire::Datagram::Ask(ask)) => side.answer(&socket, from, side.offer(&ask)),
             Ok(wire::Datagram::LoadAsk(ask)) => side.answer(&socket, from, side.load(&ask)),
-            Ok(_) => control::count_reject(wire::Reject::Message),
-            Err(reject) => control::count_reject(reject),
+            Ok(_) => metric::count_reject(seal::Reject::Message),
+            Err(reject) => metric::count_reject(reject),
         }
     }
 }
@@ -30,7 +30,7 @@
 impl Side {
     fn answer(&self, socket: &UdpSocket, to: SocketAddr, offer: Option<wire::Offer>) {
         let Some(offer) = offer else { return };
-        let sealed = wire::seal_datagram(&self.secret, &wire::Datagram::Offer(offer));
+        let sealed = seal::datagram(&self.secret, &wire::Datagram::Offer(offer));
         if let Ok(bytes) = sealed {
             // A lost offer is one offer fewer to choose from.
             let _ = socket.try_send_to(&bytes, to);
--- a/src/side/mod.rs
+++ b/src/side/mod.rs
@@ -7,7 +7,9 @@
 mod asks;
 mod endpoint;
 mod entries;
+mod readers;
 mod run;
+mod sweep;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -24,14 +26,12 @@
 use tokio::{task, time};
 
 use crate::{
-    admin, bound, claims, control, error, logging, membership, metric, platform, settings, trace,
-    wire,
+    admin, bound, claims, control, error, hub, logging, membership, metric, platform, seal,
+    settings, trace, wire,
 };
 
 /// Connections to an endpoint at most; above any number of slots.
 const MAX_CONNECTIONS: usize = 4096;
-/// How often runs are looked over for withdrawn keys, deadlines and lost links.
-const SWEEP_MS: u64 = 100;
 /// How often a drain looks whether all is done.
 const DRAIN_POLL_MS: u64 = 20;
 
@@ -44,9 +44,9 @@
 #[derive(Debug)]
 pub struct Side {
     settings: settings::Side,
-    hub: Arc<control::Hub>,
+    hub: Arc<hub::Hub>,
     log: slog::Logger,
-    secret: wire::Secret,
+    secret: seal::Secret,
     boot: u64,
     spans: trace::Sink,
     http: client::Client,
@@ -65,7 +65,7 @@
 /// # Errors
 /// When an address cannot be bound or a client cannot be made.
 pub async fn run(mut settings: settings::Side, log: slog::Logger) -> anyhow::Result<()> {
-    let hub = Arc::new(control::Hub::default());
+    let hub = Arc::new(hub::Hub::default());
     let metrics = metric::install()?;
     let work = bound::Pair::bind(&mut settings.work_addr)?;
     let sockets = bound::Daemon::bind(&mut settings.daemon)?;
@@ -90,7 +90,7 @@
     let side = open(settings, Arc::clone(&hub), log, boot).await?;
     task::spawn_local(asks::serve(Rc::clone(&side), UdpSocket::from_std(work.udp)?));
     task::spawn_local(entries::serve(Rc::clone(&side), TcpListener::from_std(work.tcp)?));
-    task::spawn_local(sweep(Rc::clone(&side)));
+    task::spawn_local(sweep::run(Rc::clone(&side)));
     logging::stop_signal().await;
     side.drain().await;
     Ok(())
@@ -98,7 +98,7 @@
 
 async fn open(
     settings: settings::Side,
-    hub: Arc<control::Hub>,
+    hub: Arc<hub::Hub>,
     log: slog::Logger,
     boot: u64,
 ) -> anyhow::Result<Rc<Side>> {
@@ -112,7 +112,7 @@
         .map_err(|error| anyhow::anyhow!("cannot make an HTTP client: {error:?}"))?;
     let endpoints = settings.endpoints.iter().map(endpoint::Endpoint::new).collect();
     Ok(Rc::new(Side {
-        secret: wire::Secret::fleet(&settings.daemon.fleet_secret),
+        secret: seal::Secret::fleet(&settings.daemon.fleet_secret),
         spans: logging::span_sink(&settings.daemon),
         platform: platform::Platform::open(&settings.daemon.platform_url).await?,
         settings,
@@ -188,11 +188,3 @@
         }
     }
 }
-
-/// Looks over all runs at short intervals.
-async fn sweep(side: Rc<Side>) {
-    loop {
-        time::sleep(Duration::from_millis(SWEEP_MS)).await;
-        side.sweep_once();
-    }
-}
--- a/src/side/run.rs
+++ b/src/side/run.rs
@@ -5,7 +5,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
 
 use compact_str::CompactString;
 use tokio::sync::Notify;
@@ -23,7 +22,7 @@
 
 /// Where a run is.
 #[derive(Debug)]
-enum Phase {
+pub(super) enum Phase {
     Queued(queue::Ticket),
     Running,
     Ended,
@@ -31,13 +30,13 @@
 
 /// Who reads a run's answer.
 #[derive(Debug)]
-struct Subscriber {
-    outbox: link::Outbox,
-    reader: answer::Reader,
+pub(super) struct Subscriber {
+    pub(super) outbox: link::Outbox,
+    pub(super) reader: answer::Reader,
 }
 
 impl Subscriber {
-    fn is(&self, stream: wire::StreamId, outbox: &link::Outbox) -> bool {
+    pub(super) fn is(&self, stream: wire::StreamId, outbox: &link::Outbox) -> bool {
         self.reader.stream == stream && self.outbox.is_same(outbox)
     }
 }
@@ -45,20 +44,20 @@
 /// One request held by this side.
 #[derive(Debug)]
 pub struct Run {
-    key: RunKey,
-    submit: wire::Submit,
-    phase: RefCell<Phase>,
-    answer: RefCell<answer::Answer>,
-    subscriber: RefCell<Option<Subscriber>>,
+    pub(super) key: RunKey,
+    pub(super) submit: wire::Submit,
+    pub(super) phase: RefCell<Phase>,
+    pub(super) answer: RefCell<answer::Answer>,
+    pub(super) subscriber: RefCell<Option<Subscriber>>,
     /// Wakes the run's task: it was stopped, or its reader has caught up.
-    wake: Notify,
+    pub(super) wake: Notify,
     stopped: RefCell<Option<error::Refusal>>,
     arrived_ms: u64,
-    deadline_ms: u64,
+    pub(super) deadline_ms: u64,
     /// Since when nobody reads it.
-    alone_since_ms: Cell<Option<u64>>,
+    pub(super) alone_since_ms: Cell<Option<u64>>,
     /// Bytes of the call have left for the endpoint.
-    sent: Cell<bool>,
+    pub(super) sent: Cell<bool>,
     queue_span: RefCell<Option<trace::Span>>,
 }
 
@@ -75,7 +74,7 @@
     }
 
     /// Sends the reader all that is there and its credit allows.
-    fn flush(&self) {
+    pub(super) fn flush(&self) {
         let mut subscriber = self.subscriber.borrow_mut();
         let Some(subscriber) = subscriber.as_mut() else {
             return;
@@ -105,7 +104,7 @@
         ahead > MAX_BEHIND_BYTES
     }
 
-    fn end(&self, ending: answer::Ending) {
+    pub(super) fn end(&self, ending: answer::Ending) {
         *self.phase.borrow_mut() = Phase::Ended;
         let mut answer = self.answer.borrow_mut();
         if answer.ending.is_none() {
@@ -116,7 +115,7 @@
     }
 }
 
-fn send_refusal(outbox: &link::Outbox, stream: wire::StreamId, refusal: error::Refusal) {
+pub(super) fn send_refusal(outbox: &link::Outbox, stream: wire::StreamId, refusal: error::Refusal) {
     let code = refusal.kind.answer().code;
     metrics::counter!("briarwinch_side_refusals_total", "kind" => code).increment(1);
     outbox.send(&wire::ToEntry::Refused(wire::Refused { stream, refusal }));
@@ -335,7 +334,7 @@
     }
 
     /// Ends a run that is not running any more.
-    fn finish(&self, run: &Rc<Run>, ending: answer::Ending) {
+    pub(super) fn finish(&self, run: &Rc<Run>, ending: answer::Ending) {
         run.end(ending);
         let keep = run.submit.idempotency.is_some() && run.sent.get();
         if !keep && run.is_delivered() {
@@ -345,7 +344,7 @@
         }
     }
 
-    fn forget(&self, run: &Run) {
+    pub(super) fn forget(&self, run: &Run) {
         self.runs.borrow_mut().remove(run.key);
         self.by_request.borrow_mut().remove(&run.submit.request);
         if let Some(digest) = run.submit.idempotency {
@@ -383,131 +382,4 @@
         *run.stopped.borrow_mut() = Some(error::Refusal::unknown(kind));
         run.wake.notify_waiters();
     }
-
-    /// The caller has hung up.
-    pub(super) fn cancel(self: &Rc<Self>, stream: wire::StreamId, outbox: &link::Outbox) {
-        let Some(run) = self.run_read_by(stream, outbox) else {
-            return;
-        };
-        *run.subscriber.borrow_mut() = None;
-        if run.submit.idempotency.is_some() {
-            // With an idempotency key the caller may be on its way back through another entry.
-            run.alone_since_ms.set(Some(self.now_ms()));
-            return;
-        }
-        self.stop(&run, error::Kind::Superseded);
-        if matches!(*run.phase.borrow(), Phase::Ended) {
-            self.forget(&run);
-        }
-    }
-
-    /// The entry knows that the key has been withdrawn, perhaps before this side does.
-    pub(super) fn revoke(self: &Rc<Self>, stream: wire::StreamId, outbox: &link::Outbox) {
-        let Some(run) = self.run_read_by(stream, outbox) else {
-            return;
-        };
-        self.revoked.borrow_mut().insert(run.submit.key.clone());
-        self.stop_withdrawn();
-    }
-
-    /// Stops all runs whose key is withdrawn; those that wait first, else one of them would take
-    /// the slot that a running one leaves, and run.
-    fn stop_withdrawn(self: &Rc<Self>) {
-        let mut runs: Vec<Rc<Run>> = self.runs.borrow().values().cloned().collect();
-        runs.retain(|run| self.is_withdrawn(&run.submit.key));
-        runs.sort_by_key(|run| !matches!(*run.phase.borrow(), Phase::Queued(_)));
-        for run in runs {
-            self.stop(&run, error::Kind::KeyWithdrawn);
-        }
-    }
-
-    /// The reader has taken bytes off its stream.
-    pub(super) fn credit(&self, credit: wire::Credit, outbox: &link::Outbox) {
-        let Some(run) = self.run_read_by(credit.stream, outbox) else {
-            return;
-        };
-        if let Some(subscriber) = run.subscriber.borrow_mut().as_mut() {
-            subscriber.reader.credit_bytes += u64::from(credit.bytes);
-        }
-        run.flush();
-        run.wake.notify_waiters();
-        if run.is_delivered() && run.submit.idempotency.is_none() {
-            self.forget(&run);
-        }
-    }
-
-    fn run_read_by(&self, stream: wire::StreamId, outbox: &link::Outbox) -> Option<Rc<Run>> {
-        let reads = |run: &&Rc<Run>| {
-            run.subscriber.borrow().as_ref().is_some_and(|reader| reader.is(stream, outbox))
-        };
-        self.runs.borrow().values().find(reads).cloned()
-    }
-
-    /// A link is gone: its runs go on alone for a while.
-    pub(super) fn link_lost(&self, outbox: &link::Outbox) {
-        let now_ms = self.now_ms();
-        for run in self.runs.borrow().values() {
-            let mut subscriber = run.subscriber.borrow_mut();
-            if subscriber.as_ref().is_some_and(|reader| reader.outbox.is_same(outbox)) {
-                *subscriber = None;
-                run.alone_since_ms.set(Some(now_ms));
-            }
-        }
-    }
-
-    /// Ends runs whose key was withdrawn, whose deadline has passed, or whom nobody came back for;
-    /// lets go of ended ones.
-    pub(super) fn sweep_once(self: &Rc<Self>) {
-        let now_ms = self.now_ms();
-        let revision = self.hub.snapshot.load().keys.revision();
-        if self.keys_revision.replace(revision) != revision {
-            self.stop_withdrawn();
-        }
-        let runs: Vec<Rc<Run>> = self.runs.borrow().values().cloned().collect();
-        let mut kept_bytes = 0;
-        for run in &runs {
-            let ended = matches!(*run.phase.borrow(), Phase::Ended);
-            kept_bytes += run.answer.borrow().held_bytes();
-            let alone_ms = run.alone_since_ms.get().map_or(0, |since| now_ms - since);
-            let left_alone = alone_ms > self.settings.linger_ms;
-            if ended {
-                // An answer that nobody can come back for goes with its last reader.
-                let wanted = run.submit.idempotency.is_some() || !run.is_delivered();
-                if left_alone || !wanted {
-                    self.forget(run);
-                }
-            } else if now_ms >= run.deadline_ms {
-                self.stop(run, error::Kind::DeadlineExceeded);
-            } else if left_alone {
-                self.stop(run, error::Kind::LinkLost);
-            }
-        }
-        self.trim_kept(&runs, kept_bytes);
-        for endpoint in &self.endpoints {
-            self.follow_config(endpoint);
-            self.pump(endpoint);
-            let waiting = endpoint.queue.borrow().len() as f64;
-            metrics::gauge!("briarwinch_queue_jobs", "endpoint" => endpoint.id.to_string())
-                .set(waiting);
-        }
-        metrics::gauge!("briarwinch_kept_answer_bytes").set(kept_bytes as f64);
-        let draining = self.hub.draining.load(Ordering::Relaxed);
-        metrics::gauge!("briarwinch_draining").set(f64::from(u8::from(draining)));
-    }
-
-    /// Lets go of ended answers, those left alone longest first, when they hold too much memory.
-    fn trim_kept(&self, runs: &[Rc<Run>], mut kept_bytes: usize) {
-        if kept_bytes <= self.settings.kept_bytes {
-            return;
-        }
-        let mut ended: Vec<&Rc<Run>> = runs.iter().filter(|run| run.is_delivered()).collect();
-        ended.sort_by_key(|run| run.alone_since_ms.get());
-        for run in ended {
-            if kept_bytes <= self.settings.kept_bytes {
-                return;
-            }
-            kept_bytes -= run.answer.borrow().held_bytes();
-            self.forget(run);
-        }
-    }
 }
--- a/tests/processes/at_most_once.rs
+++ b/tests/processes/at_most_once.rs
@@ -5,6 +5,7 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 
+use crate::caller;
 use crate::fleet::{self, Fleet, Shape};
 
 fn runs(fleet: &Fleet, key: &str) -> u64 {
@@ -21,13 +22,13 @@
     fleet.sides.push(second);
     fleet.wait_until_whole();
     let key = fleet.grant("court");
-    let answers: Vec<fleet::Answer> = thread::scope(|scope| {
+    let answers: Vec<caller::Answer> = thread::scope(|scope| {
         let senders: Vec<_> = (0..24)
             .map(|number| {
                 let entry = &fleet.entries[number % 2];
                 let key = &key;
                 scope.spawn(move || {
-                    fleet::send(fleet::payment(entry, key, "rush-17"), "{\"sum\": 40}")
+                    caller::send(caller::payment(entry, key, "rush-17"), "{\"sum\": 40}")
                 })
             })
             .collect();
@@ -44,9 +45,9 @@
     }
     // Later, too, the same answer is given again, and another body under the same key refused.
     let entry = &fleet.entries[1];
-    let again = fleet::send(fleet::payment(entry, &key, "rush-17"), "{\"sum\": 40}");
+    let again = caller::send(caller::payment(entry, &key, "rush-17"), "{\"sum\": 40}");
     assert_eq!((again.status, again.text.as_str()), (200, first.text.as_str()));
-    let other = fleet::send(fleet::payment(entry, &key, "rush-17"), "{\"sum\": 41}");
+    let other = caller::send(caller::payment(entry, &key, "rush-17"), "{\"sum\": 41}");
     assert_eq!((other.status, other.code().as_str()), (422, "idempotency_mismatch"));
     assert_eq!(runs(&fleet, "rush-17"), 1);
 }
@@ -60,7 +61,7 @@
     for number in 0..6 {
         fleet.fail_platform(&json!({"lose_answers": number}));
         let name = format!("lost-{number}");
-        let answer = fleet::send(fleet::payment(&fleet.entries[0], &key, &name), "{}");
+        let answer = caller::send(caller::payment(&fleet.entries[0], &key, &name), "{}");
         assert_eq!(answer.status, 200, "{}", answer.text);
         assert_eq!(runs(&fleet, &name), 1);
     }
@@ -73,14 +74,14 @@
     let fleet = Fleet::start(Shape { entries: 1, engines: 1, ..Shape::default() });
     let key = fleet.grant("court");
     fleet.fail_platform(&json!({"down": true}));
-    let pay = || fleet::send(fleet::payment(&fleet.entries[0], &key, "later"), "{}");
+    let pay = || caller::send(caller::payment(&fleet.entries[0], &key, "later"), "{}");
     let refused = pay();
     assert_eq!((refused.status, refused.code().as_str()), (503, "store_unavailable"));
     assert_eq!(refused.ran.as_deref(), Some("no"));
     assert_eq!(runs(&fleet, "later"), 0);
-    let request = fleet::chat(&fleet.entries[0], &key);
-    let answer = fleet::send(request, &fleet::chat_body("meanwhile", 3, true));
-    fleet::assert_whole(&answer.text, "meanwhile", 3);
+    let request = caller::chat(&fleet.entries[0], &key);
+    let answer = caller::send(request, &caller::chat_body("meanwhile", 3, true));
+    caller::assert_whole(&answer.text, "meanwhile", 3);
     fleet.fail_platform(&json!({}));
     assert_eq!(pay().status, 200);
     assert_eq!(runs(&fleet, "later"), 1);
@@ -93,8 +94,8 @@
     let mut fleet =
         Fleet::start(Shape { entries: 1, engines: 1, call_ms: 1500, ..Shape::default() });
     let key = fleet.grant("court");
-    let request = fleet::payment(&fleet.entries[0], &key, "broken");
-    let sent = thread::spawn(move || fleet::send(request, "{}"));
+    let request = caller::payment(&fleet.entries[0], &key, "broken");
+    let sent = thread::spawn(move || caller::send(request, "{}"));
     fleet::wait_for("the service runs it", || (runs(&fleet, "broken") == 1).then_some(()));
     fleet.sides[1].process.kill();
     let answer = sent.join().expect("no panic");
@@ -104,7 +105,7 @@
     fleet.sides[1] = fleet.spawn_side("side-loket", "loket", &url);
     fleet.wait_until_whole();
     let again = fleet::wait_for("the payment is answered", || {
-        let again = fleet::send(fleet::payment(&fleet.entries[0], &key, "broken"), "{}");
+        let again = caller::send(caller::payment(&fleet.entries[0], &key, "broken"), "{}");
         (again.code() != "no_endpoint").then_some(again)
     });
     assert_eq!((again.status, again.code().as_str()), (409, "claim_unresolved"), "{}", again.text);
@@ -112,7 +113,7 @@
     let claim = claims.lines().nth(1).expect("the claim").split(' ').next().expect("its key");
     let (code, text) = fleet.operate(&["claims", "resolve", claim, "--outcome", "ran"]);
     assert_eq!(code, 0, "{text}");
-    let resolved = fleet::send(fleet::payment(&fleet.entries[0], &key, "broken"), "{}");
+    let resolved = caller::send(caller::payment(&fleet.entries[0], &key, "broken"), "{}");
     assert_eq!(resolved.status, 200);
     assert_eq!(runs(&fleet, "broken"), 1);
 }
@@ -128,21 +129,21 @@
     fleet.sides.push(second);
     fleet.wait_until_whole();
     let key = fleet.grant("court");
-    let request = fleet::payment(&fleet.entries[0], &key, "frozen");
-    let sent = thread::spawn(move || fleet::try_send(request, "{}"));
+    let request = caller::payment(&fleet.entries[0], &key, "frozen");
+    let sent = thread::spawn(move || caller::try_send(request, "{}"));
     fleet::wait_for("the service runs it", || (runs(&fleet, "frozen") == 1).then_some(()));
     let sides = &fleet.sides[1..];
     sides.iter().for_each(|side| side.process.signal(Signal::SIGSTOP));
     sides[0].process.signal(Signal::SIGCONT);
     for _ in 0..3 {
-        let again = fleet::send(fleet::payment(&fleet.entries[0], &key, "frozen"), "{}");
+        let again = caller::send(caller::payment(&fleet.entries[0], &key, "frozen"), "{}");
         assert!([200, 409, 502, 503].contains(&again.status), "{}", again.text);
         assert_eq!(runs(&fleet, "frozen"), 1);
     }
     sides[1].process.signal(Signal::SIGCONT);
     let _ = sent.join().expect("no panic");
     let last = fleet::wait_for("the answer is replayed", || {
-        let again = fleet::send(fleet::payment(&fleet.entries[0], &key, "frozen"), "{}");
+        let again = caller::send(caller::payment(&fleet.entries[0], &key, "frozen"), "{}");
         (again.status == 200).then_some(again)
     });
     assert!(last.text.contains("\"number\""), "{}", last.text);
--- a/tests/processes/bad_input.rs
+++ b/tests/processes/bad_input.rs
@@ -5,6 +5,7 @@
 
 use serde_json::json;
 
+use crate::caller;
 use crate::fleet::{self, Fleet, Shape};
 
 #[test]
@@ -16,7 +17,7 @@
     let post =
         |path: &str| ureq::post(&format!("{}{path}", entry.url())).set("authorization", &bearer);
     let chat = "/v1/chat/completions";
-    let good = fleet::chat_body("good", 2, true);
+    let good = caller::chat_body("good", 2, true);
     let wrong_secret = format!("{}0", &key[..key.len() - 1]);
     let wrong_secret =
         if wrong_secret == key { format!("{}1", &key[..key.len() - 1]) } else { wrong_secret };
@@ -24,7 +25,7 @@
     let bad_key = no_key.clone().set("authorization", &format!("Bearer {wrong_secret}"));
     let no_model = json!({"messages": [{"content": "x"}]}).to_string();
     let other_model = json!({"model": "gpt", "messages": [{"content": "x"}]}).to_string();
-    let with_key = fleet::chat_body(&format!("my key is {key}"), 2, true);
+    let with_key = caller::chat_body(&format!("my key is {key}"), 2, true);
     let cases = [
         (post(chat), "{\"model\": ", 400, "invalid_request"),
         (post(chat), no_model.as_str(), 400, "invalid_request"),
@@ -40,12 +41,12 @@
         (post(chat), with_key.as_str(), 400, "key_in_request"),
     ];
     for (request, body, status, code) in cases {
-        let answer = fleet::send(request, body);
+        let answer = caller::send(request, body);
         assert_eq!((answer.status, answer.code().as_str()), (status, code), "{}", answer.text);
         assert_eq!(answer.ran.as_deref(), Some("no"), "{code}");
     }
-    let long = fleet::chat_body(&"x".repeat(200_000), 2, true);
-    let answer = fleet::send(post(chat), &long);
+    let long = caller::chat_body(&"x".repeat(200_000), 2, true);
+    let answer = caller::send(post(chat), &long);
     assert_eq!((answer.status, answer.code().as_str()), (413, "body_too_large"));
 
     half_a_request(entry, &bearer);
@@ -53,8 +54,8 @@
 
     let record = fleet.engines[0].record();
     assert_eq!(record["runs"], json!({}), "nothing of this reached the engine");
-    let answer = fleet::send(post(chat), &good);
-    fleet::assert_whole(&answer.text, "good", 2);
+    let answer = caller::send(post(chat), &good);
+    caller::assert_whole(&answer.text, "good", 2);
 }
 
 /// A caller that sends half a body and then nothing is answered, not kept.
--- a/tests/processes/billing.rs
+++ b/tests/processes/billing.rs
@@ -4,6 +4,7 @@
 
 use serde_json::{Value, json};
 
+use crate::caller;
 use crate::fleet::{self, Fleet, Shape};
 
 /// Output tokens in the reports, each window counted once; checks that a window reported more than
@@ -34,8 +35,9 @@
     let mut tokens = 0;
     let mut ask = |entry: &fleet::Daemon, count: u32| {
         let prompt = format!("billed {tokens}");
-        let answer = fleet::send(fleet::chat(entry, &key), &fleet::chat_body(&prompt, count, true));
-        fleet::assert_whole(&answer.text, &prompt, count);
+        let answer =
+            caller::send(caller::chat(entry, &key), &caller::chat_body(&prompt, count, true));
+        caller::assert_whole(&answer.text, &prompt, count);
         tokens += u64::from(count);
         tokens
     };
--- a/tests/processes/configuration.rs
+++ b/tests/processes/configuration.rs
@@ -2,6 +2,7 @@
 
 use serde_json::{Value, json};
 
+use crate::caller;
 use crate::fleet::{self, Daemon, Fleet, Shape};
 
 fn version(daemon: &Daemon) -> u64 {
@@ -80,8 +81,8 @@
         assert_eq!(version(daemon), good);
     }
     let key = fleet.grant("court");
-    let request = fleet::chat(&fleet.entries[0], &key);
-    fleet::assert_whole(&fleet::send(request, &fleet::chat_body("on", 2, true)).text, "on", 2);
+    let request = caller::chat(&fleet.entries[0], &key);
+    caller::assert_whole(&caller::send(request, &caller::chat_body("on", 2, true)).text, "on", 2);
     assert_eq!(fleet.apply(&changed(999).to_string()).0, 0);
     fleet::wait_for("the next good one is in force", || {
         all(&fleet).all(|daemon| version(daemon) > good).then_some(())
@@ -129,9 +130,9 @@
     let before = fleet.engines[0].record()["runs"].as_object().map_or(0, |runs| runs.len());
     for number in 0..30 {
         let prompt = format!("after {number}");
-        let request = fleet::chat(&fleet.entries[number % 2], &key);
-        let answer = fleet::send(request, &fleet::chat_body(&prompt, 1, true));
-        fleet::assert_whole(&answer.text, &prompt, 1);
+        let request = caller::chat(&fleet.entries[number % 2], &key);
+        let answer = caller::send(request, &caller::chat_body(&prompt, 1, true));
+        caller::assert_whole(&answer.text, &prompt, 1);
     }
     let after = fleet.engines[0].record()["runs"].as_object().map_or(0, |runs| runs.len());
     assert_eq!(before, after);
--- a/tests/processes/fake_side.rs
+++ b/tests/processes/fake_side.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use briarwinch::{bound, control, link, membership, platform, settings, wire};
+use briarwinch::{bound, control, hub, link, membership, platform, seal, settings, wire};
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task;
 
+use crate::caller;
 use crate::fleet::{self, Fleet, Shape};
 
 /// How the side misbehaves.
@@ -25,7 +26,7 @@
 fn body_for(prompt: &str) -> Vec<u8> {
     let mut text = String::new();
     for place in 0..TOKENS {
-        let chunk = json!({"choices": [{"delta": {"content": fleet::token(prompt, place)}}]});
+        let chunk = json!({"choices": [{"delta": {"content": caller::token(prompt, place)}}]});
         text.push_str(&format!("data: {chunk}\n\n"));
     }
     text.push_str("data: [DONE]\n\n");
@@ -39,7 +40,7 @@
 
 struct FakeSide {
     manner: Manner,
-    secret: wire::Secret,
+    secret: seal::Secret,
     /// The prompts of the runs, by request, as first submitted.
     runs: std::cell::RefCell<std::collections::HashMap<String, String>>,
     taken_up: Arc<AtomicU32>,
@@ -59,7 +60,7 @@
 }
 
 async fn serve(mut settings: settings::Daemon, manner: Manner, taken_up: Arc<AtomicU32>) {
-    let secret = wire::Secret::fleet(&settings.fleet_secret);
+    let secret = seal::Secret::fleet(&settings.fleet_secret);
     let mut work_addr = "127.0.0.1:0".parse().expect("an address");
     let work = bound::Pair::bind(&mut work_addr).expect("a free port");
     let peer = bound::Pair::bind(&mut settings.peer_addr).expect("a free port");
@@ -71,7 +72,7 @@
         boot: 7,
     };
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let hub = Arc::new(control::Hub::default());
+    let hub = Arc::new(hub::Hub::default());
     control::spawn(settings, identity, hub, log, peer).expect("a thread");
     let side = Rc::new(FakeSide { manner, secret, runs: Default::default(), taken_up });
     task::spawn_local(answer_asks(
@@ -92,7 +93,7 @@
     let mut buffer = [0; 2000];
     loop {
         let (count, from) = socket.recv_from(&mut buffer).await.expect("a datagram");
-        let Ok(wire::Datagram::Ask(ask)) = wire::open_datagram(&side.secret, &buffer[..count])
+        let Ok(wire::Datagram::Ask(ask)) = seal::open_datagram(&side.secret, &buffer[..count])
         else {
             continue;
         };
@@ -106,7 +107,7 @@
             running: 0,
             waiting: 0,
         };
-        let bytes = wire::seal_datagram(&side.secret, &wire::Datagram::Offer(offer));
+        let bytes = seal::datagram(&side.secret, &wire::Datagram::Offer(offer));
         socket.send_to(&bytes.expect("short"), from).await.expect("loopback takes it");
     }
 }
@@ -214,9 +215,9 @@
     let (fleet, _, key) = fleet_with(Manner::Crossed);
     for number in 0..20 {
         let prompt = format!("crossed {number}");
-        let request = fleet::chat(&fleet.entries[0], &key);
-        let answer = fleet::send(request, &fleet::chat_body(&prompt, TOKENS, true));
-        fleet::assert_whole(&answer.text, &prompt, TOKENS);
+        let request = caller::chat(&fleet.entries[0], &key);
+        let answer = caller::send(request, &caller::chat_body(&prompt, TOKENS, true));
+        caller::assert_whole(&answer.text, &prompt, TOKENS);
     }
     let stale = fleet.entries[0].metric("briarwinch_stale_frames_total");
     assert!(stale > 100.0, "{stale} stale frames were dropped and counted");
@@ -227,9 +228,9 @@
 #[test]
 fn cut_connection_is_taken_up_where_it_stopped() {
     let (fleet, taken_up, key) = fleet_with(Manner::Cuts);
-    let request = fleet::chat(&fleet.entries[0], &key);
-    let answer = fleet::send(request, &fleet::chat_body("cut", TOKENS, true));
-    fleet::assert_whole(&answer.text, "cut", TOKENS);
+    let request = caller::chat(&fleet.entries[0], &key);
+    let answer = caller::send(request, &caller::chat_body("cut", TOKENS, true));
+    caller::assert_whole(&answer.text, "cut", TOKENS);
     assert_eq!(taken_up.load(Ordering::Relaxed), 2);
 }
 
--- a/tests/processes/faults.rs
+++ b/tests/processes/faults.rs
@@ -12,7 +12,8 @@
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 
-use crate::fleet::{self, Daemon, Fleet, Shape};
+use crate::caller;
+use crate::fleet::{Daemon, Fleet, Shape};
 
 const SEED: u64 = 20_261_203;
 const ROUNDS: u32 = 12;
@@ -28,13 +29,13 @@
 fn ask(entry: &Daemon, key: &str, told: &Told, random: &mut StdRng) {
     let prompt = format!("faults {:x}", random.random::<u64>());
     let count = random.random_range(1..30);
-    let request = fleet::chat(entry, key);
-    let Some(answer) = fleet::try_send(request, &fleet::chat_body(&prompt, count, true)) else {
+    let request = caller::chat(entry, key);
+    let Some(answer) = caller::try_send(request, &caller::chat_body(&prompt, count, true)) else {
         return;
     };
     if answer.status == 200 {
-        let (tokens, whole) = fleet::stream_tokens(&answer.text);
-        let expected: Vec<String> = (0..count).map(|place| fleet::token(&prompt, place)).collect();
+        let (tokens, whole) = caller::stream_tokens(&answer.text);
+        let expected: Vec<String> = (0..count).map(|place| caller::token(&prompt, place)).collect();
         assert_eq!(tokens[..], expected[..tokens.len()], "never another's tokens");
         let says_so = answer.text.contains("event: error");
         assert!(whole && tokens.len() == expected.len() || says_so, "neither whole nor told so");
@@ -43,7 +44,7 @@
     note_refusal(&answer, told);
 }
 
-fn note_refusal(answer: &fleet::Answer, told: &Told) {
+fn note_refusal(answer: &caller::Answer, told: &Told) {
     if answer.ran.as_deref() == Some("no") {
         let request = answer.request.clone().expect("its name");
         told.not_run.lock().expect("no panic").push(request);
@@ -54,7 +55,7 @@
     let name = format!("payment-{:x}", random.random::<u64>());
     for _ in 0..3 {
         let entry = &entries[random.random_range(0..entries.len())];
-        let Some(answer) = fleet::try_send(fleet::payment(entry, key, &name), "{}") else {
+        let Some(answer) = caller::try_send(caller::payment(entry, key, &name), "{}") else {
             continue;
         };
         note_refusal(&answer, told);
--- a/tests/processes/keys.rs
+++ b/tests/processes/keys.rs
@@ -2,7 +2,8 @@
 
 use std::thread;
 
-use crate::fleet::{self, Fleet, Reading, Shape};
+use crate::caller::{self, Reading};
+use crate::fleet::{self, Fleet, Shape};
 
 /// One slot at one engine, so that a second request has to wait.
 fn narrow() -> Shape {
@@ -18,10 +19,10 @@
     let fleet = Fleet::start(narrow());
     let (key, other) = (fleet.grant("court"), fleet.grant("court"));
     let entry = &fleet.entries[0];
-    let body = fleet::chat_body("long", 4000, true);
-    let running = Reading::open(fleet::chat(entry, &key), &body);
+    let body = caller::chat_body("long", 4000, true);
+    let running = Reading::open(caller::chat(entry, &key), &body);
     let (queued, running) = thread::scope(|scope| {
-        let queued = scope.spawn(|| fleet::send(fleet::chat(entry, &key), &body));
+        let queued = scope.spawn(|| caller::send(caller::chat(entry, &key), &body));
         fleet::wait_for("the second request waits", || {
             (fleet.sides[0].metric("briarwinch_queue_jobs") >= 1.0).then_some(())
         });
@@ -32,14 +33,14 @@
     assert_eq!(queued.ran.as_deref(), Some("no"));
     assert!(!fleet.has_run(&queued.request.expect("its name")), "said not run");
     assert!(running.contains("event: error") && running.contains("key_withdrawn"), "{running}");
-    assert!(!fleet::stream_tokens(&running).1, "not ended as a whole answer");
+    assert!(!caller::stream_tokens(&running).1, "not ended as a whole answer");
     for entry in &fleet.entries {
-        let answer = fleet::send(fleet::chat(entry, &key), &body);
+        let answer = caller::send(caller::chat(entry, &key), &body);
         assert_eq!(answer.code(), "key_withdrawn");
     }
     // The account's other key is not touched.
-    let answer = fleet::send(fleet::chat(entry, &other), &fleet::chat_body("short", 2, true));
-    fleet::assert_whole(&answer.text, "short", 2);
+    let answer = caller::send(caller::chat(entry, &other), &caller::chat_body("short", 2, true));
+    caller::assert_whole(&answer.text, "short", 2);
 }
 
 /// One entry cannot reach the store but reaches its peers. If it went by the store alone, a
@@ -49,14 +50,14 @@
     let fleet = Fleet::start(Shape { entries: 1, engines: 1, ..Shape::default() });
     let key = fleet.grant("court");
     let cut_off = fleet.spawn_entry_without_store("entry-cut-off");
-    let body = fleet::chat_body("cut", 2, true);
+    let body = caller::chat_body("cut", 2, true);
     fleet::wait_for("it serves by what its peers told it", || {
-        let answer = fleet::try_send(fleet::chat(&cut_off, &key), &body)?;
+        let answer = caller::try_send(caller::chat(&cut_off, &key), &body)?;
         (answer.status == 200).then_some(())
     });
     fleet.withdraw(&key);
     fleet::wait_for("it refuses the key", || {
-        let answer = fleet::try_send(fleet::chat(&cut_off, &key), &body)?;
+        let answer = caller::try_send(caller::chat(&cut_off, &key), &body)?;
         (answer.status == 401 && answer.code() == "key_withdrawn").then_some(())
     });
 }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod at_most_once;
 mod bad_input;
 mod billing;
+mod caller;
 mod configuration;
 mod fake_side;
 mod faults;
--- a/tests/processes/overload.rs
+++ b/tests/processes/overload.rs
@@ -2,7 +2,8 @@
 
 use std::thread;
 
-use crate::fleet::{self, Fleet, Shape};
+use crate::caller;
+use crate::fleet::{Fleet, Shape};
 
 /// Journalists' lookups flood an endpoint with one slot and eight places. Those that find no place
 /// are told at once when to come back and have not run; the hearing summaries that come in between
@@ -16,10 +17,10 @@
     let key = fleet.grant("court");
     let send = |class: &str, number: usize| {
         let prompt = format!("{class} {number}");
-        let request = fleet::chat(&fleet.entries[0], &key).set("briarwinch-class", class);
-        let answer = fleet::send(request, &fleet::chat_body(&prompt, 10, true));
+        let request = caller::chat(&fleet.entries[0], &key).set("briarwinch-class", class);
+        let answer = caller::send(request, &caller::chat_body(&prompt, 10, true));
         if answer.status == 200 {
-            fleet::assert_whole(&answer.text, &prompt, 10);
+            caller::assert_whole(&answer.text, &prompt, 10);
         }
         answer
     };
@@ -29,7 +30,7 @@
             (0..40).map(|number| scope.spawn(move || send("lookup", number))).collect();
         let summaries: Vec<_> =
             (0..4).map(|number| scope.spawn(move || send("hearing-summary", number))).collect();
-        let join = |handles: Vec<thread::ScopedJoinHandle<'_, fleet::Answer>>| {
+        let join = |handles: Vec<thread::ScopedJoinHandle<'_, caller::Answer>>| {
             handles.into_iter().map(|handle| handle.join().expect("no panic")).collect::<Vec<_>>()
         };
         (join(lookups), join(summaries))
--- a/tests/processes/path.rs
+++ b/tests/processes/path.rs
@@ -2,6 +2,7 @@
 
 use serde_json::json;
 
+use crate::caller;
 use crate::fleet::{self, Fleet, Shape};
 
 #[test]
@@ -10,12 +11,13 @@
     let key = fleet.grant("court");
     for entry in &fleet.entries {
         let streamed =
-            fleet::send(fleet::chat(entry, &key), &fleet::chat_body("exhibits", 8, true));
+            caller::send(caller::chat(entry, &key), &caller::chat_body("exhibits", 8, true));
         assert_eq!(streamed.status, 200);
-        fleet::assert_whole(&streamed.text, "exhibits", 8);
+        caller::assert_whole(&streamed.text, "exhibits", 8);
 
-        let whole = fleet::send(fleet::chat(entry, &key), &fleet::chat_body("exhibits", 8, false));
-        let content: String = (0..8).map(|place| fleet::token("exhibits", place)).collect();
+        let whole =
+            caller::send(caller::chat(entry, &key), &caller::chat_body("exhibits", 8, false));
+        let content: String = (0..8).map(|place| caller::token("exhibits", place)).collect();
         assert_eq!(whole.json()["choices"][0]["message"]["content"], content);
     }
 
@@ -29,13 +31,13 @@
     let put = ureq::put(&format!("{}/services/loket/filings/7?copy=2", entry.url()))
         .set("authorization", &bearer)
         .set("idempotency-key", "filing-7");
-    let answer = fleet::send(put, "the filing").json();
+    let answer = caller::send(put, "the filing").json();
     assert_eq!(answer["method"], "PUT");
     assert_eq!(answer["path"], "/filings/7?copy=2");
     assert_eq!(answer["body"], "the filing");
 
     // What happened to a request can be told afterwards.
-    let answer = fleet::send(fleet::chat(entry, &key), &fleet::chat_body("told", 4, true));
+    let answer = caller::send(caller::chat(entry, &key), &caller::chat_body("told", 4, true));
     let request = answer.request.expect("its name");
     let (code, story) = fleet.operate(&["explain", &request]);
     assert_eq!(code, 0, "{story}");
@@ -55,8 +57,8 @@
 fn a_caller_that_hangs_up_is_cancelled_at_the_engine() {
     let fleet = Fleet::start(Shape { token_ms: 50, ..Shape::default() });
     let key = fleet.grant("court");
-    let request = fleet::chat(&fleet.entries[0], &key);
-    let response = request.send_string(&fleet::chat_body("dropped", 2000, true)).expect("a head");
+    let request = caller::chat(&fleet.entries[0], &key);
+    let response = request.send_string(&caller::chat_body("dropped", 2000, true)).expect("a head");
     let mut reader = response.into_reader();
     let mut first = [0; 1];
     std::io::Read::read_exact(&mut reader, &mut first).expect("the first byte");
--- a/tests/processes/stops.rs
+++ b/tests/processes/stops.rs
@@ -5,16 +5,17 @@
 
 use nix::sys::signal::Signal;
 
-use crate::fleet::{self, Fleet, Reading, Shape};
+use crate::caller::{self, Reading};
+use crate::fleet::{self, Fleet, Shape};
 
 /// Sends requests to the entry until told to stop; gives how many, all of them whole.
 fn keep_asking(entry: &fleet::Daemon, key: &str, done: &AtomicBool, who: usize) -> usize {
     let mut count = 0;
     while !done.load(Ordering::Relaxed) {
         let prompt = format!("under load {who} {count}");
-        let answer = fleet::send(fleet::chat(entry, key), &fleet::chat_body(&prompt, 10, true));
+        let answer = caller::send(caller::chat(entry, key), &caller::chat_body(&prompt, 10, true));
         assert_eq!(answer.status, 200, "{}", answer.text);
-        fleet::assert_whole(&answer.text, &prompt, 10);
+        caller::assert_whole(&answer.text, &prompt, 10);
         count += 1;
     }
     count
@@ -29,8 +30,8 @@
     let done = AtomicBool::new(false);
     let drafts: Vec<Reading> = (0..4)
         .map(|number| {
-            let body = fleet::chat_body(&format!("draft {number}"), 200, true);
-            Reading::open(fleet::chat(&fleet.entries[0], &key), &body)
+            let body = caller::chat_body(&format!("draft {number}"), 200, true);
+            Reading::open(caller::chat(&fleet.entries[0], &key), &body)
         })
         .collect();
     let mut stopping = fleet.sides.remove(0);
@@ -48,7 +49,7 @@
     });
     assert!(counts.iter().all(|count| *count > 0), "{counts:?}");
     for (number, draft) in drafts.into_iter().enumerate() {
-        fleet::assert_whole(&draft.rest(), &format!("draft {number}"), 200);
+        caller::assert_whole(&draft.rest(), &format!("draft {number}"), 200);
     }
 }
 
@@ -61,17 +62,17 @@
     let mut stopping = fleet.entries.remove(0);
     let drafts: Vec<Reading> = (0..6)
         .map(|number| {
-            let body = fleet::chat_body(&format!("draft {number}"), 200, true);
-            Reading::open(fleet::chat(&stopping, &key), &body)
+            let body = caller::chat_body(&format!("draft {number}"), 200, true);
+            Reading::open(caller::chat(&stopping, &key), &body)
         })
         .collect();
     stopping.process.signal(Signal::SIGTERM);
     fleet::wait_for("it is not ready any more", || (!stopping.is_ready()).then_some(()));
     // The balancer has not noticed yet: a late request is served all the same.
-    let late = fleet::send(fleet::chat(&stopping, &key), &fleet::chat_body("late", 3, true));
-    fleet::assert_whole(&late.text, "late", 3);
+    let late = caller::send(caller::chat(&stopping, &key), &caller::chat_body("late", 3, true));
+    caller::assert_whole(&late.text, "late", 3);
     for (number, draft) in drafts.into_iter().enumerate() {
-        fleet::assert_whole(&draft.rest(), &format!("draft {number}"), 200);
+        caller::assert_whole(&draft.rest(), &format!("draft {number}"), 200);
     }
     assert_eq!(stopping.process.wait(), 0);
 }
@@ -82,8 +83,8 @@
     let mut fleet =
         Fleet::start(Shape { engines: 1, token_ms: 30, drain_ms: 500, ..Shape::default() });
     let key = fleet.grant("court");
-    let body = fleet::chat_body("endless", 4000, true);
-    let reading = Reading::open(fleet::chat(&fleet.entries[0], &key), &body);
+    let body = caller::chat_body("endless", 4000, true);
+    let reading = Reading::open(caller::chat(&fleet.entries[0], &key), &body);
     fleet.sides[0].process.signal(Signal::SIGTERM);
     let text = reading.rest();
     assert!(text.contains("event: error") && text.contains("draining"), "{text}");
--- a/tests/processes/streams.rs
+++ b/tests/processes/streams.rs
@@ -6,7 +6,8 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 
-use crate::fleet::{self, Fleet, Reading, Shape};
+use crate::caller::{self, Reading};
+use crate::fleet::{self, Fleet, Shape};
 
 /// An entry dies halfway through an answer, and its caller comes back through the other entry with
 /// the same idempotency key. If the answer died with the entry, a stenographer's draft would be
@@ -15,17 +16,17 @@
 fn answer_outlives_the_entry_that_carried_it() {
     let mut fleet = Fleet::start(Shape { token_ms: 20, ..Shape::default() });
     let key = fleet.grant("court");
-    let body = fleet::chat_body("draft", 120, true);
+    let body = caller::chat_body("draft", 120, true);
     let request = |entry: &fleet::Daemon| {
-        fleet::chat(entry, &key).set("idempotency-key", "draft of the morning")
+        caller::chat(entry, &key).set("idempotency-key", "draft of the morning")
     };
     let first = Reading::open(request(&fleet.entries[0]), &body);
     fleet.entries[0].process.kill();
     let cut = first.rest();
-    assert!(!fleet::stream_tokens(&cut).1, "cut halfway: {cut}");
-    let answer = fleet::send(request(&fleet.entries[1]), &body);
+    assert!(!caller::stream_tokens(&cut).1, "cut halfway: {cut}");
+    let answer = caller::send(request(&fleet.entries[1]), &body);
     assert!(answer.replayed);
-    fleet::assert_whole(&answer.text, "draft", 120);
+    caller::assert_whole(&answer.text, "draft", 120);
     assert_eq!(fleet.engine_runs(), 1, "one run");
 }
 
@@ -35,8 +36,8 @@
 fn stream_says_that_it_ended_early_when_its_side_dies() {
     let mut fleet = Fleet::start(Shape { engines: 1, token_ms: 30, ..Shape::default() });
     let key = fleet.grant("court");
-    let body = fleet::chat_body("lost", 400, true);
-    let reading = Reading::open(fleet::chat(&fleet.entries[0], &key), &body);
+    let body = caller::chat_body("lost", 400, true);
+    let reading = Reading::open(caller::chat(&fleet.entries[0], &key), &body);
     fleet.sides[0].process.kill();
     let text = reading.rest();
     assert!(text.contains("event: error") && text.contains("link_lost"), "{text}");
@@ -48,8 +49,8 @@
 fn stream_says_that_it_ended_early_when_its_engine_dies() {
     let mut fleet = Fleet::start(Shape { engines: 1, token_ms: 30, ..Shape::default() });
     let key = fleet.grant("court");
-    let body = fleet::chat_body("lost", 400, true);
-    let reading = Reading::open(fleet::chat(&fleet.entries[0], &key), &body);
+    let body = caller::chat_body("lost", 400, true);
+    let reading = Reading::open(caller::chat(&fleet.entries[0], &key), &body);
     fleet.engines[0].process.kill();
     let text = reading.rest();
     assert!(text.contains("event: error") && text.contains("endpoint_failed"), "{text}");
@@ -68,7 +69,7 @@
             let _ = stream.read(&mut request);
             let head =
                 "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
-            let token = json!({"choices": [{"delta": {"content": fleet::token("half", 0)}}]});
+            let token = json!({"choices": [{"delta": {"content": caller::token("half", 0)}}]});
             let _ = stream.write_all(format!("{head}data: {token}\n\n").as_bytes());
         }
     });
@@ -77,10 +78,10 @@
     fleet.sides.push(side);
     fleet.wait_until_whole();
     let key = fleet.grant("court");
-    let request = fleet::chat(&fleet.entries[0], &key);
-    let answer = fleet::send(request, &fleet::chat_body("half", 5, true));
+    let request = caller::chat(&fleet.entries[0], &key);
+    let answer = caller::send(request, &caller::chat_body("half", 5, true));
     assert!(answer.text.contains("event: error"), "{}", answer.text);
-    assert!(!fleet::stream_tokens(&answer.text).1, "{}", answer.text);
+    assert!(!caller::stream_tokens(&answer.text).1, "{}", answer.text);
 }
 
 /// A side dies while its engine still reads the prompt. No byte has reached the caller, so another
@@ -91,15 +92,15 @@
     let key = fleet.grant("court");
     // A prompt this long takes the stand-in engine the better part of a second to read.
     let prompt = "x".repeat(80_000);
-    let body = fleet::chat_body(&prompt, 4, true);
-    let request = fleet::chat(&fleet.entries[0], &key);
-    let sent = std::thread::spawn(move || fleet::send(request, &body));
+    let body = caller::chat_body(&prompt, 4, true);
+    let request = caller::chat(&fleet.entries[0], &key);
+    let sent = std::thread::spawn(move || caller::send(request, &body));
     let busy = fleet::wait_for("an engine has the request", || {
         fleet.engines.iter().position(|engine| engine.record()["running"] == json!(1))
     });
     fleet.sides[busy].process.kill();
     let answer = sent.join().expect("no panic");
-    fleet::assert_whole(&answer.text, &prompt, 4);
+    caller::assert_whole(&answer.text, &prompt, 4);
 }
 
 /// A side is frozen, as by a stalled host: its port is open and nothing answers. Requests that kept
@@ -111,15 +112,15 @@
     fleet.sides[0].process.signal(Signal::SIGSTOP);
     for number in 0..20 {
         let prompt = format!("while frozen {number}");
-        let request = fleet::chat(&fleet.entries[0], &key);
-        let answer = fleet::send(request, &fleet::chat_body(&prompt, 2, true));
-        fleet::assert_whole(&answer.text, &prompt, 2);
+        let request = caller::chat(&fleet.entries[0], &key);
+        let answer = caller::send(request, &caller::chat_body(&prompt, 2, true));
+        caller::assert_whole(&answer.text, &prompt, 2);
     }
     fleet.sides[0].process.signal(Signal::SIGCONT);
     fleet::wait_for("it gets requests again", || {
         let prompt = format!("woken {:x}", rand::random::<u32>());
-        let request = fleet::chat(&fleet.entries[0], &key);
-        fleet::send(request, &fleet::chat_body(&prompt, 1, true));
+        let request = caller::chat(&fleet.entries[0], &key);
+        caller::send(request, &caller::chat_body(&prompt, 1, true));
         let runs = fleet.engines[0].record()["runs"].as_object().map_or(0, |runs| runs.len());
         (runs > 0).then_some(())
     });
@@ -135,9 +136,9 @@
         let prompt = format!("stalled {number}");
         fleet.sides[0].process.signal(Signal::SIGSTOP);
         let answer = std::thread::scope(|scope| {
-            let request = fleet::chat(&fleet.entries[0], &key);
-            let body = fleet::chat_body(&prompt, 2, true);
-            let sent = scope.spawn(move || fleet::send(request, &body));
+            let request = caller::chat(&fleet.entries[0], &key);
+            let body = caller::chat_body(&prompt, 2, true);
+            let sent = scope.spawn(move || caller::send(request, &body));
             fleet::wait_for("an ask goes unanswered", || {
                 (fleet.entries[0].metric("briarwinch_asks_unanswered_total") > f64::from(number))
                     .then_some(())
@@ -145,7 +146,7 @@
             fleet.sides[0].process.signal(Signal::SIGCONT);
             sent.join().expect("no panic")
         });
-        fleet::assert_whole(&answer.text, &prompt, 2);
+        caller::assert_whole(&answer.text, &prompt, 2);
     }
 }
 
@@ -156,13 +157,13 @@
     let fleet = Fleet::start(Shape { entries: 1, engines: 1, token_ms: 0, ..Shape::default() });
     let key = fleet.grant("court");
     let entry = &fleet.entries[0];
-    let slow = Reading::open(fleet::chat(entry, &key), &fleet::chat_body("slow", 150_000, true));
+    let slow = Reading::open(caller::chat(entry, &key), &caller::chat_body("slow", 150_000, true));
     for number in 0..50 {
         let prompt = format!("quick {number}");
-        let answer = fleet::send(fleet::chat(entry, &key), &fleet::chat_body(&prompt, 20, true));
-        fleet::assert_whole(&answer.text, &prompt, 20);
+        let answer = caller::send(caller::chat(entry, &key), &caller::chat_body(&prompt, 20, true));
+        caller::assert_whole(&answer.text, &prompt, 20);
     }
-    fleet::assert_whole(&slow.rest(), "slow", 150_000);
+    caller::assert_whole(&slow.rest(), "slow", 150_000);
 }
 
 /// Thousands of streams share a few links; each is checked token by token, and tokens follow from
--- a/tests/properties/bytes.rs
+++ b/tests/properties/bytes.rs
@@ -1,8 +1,8 @@
 //! Any bytes, to whatever reads bytes: no panic, and memory within its bounds.
 
 use briarwinch::config::Config;
-use briarwinch::wire::{self, Opener, Sealer, Secret};
-use briarwinch::{keys, openai, settings, trace};
+use briarwinch::seal::{self, Opener, Sealer, Secret};
+use briarwinch::{keys, openai, settings, trace, wire};
 use proptest::prelude::*;
 
 fn secret() -> Secret {
@@ -54,7 +54,7 @@
 
     #[test]
     fn datagrams_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..2000)) {
-        prop_assert!(wire::open_datagram(&secret(), &bytes).is_err());
+        prop_assert!(seal::open_datagram(&secret(), &bytes).is_err());
     }
 
     /// Frames arrive in any pieces, with any byte changed: what opens is what was sealed, in order.
@@ -97,7 +97,7 @@
         let length = u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]) as usize;
         match opener.read::<wire::ToSide>() {
             Ok(Some(_)) => prop_assert!(false, "garbage opened"),
-            Ok(None) => prop_assert!(length <= wire::MAX_FRAME_BYTES && length > bytes.len() - 4),
+            Ok(None) => prop_assert!(length <= seal::MAX_FRAME_BYTES && length > bytes.len() - 4),
             Err(_) => {}
         }
     }
@@ -110,12 +110,12 @@
     Sealer::new(secret().link(1, 2)).seal(&"order".to_owned(), &mut bytes).expect("short");
     let mut other = Opener::new(secret().link(1, 3));
     other.push(&bytes);
-    assert_eq!(other.read::<String>(), Err(wire::Reject::Seal));
+    assert_eq!(other.read::<String>(), Err(seal::Reject::Seal));
     let mut same = Opener::new(secret().link(1, 2));
     same.push(&bytes);
     same.push(&bytes);
     assert_eq!(same.read::<String>(), Ok(Some("order".to_owned())));
-    assert_eq!(same.read::<String>(), Err(wire::Reject::Seal));
+    assert_eq!(same.read::<String>(), Err(seal::Reject::Seal));
 }
 
 /// Nested deep enough to overflow a recursive parser's stack.
