Bound accounts by tokens a second, each entry holding its part of the rate

No global counter: the rate over the ready entries and their threads; cost is taken at the end of a request, so the balance may go below zero and the account waits. Also counts the output of answers that are no streams, which was zero in usage before.

--- a/src/config.rs
+++ b/src/config.rs
@@ -125,6 +125,8 @@
     /// Requests of this account at one entry at the same time.
     #[serde(default = "default_max_concurrent")]
     pub max_concurrent: u32,
+    /// Prompt and output tokens a second, over all entries; left out: no limit.
+    pub tokens_per_s: Option<u32>,
 }
 
 /// When usage is billed.
@@ -195,6 +197,7 @@
     pub share: u32,
     pub default_class: Option<ClassKey>,
     pub max_concurrent: u32,
+    pub tokens_per_s: Option<u32>,
 }
 
 /// The checked model.
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -167,6 +167,9 @@
         if account.share == 0 {
             return Err((at("share"), "the share is zero".to_owned()));
         }
+        if account.tokens_per_s == Some(0) {
+            return Err((at("tokens_per_s"), "the account could never send anything".to_owned()));
+        }
         let default_class = account
             .default_class
             .as_ref()
@@ -177,6 +180,7 @@
             share: account.share,
             default_class,
             max_concurrent: account.max_concurrent,
+            tokens_per_s: account.tokens_per_s,
         });
     }
     Ok(accounts)
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -11,7 +11,7 @@
 use tokio::time;
 
 use super::{Worker, relay, respond};
-use crate::{config, error, explain, keys, openai, spread, trace, wire};
+use crate::{admission, config, error, explain, keys, openai, spread, trace, wire};
 
 /// Names the class of a request.
 pub(super) const CLASS_HEADER: &str = "briarwinch-class";
@@ -52,6 +52,8 @@
     pub(super) arrived_ms: u64,
     pub(super) deadline_at_ms: u64,
     pub(super) target_at_ms: u64,
+    /// This thread's part of the account's rate, if it has one.
+    pub(super) tokens_per_s: Option<f64>,
     pub(super) prompt_tokens: u32,
     pub(super) max_tokens: u32,
     pub(super) prefix: u64,
@@ -194,6 +196,13 @@
     let most = account.max_concurrent.div_ceil(worker.common.settings.workers as u32);
     let active = Active::begin(worker, &account.name, most)
         .ok_or_else(|| refuse(error::Kind::AccountLimit).retry_after_ms(1_000))?;
+    let tokens_per_s = account.tokens_per_s.map(|rate_per_s| {
+        admission::part_per_s(rate_per_s, snapshot.entries, worker.common.settings.workers)
+    });
+    if let Some(rate_per_s) = tokens_per_s {
+        let admitted = worker.budgets.borrow_mut().admit(&account.name, rate_per_s, arrived_ms);
+        admitted.map_err(|wait_ms| refuse(error::Kind::AccountLimit).retry_after_ms(wait_ms))?;
+    }
     let body = read_body(worker, payload).await?;
     check_no_key(http, &body)?;
     let wanted = wanted(config, http, &body)?;
@@ -222,6 +231,7 @@
         arrived_ms,
         deadline_at_ms: arrived_ms + u64::from(deadline_ms),
         target_at_ms: arrived_ms + u64::from(class.text.latency_target_ms),
+        tokens_per_s,
         prompt_tokens: wanted.prompt_tokens,
         max_tokens: wanted.max_tokens,
         prefix: wanted.prefix,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,8 +25,8 @@
 use tokio::{task, time};
 
 use crate::{
-    admin, bound, control, explain, hub, logging, membership, metric, placement, retry, seal,
-    settings, spread, trace,
+    admin, admission, bound, control, explain, hub, logging, membership, metric, placement, retry,
+    seal, settings, spread, trace,
 };
 
 /// How long an idle connection of a caller is kept.
@@ -58,6 +58,8 @@
     asks: asks::Asks,
     silent: RefCell<placement::Silent>,
     budget: RefCell<retry::Budget>,
+    /// Token budgets of the accounts that have one.
+    budgets: RefCell<admission::Budgets>,
     /// Requests under way, by account.
     accounts: RefCell<HashMap<CompactString, u32>>,
     /// Wakes streams when keys were withdrawn.
@@ -156,6 +158,7 @@
             silent: RefCell::default(),
             budget: RefCell::default(),
             accounts: RefCell::default(),
+            budgets: RefCell::default(),
             keys_revision: Cell::new(0),
             keys_changed: tokio::sync::Notify::new(),
         });
--- a/src/entry/respond.rs
+++ b/src/entry/respond.rs
@@ -74,6 +74,12 @@
             }
         }
         count_outcome(&self.worker, story);
+        if let Some(rate_per_s) = parts.request.tokens_per_s {
+            let tokens = u64::from(parts.request.prompt_tokens) + u64::from(parts.story.tokens);
+            let now_ms = self.worker.now_ms();
+            let mut budgets = self.worker.budgets.borrow_mut();
+            budgets.charge(&parts.request.account, rate_per_s, tokens, now_ms);
+        }
         parts.span.end(&self.worker.common.spans, &parts.request.id);
         self.worker.common.ring.push(parts.story);
         drop(parts.active);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 pub mod admin;
+pub mod admission;
 pub mod answer;
 pub mod billing;
 pub mod bound;
--- a/src/side/run/call.rs
+++ b/src/side/run/call.rs
@@ -11,7 +11,7 @@
 use tokio::time;
 
 use super::{Run, Side};
-use crate::{answer, claims, error, queue, sse, trace, usage, wire};
+use crate::{answer, claims, error, openai, queue, sse, trace, usage, wire};
 
 /// How long an endpoint may be silent in the middle of an answer.
 const SILENCE_MS: u64 = 30_000;
@@ -291,6 +291,9 @@
         }
         take_piece(side, run, started, counter, &piece, is_stream)?;
     }
+    if !is_stream {
+        count_whole(run, counter);
+    }
     if is_stream && !counter.is_done() {
         // An engine that dies closes its connection like one that is done. Without its closing
         // event the answer is not whole, and saying so is better than a shortened answer.
@@ -300,6 +303,14 @@
     Ok(())
 }
 
+/// Takes the tokens of an answer that did not come as a stream from what it says of itself.
+fn count_whole(run: &Run, counter: &mut sse::Counter) {
+    let answer = run.answer.borrow();
+    if let Some(tokens) = openai::output_tokens(answer.piece(0, answer.held_bytes())) {
+        counter.set_tokens(tokens);
+    }
+}
+
 fn cut_short(error: &PayloadError) -> error::Refusal {
     error::Refusal::unknown(error::Kind::EndpointFailed)
         .detail(format!("The endpoint's answer broke off ({error})."))
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -218,10 +218,19 @@
             keys: Arc::clone(&self.keys),
             leaving: leaving.iter().map(|id| CompactString::from(*id)).collect(),
             places: places(&self.fleet, &leaving),
+            entries: ready_entries(&self.fleet),
         }
     }
 }
 
+fn ready_entries(fleet: &membership::Fleet) -> usize {
+    fleet
+        .iter()
+        .filter(|member| member.role == membership::Role::Entry)
+        .filter(|member| member.state == membership::State::Ready)
+        .count()
+}
+
 /// Endpoints that take work, by region and service.
 fn places(
     fleet: &membership::Fleet,
@@ -254,6 +263,8 @@
     /// Daemons and endpoints that the platform says are leaving.
     pub leaving: HashSet<CompactString>,
     places: HashMap<CompactString, Vec<membership::Place>>,
+    /// Entries that take requests, in all regions.
+    pub entries: usize,
 }
 
 impl Snapshot {
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -60,6 +60,11 @@
         self.tokens
     }
 
+    /// Takes the count from elsewhere, for an answer that is no stream.
+    pub fn set_tokens(&mut self, tokens: u32) {
+        self.tokens = tokens;
+    }
+
     /// Whether the closing event has come.
     #[must_use]
     pub fn is_done(&self) -> bool {
--- a/tests/processes/configuration.rs
+++ b/tests/processes/configuration.rs
@@ -89,6 +89,29 @@
     });
 }
 
+/// A change reaches nine daemons of one zone. If each of them read the store, its calls would grow
+/// with the fleet, and the platform's rates do not.
+#[test]
+fn store_is_read_by_two_daemons_of_a_zone() {
+    let mut fleet = Fleet::start(Shape { entries: 1, engines: 6, ..Shape::default() });
+    let url = fleet.service.url.clone();
+    let second = fleet.spawn_side("side-loket-2", "loket", &url);
+    fleet.sides.push(second);
+    fleet.wait_until_whole();
+    let calls = || -> Vec<u64> {
+        let sides = fleet.sides.iter();
+        sides.map(|side| side.status()["store_calls"].as_u64().expect("a count")).collect()
+    };
+    let before = calls();
+    let old = version(&fleet.entries[0]);
+    assert_eq!(fleet.apply(&changed(777).to_string()).0, 0);
+    fleet::wait_for("it is in force everywhere", || {
+        all(&fleet).all(|daemon| version(daemon) > old).then_some(())
+    });
+    let more = before.iter().zip(calls()).filter(|(before, after)| *before < after).count();
+    assert!(more <= 2, "{more} of {} sides called the store", before.len());
+}
+
 /// Two operators change the text at the same time. The later one must be told, not overwrite what
 /// it has not seen.
 #[test]
--- a/tests/processes/overload.rs
+++ b/tests/processes/overload.rs
@@ -3,7 +3,27 @@
 use std::thread;
 
 use crate::caller;
-use crate::fleet::{Fleet, Shape};
+use crate::fleet::{self, Fleet, Shape};
+
+/// An account is over its token rate. It is told when to come back, and another account is not
+/// touched.
+#[test]
+fn account_over_its_token_rate_is_told_when_to_come_back() {
+    let mut shape = Shape { entries: 1, engines: 1, token_ms: 1, ..Shape::default() };
+    shape.config["accounts"]["press"]["tokens_per_s"] = 10.into();
+    let fleet = Fleet::start(shape);
+    let (press, court) = (fleet.grant("press"), fleet.grant("court"));
+    let body = caller::chat_body("budget", 200, false);
+    let send = |key: &str| caller::send(caller::chat(&fleet.entries[0], key), &body);
+    let refused = fleet::wait_for("the account is over its rate", || {
+        let answer = send(&press);
+        (answer.status != 200).then_some(answer)
+    });
+    assert_eq!((refused.status, refused.code().as_str()), (429, "account_limit"));
+    assert_eq!(refused.ran.as_deref(), Some("no"));
+    assert!(refused.retry_after.is_some());
+    assert_eq!(send(&court).status, 200);
+}
 
 /// Journalists' lookups flood an endpoint with one slot and eight places. Those that find no place
 /// are told at once when to come back and have not run; the hearing summaries that come in between
--- a/tests/properties/answers.rs
+++ b/tests/properties/answers.rs
@@ -1,6 +1,7 @@
 //! Answers kept by a side: pieces by offset, credit, late and crossed readers; and the budget of
 //! retries.
 
+use briarwinch::admission::{Budgets, part_per_s};
 use briarwinch::answer::{Answer, Ending, Reader, Top};
 use briarwinch::retry::{Budget, most_retries};
 use briarwinch::sse::Counter;
@@ -110,6 +111,34 @@
         prop_assert!(counter.is_done());
     }
 
+    /// An account sends as fast as it can through several entries, each of which knows only its own
+    /// part. All together let through the account's rate, and what the requests under way cost more.
+    #[test]
+    fn accounts_stay_within_their_token_rate(
+        costs in prop::collection::vec((1..3000_u64, 0..400_u64, 0..4_usize), 50..400),
+        rate_per_s in 100..5000_u32,
+    ) {
+        let mut entries = vec![Budgets::default(); 4];
+        let part = part_per_s(rate_per_s, 4, 1);
+        let (mut now_ms, mut spent, mut largest) = (0, 0, 0);
+        for (cost, pause_ms, entry) in costs {
+            now_ms += pause_ms;
+            match entries[entry].admit("account", part, now_ms) {
+                Ok(()) => {
+                    entries[entry].charge("account", part, cost, now_ms);
+                    spent += cost;
+                    largest = largest.max(cost);
+                }
+                Err(wait_ms) => {
+                    let later_ms = now_ms + u64::from(wait_ms) + 1;
+                    prop_assert!(entries[entry].clone().admit("account", part, later_ms).is_ok());
+                }
+            }
+            let earned = f64::from(rate_per_s) * (5.0 + now_ms as f64 / 1000.0);
+            prop_assert!(spent as f64 <= earned + 4.0 * largest as f64);
+        }
+    }
+
     /// A third of the endpoints die and every request fails. Retries stay under their share, else
     /// the survivors would get a multiple of their load.
     #[test]
