Go on when the first readers and contenders have died

Cause: a killed daemon's record stays 'ready'. With the first two by rendezvous hash dead, nobody contended for a duty, and nobody read the store for a zone. Ruled out: relying on the platform's list alone, which lags and may not name daemons. The deadline of a caller that names none is 600 s, not 120: a long draft was ended by it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,10 @@
 const RUMOR_PEERS: usize = 3;
 /// Daemons of a zone that read the store for the others.
 const READERS_PER_ZONE: usize = 2;
+/// How long no read of the store is heard of before the next daemon in rank reads, and how much
+/// longer for each rank. A reader's watch answers at least every ten seconds.
+const READS_SILENT_MS: u64 = 12_500;
+const READS_SILENT_RANK_MS: u64 = 2_000;
 
 /// What a daemon says of itself.
 #[derive(Clone, Debug)]
@@ -50,6 +54,8 @@
     pulls: RefCell<HashSet<SocketAddr>>,
     heard_peer: Cell<bool>,
     read_store: Cell<bool>,
+    /// When a read of the store by any daemon was last heard of.
+    reads_grew_ms: Cell<u64>,
 }
 
 /// Starts the control thread. It ends with the process.
@@ -88,6 +94,7 @@
         pulls: RefCell::default(),
         heard_peer: Cell::new(false),
         read_store: Cell::new(false),
+        reads_grew_ms: Cell::new(0),
         platform: platform::Platform::open(&settings.platform_url).await?,
         boot: identity.boot,
         settings,
@@ -149,9 +156,24 @@
     }
 
     /// Whether this daemon reads the store for its zone.
+    ///
+    /// The readers of the zone may have died, and a dead daemon's record looks like a live one's.
+    /// Then no change would reach the zone any more, and nothing would say so. Reads are counted in
+    /// the digests; when the count has not grown for a while, the next daemon in rank reads, later
+    /// ones after a longer while, so that an outage of the store does not bring them all to it.
     #[must_use]
     pub fn is_reader(&self) -> bool {
-        membership::is_reader(&self.shared.borrow().fleet, &self.me.borrow(), READERS_PER_ZONE)
+        let rank = membership::reader_rank(&self.shared.borrow().fleet, &self.me.borrow());
+        let silent_ms = self.hub.now_ms().saturating_sub(self.reads_grew_ms.get());
+        rank < READERS_PER_ZONE || silent_ms > READS_SILENT_MS + rank as u64 * READS_SILENT_RANK_MS
+    }
+
+    /// Somebody has read the store, as far as this count of reads.
+    fn reads_grew(&self, reads: u64) {
+        if reads > self.shared.borrow().reads {
+            self.shared.borrow_mut().reads = reads;
+            self.reads_grew_ms.set(self.hub.now_ms());
+        }
     }
 
     fn write_own_record(&self) {
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -45,6 +45,7 @@
 }
 
 fn receive_digest(control: &Rc<Control>, digest: &membership::Digest) {
+    control.reads_grew(digest.reads);
     let (behind, ahead) = {
         let shared = control.shared.borrow();
         (shared.is_behind(digest), shared.is_ahead(digest))
--- a/src/control/reader.rs
+++ b/src/control/reader.rs
@@ -38,37 +38,41 @@
 
 /// Lists the shared objects and then watches them, for as long as this daemon is a reader.
 async fn read_store(control: &Rc<Control>) {
+    // A daemon that stands in for dead readers and finds the store down waits its turn again.
+    control.reads_grew_ms.set(control.hub.now_ms());
     let listed = control.platform.list(store::SHARED_PREFIX).await;
     control.store_answered(&listed);
-    let Ok(listing) = listed else {
-        return wait_for_store().await;
-    };
+    let Ok(listing) = listed else { return wait_for_store().await };
     control.read_store.set(true);
     let mut after = listing.revision;
-    control.take(|shared| shared.take_objects(listing.objects));
+    let mut counted = take(control, listing);
     control.update_ready();
-    if !control.is_reader() {
-        // Only started without peers; wait for configuration a little before asking again.
-        return wait_for_store().await;
-    }
     loop {
+        // One that stands in goes on while nobody else reads.
+        let alone = control.with_shared(|shared| shared.reads) == counted;
+        if !control.is_reader() && !(alone && control.hub.ready.load(Ordering::Acquire)) {
+            return wait_for_store().await;
+        }
         let watched = control.platform.watch(store::SHARED_PREFIX, after).await;
         control.store_answered(&watched);
-        let Ok(listing) = watched else {
-            return wait_for_store().await;
-        };
+        let Ok(listing) = watched else { return wait_for_store().await };
         if listing.revision < after {
             // The store answers from an older state than it listed; start over with a listing.
             return wait_for_store().await;
         }
         after = listing.revision;
-        control.take(|shared| shared.take_objects(listing.objects));
-        if !control.is_reader() {
-            return;
-        }
+        counted = take(control, listing);
     }
 }
 
+/// Takes in what was read, and counts the read for all to hear of; gives the count.
+fn take(control: &Control, listing: store::Listing) -> u64 {
+    let counted = control.with_shared(|shared| shared.reads) + 1;
+    control.reads_grew(counted);
+    control.take(|shared| shared.take_objects(listing.objects));
+    counted
+}
+
 async fn wait_for_store() {
     // All readers lose the store at the same moment. Without jitter they would come back to it at
     // the same moment too, and its first minute would be its worst.
--- a/src/duties.rs
+++ b/src/duties.rs
@@ -1,7 +1,7 @@
 //! Duties: work that one daemon does for all, under a lease that any entry may hold.
 //!
-//! The first two entries by rendezvous hash contend for each duty, so the store's calls grow with
-//! the duties and not with the fleet. Losing an entry loses nothing: what a duty needs to know
+//! The first two entries by rendezvous hash contend for each duty and the others look ever more
+//! seldom, so the store's calls grow with the duties and hardly with the fleet. Losing an entry loses nothing: what a duty needs to know
 //! stands in the store.
 
 use std::collections::HashSet;
@@ -121,24 +121,30 @@
     }
 }
 
-/// Whether this daemon is among those that contend for a duty.
-fn contends(control: &control::Control, duty: &Duty) -> bool {
+/// How many entries go before this one in contending for a duty.
+fn rank(control: &control::Control, duty: &Duty) -> usize {
     let key = duty.key();
     let me = control.me();
     let weight = |id: &str| xxh3::xxh3_64_with_seed(id.as_bytes(), xxh3::xxh3_64(key.as_bytes()));
     let mine = weight(&me.id);
     control.with_shared(|shared| {
-        shared
-            .fleet
-            .iter()
-            .filter(|member| member.state == membership::State::Ready)
+        let ready = shared.fleet.iter().filter(|member| member.state == membership::State::Ready);
+        ready
             .filter(|member| member.role == membership::Role::Entry && member.region == me.region)
             .filter(|member| member.id != me.id && weight(&member.id) > mine)
             .count()
-            < CONTENDERS
     })
 }
 
+/// Pause of an entry between two steps of its contest.
+///
+/// The first two contend at full pace. The others look at the lease ever more seldom by rank: the
+/// first ones may have died, and a dead entry's record looks like a live one's; were the rest to
+/// wait for them, nobody would do the duty any more.
+fn rank_pause_ms(rank: usize) -> u64 {
+    if rank < CONTENDERS { 0 } else { rank as u64 * IDLE_MS }
+}
+
 /// Contends for a duty and does it while it is held.
 async fn contend(control: Rc<control::Control>, duty: Duty) {
     let key = duty.key();
@@ -148,11 +154,14 @@
         if control.hub.draining.load(Ordering::Acquire) {
             contender.release();
         }
-        if (!control.hub.ready.load(Ordering::Acquire) || !contends(&control, &duty))
-            && contender.epoch(control.hub.now_ms()).is_none()
-        {
-            time::sleep(Duration::from_millis(IDLE_MS)).await;
-            continue;
+        let holds = contender.epoch(control.hub.now_ms()).is_some();
+        if !holds {
+            let ready = control.hub.ready.load(Ordering::Acquire);
+            let pause_ms = if ready { rank_pause_ms(rank(&control, &duty)) } else { IDLE_MS };
+            time::sleep(Duration::from_millis(pause_ms)).await;
+            if !ready {
+                continue;
+            }
         }
         match contender.step(control.hub.now_ms()) {
             lease::Step::Read => read(&control, &mut contender, &key).await,
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -19,7 +19,7 @@
 const DEADLINE_HEADER: &str = "briarwinch-deadline-ms";
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 const SERVICES_PATH: &str = "/services/";
-const DEFAULT_DEADLINE_MS: u32 = 120_000;
+const DEFAULT_DEADLINE_MS: u32 = 600_000;
 const MAX_IDEMPOTENCY_BYTES: usize = 200;
 
 /// Headers of callers that are not passed on.
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -99,6 +99,8 @@
     pub config_version: u64,
     pub keys_revision: u64,
     pub roster_revision: u64,
+    /// Grows with each read of the store by any daemon, as long as somebody reads it.
+    pub reads: u64,
     /// Equal if both know the same records.
     pub fleet: u64,
     /// An answer to a digest is not answered again.
@@ -188,18 +190,23 @@
     xxh3::xxh3_64(id.as_bytes())
 }
 
-/// Which daemons of a zone read the store for the rest: the first few by rendezvous hash.
+/// How many daemons of its zone go before a daemon in reading the store for the rest, by rendezvous
+/// hash.
 ///
 /// Nothing is held exclusively. Two daemons that disagree on who there is cost a watch too many or
 /// too few for a while; a daemon that hears nothing new still compares digests with the others.
 #[must_use]
-pub fn is_reader(fleet: &Fleet, me: &Member, readers_per_zone: usize) -> bool {
-    let weight = |member: &Member| xxh3::xxh3_64_with_seed(member.id.as_bytes(), 0x5eed);
-    let mine = weight(me);
-    let before = fleet
+pub fn reader_rank(fleet: &Fleet, me: &Member) -> usize {
+    let mine = reader_weight(&me.id);
+    fleet
         .present()
         .filter(|member| member.zone == me.zone && member.region == me.region)
-        .filter(|member| member.id != me.id && weight(member) > mine)
-        .count();
-    before < readers_per_zone
+        .filter(|member| member.id != me.id && reader_weight(&member.id) > mine)
+        .count()
+}
+
+/// A daemon's weight in that choice; greater goes before.
+#[must_use]
+pub fn reader_weight(id: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(id.as_bytes(), 0x5eed)
 }
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -66,6 +66,8 @@
     pub keys: Arc<keys::Table>,
     pub roster: platform::Roster,
     pub fleet: membership::Fleet,
+    /// Reads of the store by any daemon, as far as known.
+    pub reads: u64,
 }
 
 impl Shared {
@@ -81,6 +83,7 @@
             config_version: self.config_version(),
             keys_revision: self.keys.revision(),
             roster_revision: self.roster.revision,
+            reads: self.reads,
             fleet: self.fleet.digest(),
             is_answer,
         }
--- a/tests/processes/configuration.rs
+++ b/tests/processes/configuration.rs
@@ -1,5 +1,6 @@
 //! An accepted configuration is in force everywhere and never reverts.
 
+use briarwinch::membership;
 use serde_json::{Value, json};
 
 use crate::caller;
@@ -112,6 +113,24 @@
     assert!(more <= 2, "{more} of {} sides called the store", before.len());
 }
 
+/// Both daemons that read the store for a zone die. The others have heard of every change from
+/// them; if nobody took their place, no change would reach the zone again.
+#[test]
+fn change_reaches_a_zone_whose_readers_died() {
+    let mut fleet = Fleet::start(Shape { entries: 1, engines: 6, ..Shape::default() });
+    fleet.sides.sort_by_key(|side| std::cmp::Reverse(membership::reader_weight(&side.id)));
+    let weight = |daemon: &Daemon| membership::reader_weight(&daemon.id);
+    assert!(weight(&fleet.entries[0]) < weight(&fleet.sides[1]), "the entry is no reader");
+    for mut reader in fleet.sides.drain(..2) {
+        reader.process.kill();
+    }
+    let old = version(&fleet.entries[0]);
+    assert_eq!(fleet.apply(&changed(888).to_string()).0, 0);
+    fleet::wait_for("it is in force in all that live", || {
+        all(&fleet).all(|daemon| version(daemon) > old).then_some(())
+    });
+}
+
 /// Two operators change the text at the same time. The later one must be told, not overwrite what
 /// it has not seen.
 #[test]
--- a/tests/processes/orders.rs
+++ b/tests/processes/orders.rs
@@ -82,3 +82,16 @@
     let epochs: Vec<u64> = orders(&fleet).iter().map(epoch).collect();
     assert!(epochs.is_sorted(), "{epochs:?}");
 }
+
+/// The entries that contend for a duty first die one after another. If the rest went on waiting for
+/// them, nobody would bill or order any more, and nothing would say so.
+#[test]
+fn duty_survives_the_death_of_its_first_contenders() {
+    let mut fleet = Fleet::start(Shape { entries: 4, engines: 0, ..Shape::default() });
+    while fleet.entries.len() > 1 {
+        let holding = fleet::wait_for("a holder", || holder(&fleet));
+        fleet.entries[holding].process.kill();
+        fleet.entries.remove(holding);
+    }
+    fleet::wait_for("the last one holds the duty", || holder(&fleet));
+}
