--- a/src/control/reader.rs
+++ b/src/control/reader.rs
@@ -38,6 +38,8 @@
 
 /// Lists the shared objects and then watches them, for as long as this daemon is a reader.
 async fn read_store(control: &Rc<Control>) {
+    // One that reads only because it has no configuration yet does not stay.
+    let stays = control.is_reader();
     // A daemon that stands in for dead readers and finds the store down waits its turn again.
     control.reads_grew_ms.set(control.hub.now_ms());
     let listed = control.platform.list(store::SHARED_PREFIX).await;
@@ -50,7 +52,7 @@
     loop {
         // One that stands in goes on while nobody else reads.
         let alone = control.with_shared(|shared| shared.reads) == counted;
-        if !control.is_reader() && !(alone && control.hub.ready.load(Ordering::Acquire)) {
+        if !(stays && (alone || control.is_reader())) {
             return wait_for_store().await;
         }
         let watched = control.platform.watch(store::SHARED_PREFIX, after).await;
