End a daemon whose control thread has ended; test deadlines; one piece of key detection in the stand-ins

A deadline ends a running stream with an error event, and refuses a waiting request that then never runs: deadline_ends_running_and_waiting_requests.

--- a/src/control.rs
+++ b/src/control.rs
@@ -58,7 +58,10 @@
     reads_grew_ms: Cell<u64>,
 }
 
-/// Starts the control thread. It ends with the process.
+/// Exit code of a daemon whose control thread has ended.
+const EXIT_CONTROL: i32 = 70;
+
+/// Starts the control thread. It ends with the process, and the process with it.
 ///
 /// # Errors
 /// When the thread cannot be started.
@@ -75,6 +78,9 @@
         if let Err(error) = outcome {
             slog::crit!(log, "control thread ended"; "error" => format!("{error:#}"));
         }
+        // Traffic would go on by what was known last: withdrawn keys would work for ever, and the
+        // readiness would still say that all is well. Ended, the daemon is replaced.
+        std::process::exit(EXIT_CONTROL);
     })?;
     Ok(())
 }
@@ -88,7 +94,7 @@
 ) -> anyhow::Result<()> {
     let control = Rc::new(Control {
         secret: seal::Secret::fleet(&settings.fleet_secret),
-        me: RefCell::new(first_record(&settings, &identity, identity.boot)),
+        me: RefCell::new(first_record(&settings, &identity)),
         shared: RefCell::default(),
         socket: UdpSocket::from_std(sockets.udp)?,
         pulls: RefCell::default(),
@@ -112,11 +118,11 @@
     Ok(())
 }
 
-fn first_record(settings: &settings::Daemon, identity: &Identity, boot: u64) -> membership::Member {
+fn first_record(settings: &settings::Daemon, identity: &Identity) -> membership::Member {
     membership::Member {
         id: settings.id.clone(),
         version: hub::unix_ms() * 1000,
-        boot,
+        boot: identity.boot,
         role: identity.role,
         region: settings.region.clone(),
         zone: settings.zone.clone(),
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -106,12 +106,8 @@
 
 fn note(shared: &Shared, request: &HttpRequest, body: &str) {
     let mut record = shared.record.lock().expect("no holder of this lock panics");
-    let headers = request.headers().iter().filter_map(|(_, value)| value.to_str().ok());
-    record.key_seen |= serve::holds_key(body)
-        || serve::holds_key(&request.uri().to_string())
-        || headers.into_iter().any(serve::holds_key);
-    let id = request.headers().get("x-request-id").and_then(|value| value.to_str().ok());
-    if let Some(id) = id {
+    record.key_seen |= serve::carries_key(request, body);
+    if let Some(id) = serve::header(request, "x-request-id") {
         *record.runs.entry(id.to_owned()).or_default() += 1;
     }
 }
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -67,21 +67,15 @@
     body: String,
     shared: web::types::State<Shared>,
 ) -> HttpResponse {
-    let text = |name: &str| {
-        request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
-    };
     let number = {
         let mut record = shared.record.lock().expect("no holder of this lock panics");
         record.calls += 1;
-        let headers = request.headers().iter().filter_map(|(_, value)| value.to_str().ok());
-        record.key_seen |= serve::holds_key(&body)
-            || serve::holds_key(&request.uri().to_string())
-            || headers.into_iter().any(serve::holds_key);
-        if let Some(id) = text("x-request-id") {
-            *record.runs.entry(id).or_default() += 1;
+        record.key_seen |= serve::carries_key(&request, &body);
+        if let Some(id) = serve::header(&request, "x-request-id") {
+            *record.runs.entry(id.to_owned()).or_default() += 1;
         }
-        if let Some(key) = text("idempotency-key") {
-            *record.keys.entry(key).or_default() += 1;
+        if let Some(key) = serve::header(&request, "idempotency-key") {
+            *record.keys.entry(key.to_owned()).or_default() += 1;
         }
         record.calls
     };
--- a/tests/processes/overload.rs
+++ b/tests/processes/overload.rs
@@ -2,7 +2,7 @@
 
 use std::thread;
 
-use crate::caller;
+use crate::caller::{self, Reading};
 use crate::fleet::{self, Fleet, Shape};
 
 /// An account is over its token rate. It is told when to come back, and another account is not
@@ -65,3 +65,27 @@
         assert!(!fleet.has_run(answer.request.as_ref().expect("its name")));
     }
 }
+
+/// A caller says how long it waits. Its running stream is ended and told so when that time is over,
+/// and its request that still waits for the only slot is refused then and never runs.
+#[test]
+fn deadline_ends_running_and_waiting_requests() {
+    let mut shape = Shape { entries: 1, engines: 1, token_ms: 20, ..Shape::default() };
+    shape.config["services"]["juru-tulis"]["slots"] = 1.into();
+    let fleet = Fleet::start(shape);
+    let key = fleet.grant("court");
+    let request = |deadline_ms: &str| {
+        caller::chat(&fleet.entries[0], &key).set("briarwinch-deadline-ms", deadline_ms)
+    };
+    let body = caller::chat_body("long", 4000, true);
+    let running = Reading::open(request("1500"), &body);
+    let waiting = caller::send(request("300"), &body);
+    assert_eq!(waiting.ran.as_deref(), Some("no"), "{}", waiting.text);
+    assert!(["too_late", "deadline_exceeded"].contains(&waiting.code().as_str()));
+    assert!(!fleet.has_run(waiting.request.as_ref().expect("its name")));
+    let text = running.rest();
+    assert!(text.contains("event: error") && text.contains("deadline_exceeded"), "{text}");
+    fleet::wait_for("the engine is free", || {
+        (fleet.engines[0].record()["running"] == 0).then_some(())
+    });
+}
