Ask a zone's endpoints for their load once a look, not twice

The planner and the choice of the endpoint to drain each asked all of them; now one answer serves both. Also drops a parameter that was always none and a constant that nobody used.

--- a/src/scaler.rs
+++ b/src/scaler.rs
@@ -92,11 +92,12 @@
             if service.text.endpoints.most == 0 {
                 continue;
             }
-            let plan = self.plan(control, zone, &list, service).await;
+            let loads = loads(control, zone, &service.name).await;
+            let plan = self.plan(control, &list, service, &loads);
             let action = match plan {
                 scaling::Plan::Hold => continue,
                 scaling::Plan::Start => orders::Action::Start { service: service.name.clone() },
-                scaling::Plan::Stop => match self.drained(control, lease, zone, service).await {
+                scaling::Plan::Stop => match self.drained(control, lease, &loads).await {
                     Some(endpoint) => orders::Action::Stop { endpoint },
                     None => continue,
                 },
@@ -119,14 +120,13 @@
         }
     }
 
-    async fn plan(
+    fn plan(
         &mut self,
         control: &control::Control,
-        zone: &str,
         list: &platform::EndpointList,
         service: &config::Service,
+        loads: &[Load],
     ) -> scaling::Plan {
-        let loads = loads(control, zone, &service.name, None).await;
         let count = |standing| {
             let lines = list.endpoints.iter().filter(|line| line.service == service.name);
             lines.filter(|line| line.standing == standing).count() as u32
@@ -152,19 +152,16 @@
         &mut self,
         control: &control::Control,
         lease: &lease::Contender,
-        zone: &str,
-        service: &config::Service,
+        loads: &[Load],
     ) -> Option<CompactString> {
-        let loads = loads(control, zone, &service.name, None).await;
-        let chosen = loads
+        let place = loads
             .iter()
             .filter_map(|load| Some((load, load.offer.as_ref()?)))
             .min_by_key(|(load, offer)| {
                 let other = self.draining.as_ref() != Some(&load.place.id);
                 (other, offer.running + offer.waiting)
             })
-            .map(|(load, offer)| (load.place.clone(), *offer))?;
-        let (place, _) = chosen;
+            .map(|(load, _)| load.place.clone())?;
         self.draining = Some(place.id.clone());
         let epoch = lease.epoch(control.hub.now_ms())?;
         let answers = loads_of(control, vec![place.clone()], Some(epoch)).await;
@@ -233,16 +230,11 @@
     }
 }
 
-async fn loads(
-    control: &control::Control,
-    zone: &str,
-    service: &str,
-    drain: Option<lease::Epoch>,
-) -> Vec<Load> {
+async fn loads(control: &control::Control, zone: &str, service: &str) -> Vec<Load> {
     let snapshot = control.hub.snapshot.load_full();
     let all = snapshot.places(&control.settings.region, service);
     let places = all.iter().filter(|place| place.zone == zone).cloned().collect();
-    loads_of(control, places, drain).await
+    loads_of(control, places, None).await
 }
 
 /// Asks endpoints for their load, or to drain for a stop ordered under an epoch.
--- a/src/seal.rs
+++ b/src/seal.rs
@@ -16,8 +16,6 @@
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 const TAG_BYTES: usize = 16;
 const LENGTH_BYTES: usize = 4;
-/// What a frame holds beside its message.
-pub const FRAME_OVERHEAD_BYTES: usize = LENGTH_BYTES + TAG_BYTES;
 
 /// Why bytes were not taken as a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
