--- a/benches/slopes/main.rs
+++ b/benches/slopes/main.rs
@@ -166,7 +166,7 @@
     let both = time_ns(2_000, || {
         for _ in 0..2_000 {
             let bytes = seal::datagram(&secret, &ask).expect("short");
-            black_box(seal::open_datagram(&secret, &bytes).expect("sealed"));
+            black_box(seal::open_datagram::<wire::Datagram>(&secret, &bytes).expect("sealed"));
         }
     });
     print("ask: seal and open", "ns", both);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,7 +5,7 @@
 use clap::Parser;
 use compact_str::CompactString;
 
-use crate::{cli, logging, settings};
+use crate::{cli, gateway, logging, settings};
 
 /// Exit code for settings that hold a mistake.
 const EXIT_SETTINGS: u8 = 3;
@@ -27,11 +27,25 @@
     }
 }
 
+impl Named for gateway::settings::Gateway {
+    fn id(&self) -> &CompactString {
+        &self.id
+    }
+}
+
 /// Runs a daemon's program: reads the command line and the settings, then `run` to its end.
 pub fn main<T: Named + 'static>(
     run: impl AsyncFnOnce(T, slog::Logger) -> anyhow::Result<()> + 'static,
 ) -> ExitCode {
     let line = cli::Daemon::parse();
+    start(&line, run)
+}
+
+/// Runs a daemon's program on a command line that has been read.
+pub fn start<T: Named + 'static>(
+    line: &cli::Daemon,
+    run: impl AsyncFnOnce(T, slog::Logger) -> anyhow::Result<()> + 'static,
+) -> ExitCode {
     let settings: T = match settings::load(&line.settings) {
         Ok(settings) => settings,
         Err(error) => {
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,208 @@
+//! One send of a request to one endpoint, up to the head of its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time;
+
+use super::directory::EndpointKey;
+use super::{Gateway, choose, directory, http1, load, pool, relay, request};
+
+/// Answers to other requests that are skipped before the awaited one; endpoints have been seen to
+/// send one too many.
+const MAX_STRAY_ANSWERS: usize = 4;
+/// Longest stray answer that is read to get past it, in bytes.
+const MAX_STRAY_BYTES: usize = 1 << 20;
+/// An endpoint that sent bytes of any answer within this is alive, and a wait there is a queue.
+const ALIVE_MS: u64 = 400;
+
+/// Keeps an endpoint's share of the load book for as long as a request is under way there.
+#[derive(Debug)]
+pub struct Ticket {
+    gateway: Rc<Gateway>,
+    endpoint: EndpointKey,
+    work: load::Work,
+}
+
+impl Ticket {
+    fn open(gateway: &Rc<Gateway>, choice: &choose::Choice<'_>) -> Self {
+        let work = load::Work { requests: 1, unread_tokens: u64::from(choice.unread_tokens) };
+        gateway.shared.book().add(choice.endpoint.key, work);
+        Self { gateway: Rc::clone(gateway), endpoint: choice.endpoint.key, work }
+    }
+
+    /// The prompt has been read: the first event is there.
+    pub fn first_event(&mut self) {
+        let read = load::Work { requests: 0, unread_tokens: self.work.unread_tokens };
+        self.gateway.shared.book().remove(self.endpoint, read);
+        self.work.unread_tokens = 0;
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.gateway.shared.book().remove(self.endpoint, self.work);
+    }
+}
+
+/// A request under way at an endpoint, with the head of its answer read.
+#[derive(Debug)]
+pub struct Running {
+    pub endpoint: directory::Endpoint,
+    pub connection: http1::Connection,
+    pub head: http1::Head,
+    pub facts: request::AnswerFacts,
+    pub ticket: Ticket,
+    pub sent_ms: u64,
+}
+
+/// Why a send came to nothing.
+#[derive(Debug)]
+pub enum Failure {
+    /// No connection: the endpoint has not seen it.
+    NotSent(http1::Error),
+    /// The endpoint states that it did not run it. With the time to wait, if it told one.
+    NotRun { status: u16 },
+    /// Another endpoint has the address now.
+    WrongEndpoint,
+    /// It may have run.
+    Unknown(http1::Error),
+}
+
+/// How long to wait for the head of an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Past this the endpoint must have been heard of lately, on any connection.
+    pub if_silent_ms: u64,
+    pub at_most_ms: u64,
+}
+
+impl Gateway {
+    /// Sends a request to the chosen endpoint and waits for the head of its answer.
+    pub(super) async fn attempt(
+        self: &Rc<Self>,
+        job: &relay::Job,
+        choice: &choose::Choice<'_>,
+        patience: Patience,
+    ) -> Result<Running, Failure> {
+        let ticket = Ticket::open(self, choice);
+        let endpoint = choice.endpoint.clone();
+        let mut connection = self.connection(job, &endpoint).await?;
+        let now_ms = self.now_ms();
+        if let Some(prompt) = &job.request.prompt {
+            self.shared.homes().place(endpoint.key, &prompt.parts, now_ms);
+        }
+        let bytes = self.form.encode(&job.call(&endpoint.id, now_ms));
+        let answered = {
+            let head = self.matching_head(&mut connection, &bytes, job);
+            tokio::pin!(head);
+            let mut limit_ms = patience.if_silent_ms.min(patience.at_most_ms);
+            loop {
+                let left_ms = (now_ms + limit_ms).saturating_sub(self.now_ms());
+                match time::timeout(Duration::from_millis(left_ms), &mut head).await {
+                    Ok(answered) => break answered,
+                    Err(_)
+                        if limit_ms < patience.at_most_ms
+                            && self.is_alive(endpoint.key, now_ms) =>
+                    {
+                        limit_ms = (limit_ms + ALIVE_MS).min(patience.at_most_ms);
+                    }
+                    Err(_) => break Err(http1::Error::TimedOut),
+                }
+            }
+        };
+        match answered {
+            Ok((head, facts)) => {
+                self.heard(endpoint.key, &facts);
+                if facts.is_other_endpoint {
+                    return Err(Failure::WrongEndpoint);
+                }
+                if facts.not_run {
+                    let status = head.status;
+                    self.keep_when_read(&endpoint, connection).await;
+                    return Err(Failure::NotRun { status });
+                }
+                Ok(Running { endpoint, connection, head, facts, ticket, sent_ms: now_ms })
+            }
+            Err(error) => {
+                self.unreachable(&endpoint);
+                Err(Failure::Unknown(error))
+            }
+        }
+    }
+
+    /// An idle connection, or a new one where the request must not meet a connection that has just
+    /// been closed.
+    async fn connection(
+        &self,
+        job: &relay::Job,
+        endpoint: &directory::Endpoint,
+    ) -> Result<http1::Connection, Failure> {
+        if job.kind.is_repeatable() {
+            let idle = self.pool.borrow_mut().take(endpoint.addr, self.now_ms());
+            if let Some(connection) = idle {
+                return Ok(connection);
+            }
+        }
+        pool::connect(endpoint.addr).await.map_err(|error| {
+            self.unreachable(endpoint);
+            Failure::NotSent(error)
+        })
+    }
+
+    /// The head that answers this request; what answers another is skipped.
+    async fn matching_head(
+        &self,
+        connection: &mut http1::Connection,
+        bytes: &[u8],
+        job: &relay::Job,
+    ) -> Result<(http1::Head, request::AnswerFacts), http1::Error> {
+        let mut head = connection.exchange(bytes).await?;
+        for _ in 0..MAX_STRAY_ANSWERS {
+            let facts = self.form.read(&head);
+            if facts.is_other_endpoint || facts.request_id.as_ref() == Some(&job.request.id) {
+                return Ok((head, facts));
+            }
+            if facts.request_id.is_none() {
+                return Err(http1::Error::Malformed);
+            }
+            slog::warn!(self.log, "stray answer skipped"; "request" => job.request.id.as_str(),
+                "answers" => facts.request_id.as_deref().unwrap_or_default());
+            connection.rest(MAX_STRAY_BYTES).await?;
+            head = connection.next_head().await?;
+        }
+        Err(http1::Error::Malformed)
+    }
+
+    /// Whether bytes of any answer came from the endpoint lately, or since the send.
+    pub(super) fn is_alive(&self, endpoint: EndpointKey, sent_ms: u64) -> bool {
+        let heard_ms = self.health.borrow().heard_ms(endpoint);
+        heard_ms > sent_ms && heard_ms + ALIVE_MS > self.now_ms()
+    }
+
+    pub(super) fn heard(&self, endpoint: EndpointKey, facts: &request::AnswerFacts) {
+        let now_ms = self.now_ms();
+        self.health.borrow_mut().heard(endpoint, now_ms);
+        if let Some(load) = facts.load {
+            self.shared.book().take_report(endpoint, load.running + load.waiting, now_ms);
+        }
+    }
+
+    pub(super) fn unreachable(&self, endpoint: &directory::Endpoint) {
+        self.pool.borrow_mut().forget(endpoint.addr);
+        self.health.borrow_mut().unreachable(endpoint.key, self.now_ms());
+    }
+
+    /// Reads the rest of a short answer, if it is there already, and keeps the connection.
+    async fn keep_when_read(
+        &self,
+        endpoint: &directory::Endpoint,
+        mut connection: http1::Connection,
+    ) {
+        /// A refusal's body comes with its head.
+        const REST: Duration = Duration::from_millis(20);
+        if let Ok(Ok(_)) = time::timeout(REST, connection.rest(MAX_STRAY_BYTES)).await {
+            self.pool.borrow_mut().give(endpoint.addr, connection, self.now_ms());
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/choose.rs
@@ -0,0 +1,140 @@
+//! Which endpoint gets a request. Pure: all that is known comes in.
+//!
+//! The load pattern for engines: prompts of ten thousand tokens and more, most of it shared with
+//! other requests, between short urgent ones. A part that has to be read again costs every request
+//! at that endpoint the reading time, so requests go where their parts are, until the wait there is
+//! longer than the reading would be elsewhere (bounded load). A part that nobody has goes to the
+//! endpoint that rendezvous hashing names, so that entries that see it at the same time agree.
+//!
+//! The load pattern for plain services: few slots, answers of some ten milliseconds, endpoints of
+//! unequal speed, some of which fail or hang. Requests go where the fewest are under way, by time.
+
+use rand::Rng;
+use xxhash_rust::xxh3;
+
+use super::directory::{Endpoint, EndpointKey};
+use super::request::{Part, Prompt};
+use super::{health, homes, load, route};
+
+/// Prompt tokens that an engine reads in a millisecond, until better is known. Between the slowest
+/// and the fastest of the deployments' sheets (54 and 157), nearer to the slow one.
+const READ_TOKENS_PER_MS: f64 = 60.0;
+/// What each running request adds to the others' pauses: one slot's part of a step, times the steps
+/// that fit into the time to a first event.
+const CROWD_MS: f64 = 1.5;
+/// Requests beyond the slots wait for a whole run of another; a run takes about this.
+const OVER_SLOTS_MS: f64 = 400.0;
+/// What a shared token that is read again costs beside the time at this endpoint: the same reading
+/// time is taken from all that wait behind it.
+const REREAD_WEIGHT: f64 = 1.0;
+/// Share of the reading time by which the rendezvous choice goes before others for parts that
+/// nobody has.
+const RENDEZVOUS_PART: f64 = 0.5;
+/// The way to another availability zone and back, and its price in bytes.
+const OTHER_ZONE_MS: f64 = 4.0;
+/// What a failed answer costs a caller: it comes back after about this time.
+const FAILURE_MS: f64 = 400.0;
+/// Time an answer of a plain service takes, until one was seen.
+const PLAIN_MS: f64 = 20.0;
+
+/// What is known when a request is placed.
+#[derive(Debug)]
+pub struct Known<'a> {
+    pub book: &'a load::Book,
+    pub homes: &'a homes::Homes,
+    pub health: &'a health::Health,
+    pub zone: &'a str,
+    pub now_ms: u64,
+}
+
+/// An endpoint with what choosing it would mean.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice<'a> {
+    pub endpoint: &'a Endpoint,
+    pub cost_ms: f64,
+    /// Prompt tokens that it has to read.
+    pub unread_tokens: u32,
+    /// Time until its first event, as expected.
+    pub first_ms: f64,
+}
+
+/// The endpoint for a request, out of those given. Endpoints that could not be reached just now are
+/// taken only when there is no other.
+pub fn choose<'a>(
+    endpoints: impl Iterator<Item = &'a Endpoint>,
+    engine: Option<&route::Engine>,
+    prompt: Option<&Prompt>,
+    known: &Known<'_>,
+    random: &mut impl Rng,
+) -> Option<Choice<'a>> {
+    let all: Vec<&Endpoint> = endpoints.collect();
+    let is_open = |one: &&Endpoint| !known.health.is_avoided(one.key, known.now_ms);
+    let open: Vec<&Endpoint> = all.iter().copied().filter(is_open).collect();
+    let candidates = if open.is_empty() { all } else { open };
+    let favourite = prompt.and_then(|prompt| rendezvous(&candidates, prompt, known));
+    let choices = candidates.into_iter().map(|endpoint| match (engine, prompt) {
+        (Some(engine), Some(prompt)) => engine_choice(endpoint, engine, prompt, favourite, known),
+        _ => plain_choice(endpoint, known),
+    });
+    // Equal costs are drawn by lot, else all entries would take the same endpoint.
+    let with_lot = choices.map(|choice| (choice, random.random::<f64>()));
+    with_lot
+        .min_by(|(a, lot_a), (b, lot_b)| {
+            a.cost_ms.total_cmp(&b.cost_ms).then(lot_a.total_cmp(lot_b))
+        })
+        .map(|(choice, _)| choice)
+}
+
+/// The parts that other requests have too.
+fn shared(prompt: &Prompt) -> &[Part] {
+    prompt.parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
+/// Where the last shared part belongs if nobody has it.
+fn rendezvous(candidates: &[&Endpoint], prompt: &Prompt, known: &Known<'_>) -> Option<EndpointKey> {
+    let part =
+        shared(prompt).iter().find(|part| !known.homes.is_anywhere(part.id, known.now_ms))?;
+    let weight = |one: &&Endpoint| xxh3::xxh3_64_with_seed(one.id.as_bytes(), part.id);
+    candidates.iter().copied().max_by_key(weight).map(|one| one.key)
+}
+
+fn engine_choice<'a>(
+    endpoint: &'a Endpoint,
+    engine: &route::Engine,
+    prompt: &Prompt,
+    favourite: Option<EndpointKey>,
+    known: &Known<'_>,
+) -> Choice<'a> {
+    let work = known.book.at(endpoint.key, known.now_ms);
+    let has_tokens = known.homes.known_tokens(endpoint.key, &prompt.parts, known.now_ms);
+    let unread_tokens = prompt.tokens.saturating_sub(has_tokens);
+    let shared_tokens: u32 = shared(prompt).iter().map(|part| part.tokens).sum();
+    let reread_ms = f64::from(shared_tokens.saturating_sub(has_tokens)) / READ_TOKENS_PER_MS;
+    let over = f64::from((work.requests + 1).saturating_sub(engine.slots))
+        / f64::from(engine.slots.max(1));
+    let wait_ms = work.unread_tokens as f64 / READ_TOKENS_PER_MS + over * OVER_SLOTS_MS;
+    let first_ms = wait_ms + f64::from(unread_tokens) / READ_TOKENS_PER_MS;
+    let mut cost_ms = first_ms
+        + reread_ms * REREAD_WEIGHT
+        + f64::from(work.requests) * CROWD_MS
+        + outside_ms(endpoint, known);
+    if favourite == Some(endpoint.key) {
+        cost_ms -= reread_ms * RENDEZVOUS_PART;
+    }
+    Choice { endpoint, cost_ms, unread_tokens, first_ms }
+}
+
+fn plain_choice<'a>(endpoint: &'a Endpoint, known: &Known<'_>) -> Choice<'a> {
+    let work = known.book.at(endpoint.key, known.now_ms);
+    let answer_ms = known.health.answer_ms(endpoint.key).unwrap_or(PLAIN_MS);
+    let rounds = f64::from(work.requests) / f64::from(endpoint.slots.max(1));
+    let first_ms = answer_ms * (1.0 + rounds);
+    let cost_ms = first_ms + outside_ms(endpoint, known);
+    Choice { endpoint, cost_ms, unread_tokens: 0, first_ms }
+}
+
+/// What does not depend on the load.
+fn outside_ms(endpoint: &Endpoint, known: &Known<'_>) -> f64 {
+    let zone_ms = if endpoint.zone == known.zone { 0.0 } else { OTHER_ZONE_MS };
+    zone_ms + known.health.failed_share(endpoint.key, known.now_ms) * FAILURE_MS
+}
--- /dev/null
+++ b/src/gateway/control.rs
@@ -0,0 +1,224 @@
+//! The control thread of a forwarding entry: follows the store, exchanges digests with the other
+//! entries, contends for the duties, and hands snapshots to the traffic thread. Nothing on a
+//! request's path waits for it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use compact_str::CompactString;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task;
+
+use super::{directory, duty, peers, route, shared, tally, watch};
+use crate::{bound, clock, lease, seal, store};
+
+/// What is followed in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// The operators' configuration.
+    Config,
+    /// The endpoints.
+    Endpoints,
+}
+
+/// Something that the store holds, decoded.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Item {
+    Config(Box<route::Parts>),
+    Endpoint(directory::Change),
+}
+
+/// What a list or a watch brought.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Batch {
+    /// The store's revision as of which this holds; a watch goes on from here.
+    pub revision: u64,
+    pub items: Vec<Item>,
+}
+
+/// Why a watch brought nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchFailure {
+    /// The store has dropped the changes since that revision: list again.
+    HistoryGone,
+    Failed(store::Failure),
+}
+
+/// Who acts under a duty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    pub id: CompactString,
+    /// Grows with each change of holder.
+    pub fence: lease::Epoch,
+}
+
+/// The platform as the control thread uses it: the port that an adapter fills.
+#[expect(async_fn_in_trait, reason = "all users run on one thread and need no Send")]
+pub trait Platform: store::ObjectStore {
+    /// Lists all of a topic.
+    async fn list_all(&self, topic: Topic) -> Result<Batch, store::Failure>;
+
+    /// Waits for changes of a topic after a revision.
+    async fn watch(&self, topic: Topic, from: u64, wait_ms: u64) -> Result<Batch, WatchFailure>;
+
+    /// Reports a billing window's counts.
+    async fn report_usage(
+        &self,
+        holder: &Holder,
+        seal: &duty::Sealed,
+    ) -> Result<(), store::Failure>;
+
+    /// Orders the number of endpoints of a service in a zone.
+    async fn order_endpoints(
+        &self,
+        holder: &Holder,
+        service: &str,
+        zone: &str,
+        count: u32,
+    ) -> Result<(), store::Failure>;
+}
+
+/// The control thread's state.
+#[derive(Debug)]
+pub struct Control<P> {
+    pub shared: Arc<shared::Shared>,
+    pub platform: P,
+    pub log: slog::Logger,
+    pub(super) secret: seal::Secret,
+    pub(super) table: RefCell<Option<Arc<route::Table>>>,
+    pub(super) directory: RefCell<directory::Directory>,
+    pub(super) peers: RefCell<peers::Peers>,
+    pub(super) socket: UdpSocket,
+    /// This entry holds the duties.
+    pub(super) holds_duties: Cell<bool>,
+    lists_known: Cell<bool>,
+}
+
+/// Exit code of an entry whose control thread has ended.
+const EXIT_CONTROL: i32 = 70;
+
+/// Starts the control thread; it ends with the process, and the process with it.
+///
+/// # Errors
+/// When the thread cannot be started.
+pub fn spawn<P: Platform + 'static>(
+    shared: Arc<shared::Shared>,
+    platform: impl FnOnce() -> P + Send + 'static,
+    log: slog::Logger,
+    sockets: bound::Pair,
+) -> anyhow::Result<()> {
+    std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+        let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
+        let outcome = runner.block_on(run(shared, platform, log.clone(), sockets));
+        if let Err(error) = outcome {
+            slog::crit!(log, "control thread ended"; "error" => format!("{error:#}"));
+        }
+        // Traffic would go on by what was known last, for ever. Ended, the entry is replaced.
+        std::process::exit(EXIT_CONTROL);
+    })?;
+    Ok(())
+}
+
+async fn run<P: Platform + 'static>(
+    shared: Arc<shared::Shared>,
+    platform: impl FnOnce() -> P,
+    log: slog::Logger,
+    sockets: bound::Pair,
+) -> anyhow::Result<()> {
+    let listener = TcpListener::from_std(sockets.tcp)?;
+    let control = Rc::new(Control {
+        secret: seal::Secret::fleet(&shared.settings.fleet_secret),
+        peers: RefCell::new(peers::Peers::new(&shared.settings)),
+        platform: platform(),
+        table: RefCell::default(),
+        directory: RefCell::default(),
+        socket: UdpSocket::from_std(sockets.udp)?,
+        holds_duties: Cell::new(false),
+        lists_known: Cell::new(false),
+        shared,
+        log,
+    });
+    task::spawn_local(watch::follow(Rc::clone(&control), Topic::Config));
+    task::spawn_local(watch::follow(Rc::clone(&control), Topic::Endpoints));
+    task::spawn_local(peers::serve_pulls(Rc::clone(&control), listener));
+    task::spawn_local(peers::receive(Rc::clone(&control)));
+    task::spawn_local(peers::enrol(Rc::clone(&control)));
+    task::spawn_local(duty::contend(Rc::clone(&control)));
+    peers::tell(control).await;
+    Ok(())
+}
+
+impl<P> Control<P> {
+    pub(super) fn now_ms(&self) -> u64 {
+        clock::boot_ms()
+    }
+
+    /// Takes a configuration, if it is newer than the one in force.
+    pub(super) fn take_table(&self, parts: route::Parts, source: &'static str) {
+        let known = self.config_version();
+        if parts.version <= known {
+            return;
+        }
+        slog::info!(self.log, "configuration in force"; "version" => parts.version,
+            "before" => known, "routes" => parts.routes.len(), "source" => source);
+        *self.table.borrow_mut() = Some(Arc::new(route::Table::from(parts)));
+        self.publish();
+    }
+
+    /// Version of the configuration in force; zero: none.
+    pub(super) fn config_version(&self) -> u64 {
+        self.table.borrow().as_ref().map_or(0, |table| table.version())
+    }
+
+    /// Runs a change on the directory and publishes the outcome if it changed anything.
+    pub(super) fn change_directory(
+        &self,
+        source: &'static str,
+        change: impl FnOnce(&mut directory::Directory) -> bool,
+    ) {
+        let before = self.directory.borrow().clone();
+        let is_changed = change(&mut self.directory.borrow_mut());
+        self.lists_known.set(true);
+        if is_changed {
+            self.log_directory(&before, source);
+        }
+        if is_changed || !self.shared.is_ready.load(Ordering::Acquire) {
+            self.publish();
+        }
+    }
+
+    fn log_directory(&self, before: &directory::Directory, source: &'static str) {
+        let directory = self.directory.borrow();
+        for endpoint in directory.endpoints() {
+            let old = before.find(endpoint.key);
+            if old.is_none_or(|old| old != endpoint) {
+                slog::info!(self.log, "endpoint known"; "endpoint" => endpoint.id.as_str(),
+                    "service" => endpoint.service.as_str(), "addr" => endpoint.addr.to_string(),
+                    "zone" => endpoint.zone.as_str(), "leaving" => endpoint.is_leaving,
+                    "revision" => directory.revision(), "source" => source);
+            }
+        }
+        for old in before.endpoints().iter().filter(|old| directory.find(old.key).is_none()) {
+            self.shared.homes().forget(old.key);
+            slog::info!(self.log, "endpoint gone"; "endpoint" => old.id.as_str(),
+                "revision" => directory.revision(), "source" => source);
+        }
+    }
+
+    /// Hands what is known to the traffic thread.
+    fn publish(&self) {
+        let table = self.table.borrow().clone();
+        let is_ready = table.is_some() && self.lists_known.get();
+        let directory = Arc::new(self.directory.borrow().clone());
+        self.shared.snapshot.store(Arc::new(shared::Snapshot { table, directory }));
+        if is_ready && !self.shared.is_ready.swap(true, Ordering::AcqRel) {
+            slog::info!(self.log, "ready"; "version" => self.config_version());
+        }
+    }
+
+    pub(super) fn counts(&self, windows: usize) -> tally::Counts {
+        self.shared.tally().newest_of(self.shared.boot, windows)
+    }
+}
--- /dev/null
+++ b/src/gateway/directory.rs
@@ -0,0 +1,159 @@
+//! The endpoints that may take requests, as the platform's store lists them.
+//!
+//! Entries lapse while the store is away although their endpoints live on; such entries come back
+//! soon after the store does. So what vanishes around the store's return is kept for a grace time,
+//! and taken out when it is still missing then. What says that it is leaving goes at once.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+/// How long after the store's return a vanished entry is kept. The platform says that living
+/// endpoints are back within two seconds.
+pub const LAPSE_GRACE_MS: u64 = 2_200;
+
+/// Names an endpoint across all instances: a digest of its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct EndpointKey(pub u64);
+
+impl EndpointKey {
+    #[must_use]
+    pub fn of(id: &str) -> Self {
+        Self(xxh3::xxh3_64(id.as_bytes()))
+    }
+}
+
+/// One endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Endpoint {
+    pub key: EndpointKey,
+    pub id: CompactString,
+    pub service: CompactString,
+    pub addr: SocketAddr,
+    pub zone: CompactString,
+    /// Requests that it works on at the same time.
+    pub slots: u32,
+    /// It serves what it has and takes nothing new.
+    pub is_leaving: bool,
+}
+
+/// One change in the store's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    Present(Endpoint),
+    /// The entry is gone, or can't be read.
+    Gone(CompactString),
+}
+
+/// All endpoints, with the revision of the store at which they last changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Directory {
+    revision: u64,
+    endpoints: Vec<Endpoint>,
+    /// Entries that vanished around the store's return, and when each is given up.
+    #[serde(skip)]
+    lapsed: HashMap<EndpointKey, u64>,
+}
+
+impl Directory {
+    /// Revision of the store at which the list last changed.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    #[must_use]
+    pub fn endpoints(&self) -> &[Endpoint] {
+        &self.endpoints
+    }
+
+    /// Endpoints of a service that take new requests.
+    pub fn taking<'a, 'b>(
+        &'a self,
+        service: &'b str,
+    ) -> impl Iterator<Item = &'a Endpoint> + use<'a, 'b> {
+        self.endpoints.iter().filter(move |one| one.service == service && !one.is_leaving)
+    }
+
+    #[must_use]
+    pub fn find(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.iter().find(|one| one.key == key)
+    }
+
+    /// Takes a whole list of the store. `keep_until_ms`: what is missing from the list is kept until
+    /// then. Gives whether anything changed.
+    pub fn replace(
+        &mut self,
+        listed: Vec<Endpoint>,
+        revision: u64,
+        keep_until_ms: Option<u64>,
+    ) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        let mut endpoints = listed;
+        for old in &self.endpoints {
+            if endpoints.iter().any(|one| one.key == old.key) {
+                self.lapsed.remove(&old.key);
+            } else if let Some(until_ms) = keep_until_ms.filter(|_| !old.is_leaving) {
+                self.lapsed.entry(old.key).or_insert(until_ms);
+                endpoints.push(old.clone());
+            }
+        }
+        self.set(endpoints, revision)
+    }
+
+    /// Takes one change of the store. Gives whether anything changed.
+    pub fn apply(&mut self, change: Change, revision: u64, keep_until_ms: Option<u64>) -> bool {
+        let mut endpoints = self.endpoints.clone();
+        match change {
+            Change::Present(endpoint) => {
+                self.lapsed.remove(&endpoint.key);
+                endpoints.retain(|one| one.key != endpoint.key);
+                endpoints.push(endpoint);
+            }
+            Change::Gone(id) => {
+                let key = EndpointKey::of(&id);
+                let leaving = self.find(key).is_none_or(|one| one.is_leaving);
+                match keep_until_ms.filter(|_| !leaving) {
+                    Some(until_ms) => {
+                        self.lapsed.entry(key).or_insert(until_ms);
+                    }
+                    None => endpoints.retain(|one| one.key != key),
+                }
+            }
+        }
+        self.set(endpoints, revision)
+    }
+
+    /// Takes out what has been missing for its whole grace time. Gives whether anything changed.
+    pub fn expire(&mut self, now_ms: u64) -> bool {
+        let before = self.endpoints.len();
+        let lapsed = &mut self.lapsed;
+        self.endpoints.retain(|one| lapsed.get(&one.key).is_none_or(|until_ms| now_ms < *until_ms));
+        lapsed.retain(|_, until_ms| now_ms < *until_ms);
+        self.endpoints.len() != before
+    }
+
+    /// Takes a peer's directory if it is newer than this one.
+    pub fn adopt(&mut self, other: Self) -> bool {
+        if other.revision <= self.revision {
+            return false;
+        }
+        *self = other;
+        true
+    }
+
+    fn set(&mut self, mut endpoints: Vec<Endpoint>, revision: u64) -> bool {
+        endpoints.sort_by(|a, b| a.id.cmp(&b.id));
+        if endpoints == self.endpoints && self.revision != 0 {
+            return false;
+        }
+        self.endpoints = endpoints;
+        self.revision = revision;
+        true
+    }
+}
--- /dev/null
+++ b/src/gateway/homes.rs
@@ -0,0 +1,109 @@
+//! Which endpoint has which prompt parts in its memory, as far as the entries know.
+//!
+//! A part that an endpoint has read is not read again there. Entries note where they sent which
+//! part and tell each other; an endpoint that restarts or leaves loses its parts.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::directory::EndpointKey;
+use super::request::Part;
+
+/// How long a part is taken to stay in an endpoint's memory after its last use. An engine of
+/// 624,000 tokens that reads 15,000 new ones a second turns its memory over in 41 s.
+const STAYS_MS: u64 = 40_000;
+/// Parts remembered at most; about 4 MB.
+const MAX_PARTS: usize = 50_000;
+
+/// A part that was sent to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    pub endpoint: EndpointKey,
+    pub part: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    endpoint: EndpointKey,
+    used_ms: u64,
+}
+
+/// Parts by where they are.
+#[derive(Clone, Debug, Default)]
+pub struct Homes {
+    held: HashMap<u64, Vec<Held>>,
+    /// Placed here and not yet told to the other entries.
+    untold: Vec<Placed>,
+}
+
+impl Homes {
+    /// Notes that these parts were sent to an endpoint, by this entry.
+    pub fn place(&mut self, endpoint: EndpointKey, parts: &[Part], now_ms: u64) {
+        for part in parts {
+            let placed = Placed { endpoint, part: part.id };
+            self.note(placed, now_ms);
+            self.untold.push(placed);
+        }
+    }
+
+    /// Notes what another entry has told.
+    pub fn note(&mut self, placed: Placed, now_ms: u64) {
+        if self.held.len() >= MAX_PARTS {
+            self.sweep(now_ms);
+        }
+        let held = self.held.entry(placed.part).or_default();
+        held.retain(|one| one.endpoint != placed.endpoint);
+        held.push(Held { endpoint: placed.endpoint, used_ms: now_ms });
+    }
+
+    /// Tokens at the start of a prompt that an endpoint has already.
+    #[must_use]
+    pub fn known_tokens(&self, endpoint: EndpointKey, parts: &[Part], now_ms: u64) -> u32 {
+        parts
+            .iter()
+            .take_while(|part| self.has(endpoint, part.id, now_ms))
+            .map(|part| part.tokens)
+            .sum()
+    }
+
+    /// Whether any endpoint has the part.
+    #[must_use]
+    pub fn is_anywhere(&self, part: u64, now_ms: u64) -> bool {
+        let held = self.held.get(&part);
+        held.is_some_and(|held| held.iter().any(|one| now_ms < one.used_ms + STAYS_MS))
+    }
+
+    fn has(&self, endpoint: EndpointKey, part: u64, now_ms: u64) -> bool {
+        let held = self.held.get(&part);
+        held.is_some_and(|held| {
+            held.iter().any(|one| one.endpoint == endpoint && now_ms < one.used_ms + STAYS_MS)
+        })
+    }
+
+    /// An endpoint has lost its memory.
+    pub fn forget(&mut self, endpoint: EndpointKey) {
+        for held in self.held.values_mut() {
+            held.retain(|one| one.endpoint != endpoint);
+        }
+        self.held.retain(|_, held| !held.is_empty());
+    }
+
+    /// Takes out what was not used for long.
+    pub fn sweep(&mut self, now_ms: u64) {
+        for held in self.held.values_mut() {
+            held.retain(|one| now_ms < one.used_ms + STAYS_MS);
+        }
+        self.held.retain(|_, held| !held.is_empty());
+        if self.held.len() >= MAX_PARTS {
+            // Forgetting costs only that parts are read again; growing would cost the process.
+            self.held.clear();
+        }
+    }
+
+    /// What the other entries have not been told yet, at most this many.
+    pub fn take_untold(&mut self, most: usize) -> Vec<Placed> {
+        let count = self.untold.len().min(most);
+        self.untold.drain(..count).collect()
+    }
+}
--- /dev/null
+++ b/src/gateway/load.rs
@@ -0,0 +1,128 @@
+//! What is under way at each endpoint: this entry's own requests exactly, the other entries' from
+//! their digests.
+//!
+//! Endpoints' own reports are some hundred milliseconds old when they arrive, and all entries that
+//! read the same report choose the same endpoint. What an entry has sent itself it knows at once.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::directory::EndpointKey;
+
+/// A digest older than this says nothing: its entry is gone or cut off. Twenty digests' time.
+const DIGEST_OLD_MS: u64 = 2_000;
+/// How long what an endpoint says of its load is believed.
+const REPORT_OLD_MS: u64 = 300;
+
+/// Work under way at an endpoint.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    derive_more::Add,
+    derive_more::AddAssign,
+)]
+pub struct Work {
+    /// Requests sent and not ended.
+    pub requests: u32,
+    /// Prompt tokens that have to be read before the first event, of requests without one.
+    pub unread_tokens: u64,
+}
+
+impl Work {
+    fn less(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(other.requests),
+            unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
+        }
+    }
+}
+
+/// One endpoint's line in a digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    pub endpoint: EndpointKey,
+    pub work: Work,
+}
+
+#[derive(Clone, Debug)]
+struct Digest {
+    rows: HashMap<EndpointKey, Work>,
+    at_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    requests: u32,
+    at_ms: u64,
+}
+
+/// Work under way, by endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    own: HashMap<EndpointKey, Work>,
+    peers: HashMap<u64, Digest>,
+    reports: HashMap<EndpointKey, Report>,
+}
+
+impl Book {
+    pub fn add(&mut self, endpoint: EndpointKey, work: Work) {
+        *self.own.entry(endpoint).or_default() += work;
+    }
+
+    pub fn remove(&mut self, endpoint: EndpointKey, work: Work) {
+        let Some(own) = self.own.get_mut(&endpoint) else {
+            return;
+        };
+        *own = own.less(work);
+        if *own == Work::default() {
+            self.own.remove(&endpoint);
+        }
+    }
+
+    /// This entry's part, for the other entries.
+    #[must_use]
+    pub fn rows(&self) -> Vec<Row> {
+        self.own.iter().map(|(endpoint, work)| Row { endpoint: *endpoint, work: *work }).collect()
+    }
+
+    /// Takes another entry's digest; `peer` names one start of it.
+    pub fn take_digest(&mut self, peer: u64, rows: &[Row], now_ms: u64) {
+        let rows = rows.iter().map(|row| (row.endpoint, row.work)).collect();
+        self.peers.insert(peer, Digest { rows, at_ms: now_ms });
+        self.peers.retain(|_, digest| now_ms < digest.at_ms + DIGEST_OLD_MS);
+    }
+
+    /// Takes what an endpoint said of its running and waiting requests.
+    pub fn take_report(&mut self, endpoint: EndpointKey, requests: u32, now_ms: u64) {
+        self.reports.insert(endpoint, Report { requests, at_ms: now_ms });
+    }
+
+    /// All work known to be under way at an endpoint.
+    #[must_use]
+    pub fn at(&self, endpoint: EndpointKey, now_ms: u64) -> Work {
+        let own = self.own.get(&endpoint).copied().unwrap_or_default();
+        let digests = self.peers.values().filter(|one| now_ms < one.at_ms + DIGEST_OLD_MS);
+        let mut work = digests
+            .filter_map(|digest| digest.rows.get(&endpoint).copied())
+            .fold(own, |sum, work| sum + work);
+        if let Some(report) = self.reports.get(&endpoint)
+            && now_ms < report.at_ms + REPORT_OLD_MS
+        {
+            work.requests = work.requests.max(report.requests);
+        }
+        work
+    }
+
+    /// Requests under way from this entry.
+    #[must_use]
+    pub fn own_requests(&self) -> u32 {
+        self.own.values().map(|work| work.requests).sum()
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,96 @@
+//! Entries that forward requests straight to endpoints, without a side process.
+//!
+//! For platforms on which each endpoint queues and batches by itself: the entry finds the route, the
+//! client account and the endpoint, sends the request over HTTP/1.1 and streams the answer back. A
+//! control thread follows the platform's store, exchanges digests with the other entries and
+//! contends for the duties. What speaks a platform's own form is an adapter behind the ports
+//! [`request::EndpointForm`] and [`control::Platform`].
+
+pub mod attempt;
+pub mod budget;
+pub mod choose;
+pub mod control;
+pub mod directory;
+pub mod drain;
+pub mod duty;
+pub mod events;
+pub mod events_body;
+pub mod health;
+pub mod homes;
+pub mod http1;
+pub mod load;
+pub mod peers;
+pub mod pool;
+pub mod relay;
+pub mod reload;
+pub mod request;
+pub mod route;
+pub mod settings;
+pub mod shared;
+pub mod tally;
+pub mod watch;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::{task, time};
+
+use crate::clock;
+
+/// How often idle connections and old knowledge are looked over.
+const SWEEP_MS: u64 = 500;
+
+/// One traffic thread of an entry.
+#[derive(Debug)]
+pub struct Gateway {
+    shared: Arc<shared::Shared>,
+    form: Box<dyn request::EndpointForm>,
+    pool: RefCell<pool::Pool>,
+    health: RefCell<health::Health>,
+    budgets: RefCell<budget::Budgets>,
+    log: slog::Logger,
+}
+
+impl Gateway {
+    /// Starts a traffic thread's part on the current thread.
+    #[must_use]
+    pub fn open(
+        shared: Arc<shared::Shared>,
+        form: Box<dyn request::EndpointForm>,
+        log: slog::Logger,
+    ) -> Rc<Self> {
+        let gateway = Rc::new(Self {
+            budgets: RefCell::new(budget::Budgets::new(shared.settings.retries.allowed())),
+            shared,
+            form,
+            pool: RefCell::default(),
+            health: RefCell::default(),
+            log,
+        });
+        task::spawn_local(sweep(Rc::clone(&gateway)));
+        gateway
+    }
+
+    /// What this entry's threads share.
+    #[must_use]
+    pub fn shared(&self) -> &Arc<shared::Shared> {
+        &self.shared
+    }
+
+    fn now_ms(&self) -> u64 {
+        clock::boot_ms()
+    }
+}
+
+async fn sweep(gateway: Rc<Gateway>) {
+    loop {
+        time::sleep(Duration::from_millis(SWEEP_MS)).await;
+        let now_ms = gateway.now_ms();
+        gateway.pool.borrow_mut().sweep(now_ms);
+        gateway.budgets.borrow_mut().set(gateway.shared.retries().allowed());
+        let snapshot = gateway.shared.snapshot.load();
+        gateway.health.borrow_mut().retain(|endpoint| snapshot.directory.find(endpoint).is_some());
+    }
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,381 @@
+//! What entries tell each other: digests by UDP, whole states by TCP.
+//!
+//! A digest says which configuration and endpoints its sender knows, what it has under way, which
+//! prompt parts it sent where, what it counted, and who else there is. Who is behind pulls. So an
+//! entry that the store turns away follows changes through its peers.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use rand::seq::IteratorRandom;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::{task, time};
+
+use super::control::{Control, Platform};
+use super::{directory, homes, load, route, settings, tally};
+use crate::store::{Condition, ObjectStore};
+use crate::{clock, metric, seal};
+
+/// Pause between digests while something changes: what is under way at an endpoint is then known
+/// everywhere within a few steps of its engine.
+const TELL_MS: u64 = 100;
+/// Pause between digests while nothing changes.
+const IDLE_TELLS: u32 = 5;
+/// Peers told each time. All of a small fleet; of a large one a part, so that the cost of control
+/// does not grow with the fleet.
+const FAN_OUT: usize = 8;
+/// A peer that was not heard of for this long counts as gone for duties and shares.
+pub(super) const GONE_MS: u64 = 2_000;
+/// A peer that is gone for this long is no longer told anything.
+const FORGET_MS: u64 = 30_000;
+/// Prompt parts in a digest; 17 bytes each.
+const MAX_PLACED: usize = 24;
+/// Windows of counts in a digest.
+const TOLD_WINDOWS: usize = 2;
+/// Addresses of other entries in a digest.
+const MAX_MEMBERS: usize = 8;
+/// How long a peer may stay ahead before its state is pulled: the own watch is mostly as fast.
+const PULL_AFTER_MS: u64 = 60;
+const PULL_LIMIT: Duration = Duration::from_millis(1_500);
+const MAX_STATE_BYTES: u32 = 8 << 20;
+/// Entries note themselves in the store under this prefix, for those whose seeds are out of date.
+const MEMBERS_PREFIX: &str = "briarwinch-members/";
+/// How often an entry that knows few others reads that list.
+const ENROL_MS: u64 = 5_000;
+
+/// What an entry tells of itself.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Digest {
+    from: SocketAddr,
+    boot: u64,
+    age_ms: u64,
+    unix_ms: u64,
+    config_version: u64,
+    directory_revision: u64,
+    holds_duties: bool,
+    is_stopping: bool,
+    members: Vec<SocketAddr>,
+    work: Vec<load::Row>,
+    placed: Vec<homes::Placed>,
+    counts: tally::Counts,
+}
+
+/// What a pull brings.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct State {
+    config: Option<route::Parts>,
+    directory: directory::Directory,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    boot: u64,
+    heard_ms: u64,
+    holds_duties: bool,
+    is_stopping: bool,
+}
+
+/// The other entries.
+#[derive(Debug)]
+pub struct Peers {
+    own: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    heard: HashMap<SocketAddr, Peer>,
+    /// Told of by others, not heard themselves.
+    named: HashSet<SocketAddr>,
+    pulling: HashSet<SocketAddr>,
+    /// By how far older peers' time of day lies beyond this one's.
+    beyond_ms: HashMap<SocketAddr, i64>,
+}
+
+impl Peers {
+    #[must_use]
+    pub(super) fn new(settings: &settings::Gateway) -> Self {
+        let port = settings.internal_ports[0];
+        let own = settings.peer_addr();
+        let seeds = settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
+        Self {
+            own,
+            seeds: seeds.filter(|addr| *addr != own).collect(),
+            heard: HashMap::new(),
+            named: HashSet::new(),
+            pulling: HashSet::new(),
+            beyond_ms: HashMap::new(),
+        }
+    }
+
+    /// Peers heard of within this time.
+    pub(super) fn live(&self, now_ms: u64) -> usize {
+        self.heard.values().filter(|peer| now_ms < peer.heard_ms + GONE_MS).count()
+    }
+
+    /// Whether a live peer says that it holds the duties.
+    pub(super) fn holds_duties(&self, now_ms: u64) -> bool {
+        let mut live = self.heard.values().filter(|peer| now_ms < peer.heard_ms + GONE_MS);
+        live.any(|peer| peer.holds_duties && !peer.is_stopping)
+    }
+
+    /// Live peers whose address goes before this one's: they contend first.
+    pub(super) fn rank(&self, now_ms: u64) -> usize {
+        let live = self.heard.iter().filter(|(_, peer)| now_ms < peer.heard_ms + GONE_MS);
+        live.filter(|(addr, peer)| **addr < self.own && !peer.is_stopping).count()
+    }
+
+    fn targets(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let heard = self.heard.iter().filter(|(_, peer)| now_ms < peer.heard_ms + FORGET_MS);
+        let mut all: HashSet<SocketAddr> = heard.map(|(addr, _)| *addr).collect();
+        all.extend(self.named.iter().chain(&self.seeds).filter(|addr| **addr != self.own));
+        all.into_iter().choose_multiple(&mut rand::rng(), FAN_OUT)
+    }
+
+    fn members(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let live = self.heard.iter().filter(|(_, peer)| now_ms < peer.heard_ms + GONE_MS);
+        live.map(|(addr, _)| *addr).choose_multiple(&mut rand::rng(), MAX_MEMBERS)
+    }
+
+    fn name(&mut self, addr: SocketAddr) {
+        /// More than the entries of the largest fleet.
+        const MAX_NAMED: usize = 1_000;
+        if addr != self.own && !self.heard.contains_key(&addr) && self.named.len() < MAX_NAMED {
+            self.named.insert(addr);
+        }
+    }
+}
+
+/// Sends digests for as long as the process lives.
+pub(super) async fn tell<P: Platform>(control: Rc<Control<P>>) {
+    let mut last_work = Vec::new();
+    let mut quiet = 0;
+    loop {
+        time::sleep(Duration::from_millis(TELL_MS)).await;
+        let now_ms = control.now_ms();
+        let mut work = control.shared.book().rows();
+        work.sort_by_key(|row| row.endpoint);
+        let placed = control.shared.homes().take_untold(MAX_PLACED);
+        quiet += 1;
+        if work == last_work && placed.is_empty() && quiet < IDLE_TELLS {
+            continue;
+        }
+        quiet = 0;
+        last_work.clone_from(&work);
+        send(&control, work, placed, now_ms);
+        update_entries(&control, now_ms);
+        control.change_directory("grace time over", |directory| directory.expire(now_ms));
+    }
+}
+
+fn update_entries<P>(control: &Control<P>, now_ms: u64) {
+    /// Peers heard of within the longest retry window share the budget.
+    const SHARES_MS: u64 = 10_000;
+    let peers = control.peers.borrow();
+    let sharing = peers.heard.values().filter(|peer| now_ms < peer.heard_ms + SHARES_MS).count();
+    let expected = sharing.max(peers.seeds.len());
+    control.shared.entries.store(1 + expected, Ordering::Relaxed);
+}
+
+fn send<P>(control: &Control<P>, work: Vec<load::Row>, placed: Vec<homes::Placed>, now_ms: u64) {
+    let (targets, members) = {
+        let peers = control.peers.borrow();
+        (peers.targets(now_ms), peers.members(now_ms))
+    };
+    let digest = Digest {
+        from: control.shared.settings.peer_addr(),
+        boot: control.shared.boot,
+        age_ms: control.shared.time.age_ms(),
+        unix_ms: control.shared.time.unix_ms(),
+        config_version: control.config_version(),
+        directory_revision: control.directory.borrow().revision(),
+        holds_duties: control.holds_duties.get(),
+        is_stopping: control.shared.is_draining(),
+        members,
+        work,
+        placed,
+        counts: control.counts(TOLD_WINDOWS),
+    };
+    let bytes = match seal::datagram(&control.secret, &digest) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            slog::warn!(control.log, "digest not sent"; "reason" => error.to_string());
+            return;
+        }
+    };
+    for addr in targets {
+        // A datagram that does not leave is like one that was lost: the next one repairs it.
+        let _ = control.socket.try_send_to(&bytes, addr);
+    }
+}
+
+/// Receives digests for as long as the process lives.
+pub(super) async fn receive<P: Platform + 'static>(control: Rc<Control<P>>) {
+    let mut buffer = vec![0; seal::MAX_DATAGRAM_BYTES + 1];
+    loop {
+        let Ok((count, _)) = control.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        match seal::open_datagram::<Digest>(&control.secret, &buffer[..count]) {
+            Ok(digest) => take(&control, &digest),
+            Err(reject) => metric::count_reject(reject),
+        }
+    }
+}
+
+fn take<P: Platform + 'static>(control: &Rc<Control<P>>, digest: &Digest) {
+    let now_ms = control.now_ms();
+    let shared = &control.shared;
+    shared.book().take_digest(digest.boot, &digest.work, now_ms);
+    {
+        let mut homes = shared.homes();
+        for placed in &digest.placed {
+            homes.note(*placed, now_ms);
+        }
+    }
+    shared.tally().take(digest.boot, &digest.counts);
+    {
+        let mut peers = control.peers.borrow_mut();
+        let peer = Peer {
+            boot: digest.boot,
+            heard_ms: now_ms,
+            holds_duties: digest.holds_duties,
+            is_stopping: digest.is_stopping,
+        };
+        let before = peers.heard.insert(digest.from, peer);
+        peers.named.remove(&digest.from);
+        for addr in &digest.members {
+            peers.name(*addr);
+        }
+        if before.is_none_or(|before| before.boot != digest.boot) {
+            slog::info!(control.log, "peer heard"; "peer" => digest.from.to_string());
+        }
+        correct_time(control, &mut peers, digest);
+    }
+    let is_behind = digest.config_version > control.config_version()
+        || digest.directory_revision > control.directory.borrow().revision();
+    if is_behind && control.peers.borrow_mut().pulling.insert(digest.from) {
+        task::spawn_local(pull(Rc::clone(control), digest.clone()));
+    }
+}
+
+/// Sets the time of day by older peers while this process is young: it may have started in the
+/// middle of a jump of its instance's clock.
+fn correct_time<P>(control: &Control<P>, peers: &mut Peers, digest: &Digest) {
+    const YOUNG_MS: u64 = 5_000;
+    let time = &control.shared.time;
+    if time.age_ms() > YOUNG_MS || digest.age_ms <= time.age_ms() {
+        return;
+    }
+    peers.beyond_ms.insert(digest.from, digest.unix_ms as i64 - time.unix_ms() as i64);
+    let mut beyond_ms: Vec<i64> = peers.beyond_ms.values().copied().collect();
+    if let Some(by_ms) = clock::correction_ms(&mut beyond_ms) {
+        time.shift_ms(by_ms);
+        peers.beyond_ms.clear();
+        slog::warn!(control.log, "time of day corrected"; "by_ms" => by_ms);
+    }
+}
+
+async fn pull<P: Platform>(control: Rc<Control<P>>, digest: Digest) {
+    time::sleep(Duration::from_millis(PULL_AFTER_MS)).await;
+    let is_behind = digest.config_version > control.config_version()
+        || digest.directory_revision > control.directory.borrow().revision();
+    if is_behind {
+        match time::timeout(PULL_LIMIT, read_state(&control, digest.from)).await {
+            Ok(Ok(state)) => {
+                if let Some(parts) = state.config {
+                    control.take_table(parts, "peer");
+                }
+                control.change_directory("peer", |directory| directory.adopt(state.directory));
+            }
+            Ok(Err(error)) => {
+                slog::info!(control.log, "pull failed"; "peer" => digest.from.to_string(),
+                    "error" => format!("{error:#}"));
+            }
+            Err(_) => {
+                slog::info!(control.log, "pull failed"; "peer" => digest.from.to_string(),
+                    "error" => "no answer in time");
+            }
+        }
+    }
+    control.peers.borrow_mut().pulling.remove(&digest.from);
+}
+
+async fn read_state<P>(control: &Control<P>, addr: SocketAddr) -> anyhow::Result<State> {
+    let mut stream = TcpStream::connect(addr).await?;
+    let length = stream.read_u32().await?;
+    anyhow::ensure!(length <= MAX_STATE_BYTES, "a state of {length} bytes");
+    let mut bytes = vec![0; length as usize];
+    stream.read_exact(&mut bytes).await?;
+    Ok(seal::open_bytes(&control.secret, &bytes)?)
+}
+
+/// Gives the whole state to peers that ask.
+pub(super) async fn serve_pulls<P: Platform + 'static>(
+    control: Rc<Control<P>>,
+    listener: TcpListener,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors, mostly: the next connection may find some again.
+            time::sleep(Duration::from_millis(TELL_MS)).await;
+            continue;
+        };
+        let control = Rc::clone(&control);
+        task::spawn_local(async move {
+            let given = time::timeout(PULL_LIMIT, write_state(&control, stream)).await;
+            if !matches!(given, Ok(Ok(()))) {
+                slog::info!(control.log, "a peer's pull was not served");
+            }
+        });
+    }
+}
+
+async fn write_state<P>(control: &Control<P>, mut stream: TcpStream) -> anyhow::Result<()> {
+    let state = State {
+        config: control.table.borrow().as_ref().map(|table| table.parts().clone()),
+        directory: control.directory.borrow().clone(),
+    };
+    let bytes = seal::bytes(&control.secret, &state)?;
+    stream.write_u32(bytes.len() as u32).await?;
+    stream.write_all(&bytes).await?;
+    stream.shutdown().await?;
+    Ok(())
+}
+
+/// Notes this entry in the store, and reads who else is there while few others are known.
+pub(super) async fn enrol<P: Platform>(control: Rc<Control<P>>) {
+    let own = control.shared.settings.peer_addr();
+    let key = format!("{MEMBERS_PREFIX}{}", control.shared.settings.id);
+    let mut is_enrolled = false;
+    loop {
+        if !is_enrolled {
+            is_enrolled = enrol_once(&control, &key, own).await;
+        }
+        if control.peers.borrow().live(control.now_ms()) == 0
+            && let Ok(listing) = control.platform.list(MEMBERS_PREFIX).await
+        {
+            let addrs = listing.objects.iter().filter_map(|one| {
+                let text: CompactString = serde_json::from_str(&one.value).ok()?;
+                text.parse().ok()
+            });
+            let mut peers = control.peers.borrow_mut();
+            addrs.for_each(|addr| peers.name(addr));
+        }
+        time::sleep(Duration::from_millis(ENROL_MS)).await;
+    }
+}
+
+async fn enrol_once<P: ObjectStore>(control: &Control<P>, key: &str, own: SocketAddr) -> bool {
+    let value = serde_json::Value::from(own.to_string()).to_string();
+    match control.platform.get(key).await {
+        Ok(Some(object)) if object.value == value => true,
+        Ok(Some(object)) => {
+            control.platform.put(key, value, Condition::Version(object.version)).await.is_ok()
+        }
+        Ok(None) => control.platform.put(key, value, Condition::Absent).await.is_ok(),
+        Err(_) => false,
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,407 @@
+//! A request's way: route, client account, endpoint, answer.
+//!
+//! What may run more than once goes on to another endpoint when the first fails, within the route's
+//! attempts and the retry budget; what may run once is sent once, and its outcome is told as it is.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use rand::Rng;
+use tokio::time;
+
+use super::attempt::{Failure, Patience, Running};
+use super::directory::EndpointKey;
+use super::request::{Answer, Call, Request};
+use super::{Gateway, choose, events_body, http1, route, shared};
+use crate::error;
+
+/// Longest answer that is gathered before it is sent, in bytes.
+const MAX_WHOLE_BYTES: usize = 8 << 20;
+/// Sends that no endpoint has seen, before a request is given up: more than the endpoints that one
+/// failed zone has.
+const MAX_UNSENT: u32 = 6;
+/// Pause before endpoints are looked for again when there is none.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+/// Part of the latency target for which a request is held while there is no endpoint: below an
+/// eighth, so that the caller can still be in time elsewhere.
+const HOLD_PART: f64 = 0.12;
+/// Least time left in which another send makes sense: a connection and a short answer.
+const LEAST_LEFT_MS: u64 = 40;
+/// Callers of streams leave after a gap of this, at least.
+const STREAM_PATIENCE_MS: u64 = 2_000;
+
+/// A request that is allowed and on its way.
+#[derive(Debug)]
+pub struct Job {
+    pub request: Request,
+    pub table: Arc<route::Table>,
+    pub route: route::RouteKey,
+    pub service: route::ServiceKey,
+    pub kind: route::Kind,
+    pub account: Option<CompactString>,
+    pub priority: u8,
+    pub arrived_ms: u64,
+    /// When the caller, or the route, gives up.
+    pub end_ms: u64,
+    /// Endpoints that have, or may have, seen it.
+    pub tried: Vec<EndpointKey>,
+    pub attempts: u32,
+    /// Some endpoint may have run it.
+    pub may_have_run: bool,
+    is_counted: bool,
+    _active: Active,
+}
+
+/// Counts a request while it is under way.
+#[derive(Debug)]
+struct Active(Arc<shared::Shared>);
+
+impl Active {
+    fn begin(shared: &Arc<shared::Shared>) -> Self {
+        shared.active.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Job {
+    #[must_use]
+    pub fn route(&self) -> &route::Route {
+        self.table.route(self.route)
+    }
+
+    #[must_use]
+    pub fn service(&self) -> &route::Service {
+        self.table.service(self.service)
+    }
+
+    /// The request as an endpoint gets it now.
+    #[must_use]
+    pub fn call<'a>(&'a self, endpoint_id: &'a str, now_ms: u64) -> Call<'a> {
+        Call {
+            request: &self.request,
+            left_ms: u32::try_from(self.left_ms(now_ms)).unwrap_or(u32::MAX).max(1),
+            endpoint_id,
+            account: self.account.as_deref(),
+            priority: self.request.prompt.is_some().then_some(self.priority),
+            after_event: self.request.after_event,
+        }
+    }
+
+    #[must_use]
+    pub fn left_ms(&self, now_ms: u64) -> u64 {
+        self.end_ms.saturating_sub(now_ms)
+    }
+
+    /// How long a caller of this stream waits for its next event.
+    #[must_use]
+    pub fn stream_patience_ms(&self) -> u64 {
+        let route = self.route();
+        STREAM_PATIENCE_MS.max(4 * u64::from(route.target_ms)).max(8 * u64::from(route.pause_ms))
+    }
+
+    /// Whether one more endpoint may see the request, as far as the request itself goes.
+    #[must_use]
+    pub fn has_attempt_left(&self, now_ms: u64) -> bool {
+        self.attempts < self.route().max_attempts && self.left_ms(now_ms) >= LEAST_LEFT_MS
+    }
+
+    /// How long to wait for the head of an answer.
+    ///
+    /// A wait ends early only where the request may run again elsewhere. A stream's endpoint may be
+    /// silent for a queue's length, so its silence counts only when it says nothing to anybody.
+    #[must_use]
+    fn patience(&self, now_ms: u64) -> Patience {
+        let left_ms = self.left_ms(now_ms);
+        if !self.kind.is_repeatable() || self.attempts >= self.route().max_attempts {
+            return Patience { if_silent_ms: left_ms, at_most_ms: left_ms };
+        }
+        let target_ms = u64::from(self.route().target_ms);
+        if self.kind.is_stream() {
+            let patience_ms = self.stream_patience_ms();
+            return Patience {
+                if_silent_ms: (patience_ms * 2 / 5).min(left_ms),
+                at_most_ms: (patience_ms * 4 / 5).min(left_ms),
+            };
+        }
+        // Half of what is left stays for the other endpoint.
+        let wait_ms = target_ms.min(left_ms / 2);
+        Patience { if_silent_ms: wait_ms, at_most_ms: wait_ms }
+    }
+}
+
+impl Gateway {
+    /// Serves a request of a caller.
+    pub async fn serve(self: &Rc<Self>, request: Request) -> Answer {
+        let id = request.id.clone();
+        let begin_ms = self.now_ms();
+        let answer = match self.admit(request) {
+            Ok(job) => self.carry(job).await,
+            Err(refusal) => Answer::Refused(refusal),
+        };
+        let took_ms = self.now_ms() - begin_ms;
+        match &answer {
+            Answer::Refused(refusal) => {
+                slog::info!(self.log, "refused"; "request" => id.as_str(), "took_ms" => took_ms,
+                    "status" => refusal.kind.answer().status,
+                    "kind" => refusal.kind.answer().code, "ran" => refusal.ran.to_string(),
+                    "detail" => refusal.detail.as_str());
+            }
+            Answer::Whole { head, .. } | Answer::Stream { head, .. } => {
+                slog::debug!(self.log, "answered"; "request" => id.as_str(),
+                    "took_ms" => took_ms, "status" => head.status);
+            }
+        }
+        answer
+    }
+
+    /// Finds route and account, or says why not.
+    fn admit(&self, request: Request) -> Result<Job, error::Refusal> {
+        let refuse = error::Refusal::not_run;
+        let arrived_ms = self.now_ms();
+        let snapshot = self.shared.snapshot.load();
+        let table = snapshot
+            .table
+            .clone()
+            .ok_or_else(|| refuse(error::Kind::NotReady).retry_after_ms(500))?;
+        let key = table
+            .find(&request.host, request.path())
+            .ok_or_else(|| refuse(error::Kind::UnknownPath))?;
+        let route = table.route(key);
+        let account = if route.is_public || !table.has_accounts() {
+            None
+        } else {
+            let sent = request.key.as_deref().ok_or_else(|| refuse(error::Kind::MissingKey))?;
+            Some(table.account_of(sent).ok_or_else(|| refuse(error::Kind::InvalidKey))?)
+        };
+        if request.body.len() > table.max_body_bytes() {
+            return Err(refuse(error::Kind::BodyTooLarge));
+        }
+        let service = table
+            .draw_service(route, rand::rng().random())
+            .ok_or_else(|| refuse(error::Kind::UnknownService))?;
+        let wait_ms = request.deadline_ms.unwrap_or(u32::MAX).min(route.timeout_ms);
+        let kind = route.kind;
+        let priority = account.and_then(|one| one.priority).unwrap_or(route.priority);
+        let account = account.map(|one| one.name.clone());
+        self.budgets.borrow_mut().request(&table.service(service).name, arrived_ms);
+        Ok(Job {
+            request,
+            route: key,
+            service,
+            kind,
+            account,
+            priority,
+            arrived_ms,
+            end_ms: arrived_ms + u64::from(wait_ms),
+            tried: Vec::new(),
+            attempts: 0,
+            may_have_run: false,
+            is_counted: false,
+            _active: Active::begin(&self.shared),
+            table,
+        })
+    }
+
+    /// Sends the request until an endpoint answers, or nothing is left to try.
+    async fn carry(self: &Rc<Self>, mut job: Job) -> Answer {
+        loop {
+            let running = match self.run(&mut job).await {
+                Ok(running) => running,
+                Err(refusal) => return Answer::Refused(refusal),
+            };
+            if job.kind.is_stream() && (200..300).contains(&running.head.status) {
+                return match events_body::open(self, job, running).await {
+                    Ok((head, body)) => Answer::Stream { head, body },
+                    Err(refusal) => Answer::Refused(refusal),
+                };
+            }
+            match self.whole(&mut job, running).await {
+                Ok(Some((head, body))) => return Answer::Whole { head, body },
+                Ok(None) => {}
+                Err(refusal) => return Answer::Refused(refusal),
+            }
+        }
+    }
+
+    /// Sends the request to one endpoint after another until one begins to answer.
+    pub(super) async fn run(self: &Rc<Self>, job: &mut Job) -> Result<Running, error::Refusal> {
+        let mut unsent = 0;
+        let hold_ms = (f64::from(job.route().target_ms) * HOLD_PART) as u64;
+        loop {
+            let now_ms = self.now_ms();
+            if job.left_ms(now_ms) == 0 {
+                return Err(self.given_up(job, error::Kind::DeadlineExceeded));
+            }
+            let snapshot = self.shared.snapshot.load_full();
+            let Some(choice) = self.choose(&snapshot, job) else {
+                if now_ms > job.arrived_ms + hold_ms {
+                    return Err(self.given_up(job, error::Kind::NoEndpoint));
+                }
+                time::sleep(LOOK_AGAIN).await;
+                continue;
+            };
+            if job.attempts > 0 && !self.may_retry(job) {
+                return Err(self.given_up(job, error::Kind::EndpointFailed));
+            }
+            job.tried.push(choice.endpoint.key);
+            job.attempts += 1;
+            let patience = job.patience(now_ms);
+            let failure = match self.attempt(job, &choice, patience).await {
+                Ok(running) => return Ok(running),
+                Err(failure) => failure,
+            };
+            self.log_failure(job, &choice, &failure);
+            match failure {
+                Failure::NotSent(_) => {
+                    job.attempts -= 1;
+                    unsent += 1;
+                    if unsent > MAX_UNSENT {
+                        return Err(self.given_up(job, error::Kind::NoEndpoint));
+                    }
+                }
+                Failure::WrongEndpoint => {
+                    job.attempts -= 1;
+                    unsent += 1;
+                    self.unreachable(choice.endpoint);
+                }
+                Failure::NotRun { .. } => {}
+                Failure::Unknown(_) => {
+                    job.may_have_run = true;
+                    self.count(job, now_ms);
+                    let took_ms = self.now_ms() - now_ms;
+                    self.health.borrow_mut().ended(choice.endpoint.key, false, took_ms, now_ms);
+                    if !job.kind.is_repeatable() {
+                        return Err(self.given_up(job, error::Kind::LinkLost));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes a retry out of the route's attempts and the shared budget.
+    fn may_retry(&self, job: &Job) -> bool {
+        let now_ms = self.now_ms();
+        let entries = self.shared.entries.load(Ordering::Relaxed);
+        job.has_attempt_left(now_ms)
+            && self.budgets.borrow_mut().spend(&job.service().name, entries, now_ms)
+    }
+
+    fn choose<'a>(&self, snapshot: &'a shared::Snapshot, job: &Job) -> Option<choose::Choice<'a>> {
+        let service = job.service();
+        let fresh =
+            snapshot.directory.taking(&service.name).filter(|one| !job.tried.contains(&one.key));
+        let book = self.shared.book();
+        let homes = self.shared.homes();
+        let health = self.health.borrow();
+        let known = choose::Known {
+            book: &book,
+            homes: &homes,
+            health: &health,
+            zone: &self.shared.settings.zone,
+            now_ms: self.now_ms(),
+        };
+        choose::choose(
+            fresh,
+            service.engine.as_ref(),
+            job.request.prompt.as_ref(),
+            &known,
+            &mut rand::rng(),
+        )
+    }
+
+    /// Reads a whole answer. `None`: the endpoint failed and another may try.
+    async fn whole(
+        self: &Rc<Self>,
+        job: &mut Job,
+        mut running: Running,
+    ) -> Result<Option<(http1::Head, bytes::Bytes)>, error::Refusal> {
+        self.count(job, running.sent_ms);
+        let left = Duration::from_millis(job.left_ms(self.now_ms()));
+        let read = time::timeout(left, running.connection.rest(MAX_WHOLE_BYTES)).await;
+        let now_ms = self.now_ms();
+        let took_ms = now_ms - running.sent_ms;
+        let is_failure = running.head.status >= 500;
+        let body = match read {
+            Err(_) => {
+                job.may_have_run = true;
+                return Err(self.given_up(job, error::Kind::DeadlineExceeded));
+            }
+            Ok(Err(_)) => None,
+            Ok(Ok(_)) if !running.facts.is_signed => None,
+            Ok(Ok(body)) => Some(body),
+        };
+        let is_good = body.is_some() && !is_failure;
+        self.health.borrow_mut().ended(running.endpoint.key, is_good, took_ms, now_ms);
+        if !is_good {
+            job.may_have_run = true;
+            slog::info!(self.log, "endpoint failed"; "request" => job.request.id.as_str(),
+                "endpoint" => running.endpoint.id.as_str(), "status" => running.head.status,
+                "whole" => body.is_some(), "attempt" => job.attempts);
+        }
+        match body {
+            Some(body) if is_good => {
+                self.pool.borrow_mut().give(running.endpoint.addr, running.connection, now_ms);
+                Ok(Some((running.head, body)))
+            }
+            Some(body) => {
+                self.pool.borrow_mut().give(running.endpoint.addr, running.connection, now_ms);
+                if job.kind.is_repeatable() && self.can_retry(job) {
+                    return Ok(None);
+                }
+                Ok(Some((running.head, body)))
+            }
+            None if job.kind.is_repeatable() && self.can_retry(job) => Ok(None),
+            None => Err(self.given_up(job, error::Kind::EndpointFailed)),
+        }
+    }
+
+    /// Whether another endpoint is there for one more attempt.
+    fn can_retry(&self, job: &Job) -> bool {
+        let snapshot = self.shared.snapshot.load();
+        job.has_attempt_left(self.now_ms()) && self.choose(&snapshot, job).is_some()
+    }
+
+    /// Counts a request that began to run, once, for its account's bill.
+    pub(super) fn count(&self, job: &mut Job, began_ms: u64) {
+        if let Some(account) = job.account.as_deref().filter(|_| !job.is_counted) {
+            self.shared.count(account, self.now_ms().saturating_sub(began_ms));
+            job.is_counted = true;
+        }
+    }
+
+    /// The final answer of a request that is given up.
+    pub(super) fn given_up(&self, job: &Job, kind: error::Kind) -> error::Refusal {
+        if job.may_have_run {
+            let kind = match kind {
+                error::Kind::DeadlineExceeded => kind,
+                _ => error::Kind::EndpointFailed,
+            };
+            return error::Refusal::unknown(kind);
+        }
+        // It ran nowhere, so the caller may come back; in a while, spread out, the urgent first.
+        let rank = f64::from(job.priority.min(4)) + 1.0;
+        let wait_ms = 150.0 * rank * rand::rng().random_range(0.5..1.5);
+        error::Refusal::not_run(error::Kind::NoEndpoint).retry_after_ms(wait_ms as u32)
+    }
+
+    fn log_failure(&self, job: &Job, choice: &choose::Choice<'_>, failure: &Failure) {
+        let (what, detail) = match failure {
+            Failure::NotSent(error) => ("not sent", error.to_string()),
+            Failure::NotRun { status } => ("not run", status.to_string()),
+            Failure::WrongEndpoint => ("wrong endpoint", String::new()),
+            Failure::Unknown(error) => ("unknown", error.to_string()),
+        };
+        slog::info!(self.log, "send failed"; "request" => job.request.id.as_str(),
+            "endpoint" => choice.endpoint.id.as_str(), "outcome" => what, "detail" => detail,
+            "attempt" => job.attempts, "waited_ms" => self.now_ms() - job.arrived_ms);
+    }
+}
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,108 @@
+//! A request on its way, and what becomes of it. Intake fills it in, the relay carries it, the edge
+//! writes the answer; none of them owns it.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+
+use super::{events_body, http1};
+use crate::error;
+
+/// A part of a prompt that requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Part {
+    /// Digest of the part's name.
+    pub id: u64,
+    pub tokens: u32,
+}
+
+/// What an engine has to read and write.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    pub tokens: u32,
+    pub max_output_tokens: u32,
+    /// In order; the last belongs to this request or its session alone.
+    pub parts: Vec<Part>,
+}
+
+/// A request as a caller sent it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The caller's id of this attempt.
+    pub id: CompactString,
+    pub method: CompactString,
+    pub host: CompactString,
+    /// Path and query, byte for byte.
+    pub target: CompactString,
+    /// Headers that go on to the endpoint.
+    pub headers: Vec<http1::Header>,
+    pub body: Bytes,
+    /// How long the caller waits.
+    pub deadline_ms: Option<u32>,
+    pub key: Option<CompactString>,
+    pub prompt: Option<Prompt>,
+    /// The caller has the stream up to this event.
+    pub after_event: Option<u64>,
+}
+
+impl Request {
+    /// The path without its query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.target.split_once('?').map_or(&self.target, |(path, _)| path)
+    }
+}
+
+/// A request as one endpoint gets it.
+#[derive(Debug)]
+pub struct Call<'a> {
+    pub request: &'a Request,
+    /// Time left for the endpoint's work.
+    pub left_ms: u32,
+    /// The only endpoint that may run it.
+    pub endpoint_id: &'a str,
+    pub account: Option<&'a str>,
+    /// Zero goes first.
+    pub priority: Option<u8>,
+    /// Events that the caller has already.
+    pub after_event: Option<u64>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// The request that it answers.
+    pub request_id: Option<CompactString>,
+    /// The endpoint states that the request did not run.
+    pub not_run: bool,
+    /// It comes from another endpoint than the one called.
+    pub is_other_endpoint: bool,
+    /// It bears the endpoint's signature.
+    pub is_signed: bool,
+    pub load: Option<ReportedLoad>,
+}
+
+/// What an endpoint says of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    pub running: u32,
+    pub waiting: u32,
+}
+
+/// How endpoints are spoken to: the port that an adapter fills.
+pub trait EndpointForm: std::fmt::Debug {
+    /// The request as bytes on an HTTP/1.1 connection.
+    fn encode(&self, call: &Call<'_>) -> Vec<u8>;
+    /// Reads the head of an answer.
+    fn read(&self, head: &http1::Head) -> AnswerFacts;
+}
+
+/// What a caller gets.
+#[derive(Debug)]
+pub enum Answer {
+    /// An endpoint's whole answer.
+    Whole { head: http1::Head, body: Bytes },
+    /// An endpoint's stream.
+    Stream { head: http1::Head, body: events_body::EventsBody },
+    /// The router's own answer.
+    Refused(error::Refusal),
+}
--- /dev/null
+++ b/src/gateway/shared.rs
@@ -0,0 +1,101 @@
+//! What the control thread and the traffic thread of an entry share.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+
+use super::{directory, homes, load, route, settings, tally};
+use crate::clock;
+
+/// Configuration and endpoints at one moment.
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    /// None until the first configuration is known.
+    pub table: Option<Arc<route::Table>>,
+    pub directory: Arc<directory::Directory>,
+}
+
+/// What the threads of an entry share.
+#[derive(Debug)]
+pub struct Shared {
+    pub settings: settings::Gateway,
+    /// Tells this start of the entry from others.
+    pub boot: u64,
+    pub time: clock::TimeOfDay,
+    pub snapshot: ArcSwap<Snapshot>,
+    pub is_ready: AtomicBool,
+    pub is_draining: AtomicBool,
+    /// Entries heard of lately, this one among them.
+    pub entries: AtomicUsize,
+    /// Requests under way here.
+    pub active: AtomicU32,
+    /// What the settings allow of retries; may change while the process runs.
+    retries: Mutex<settings::Retries>,
+    book: Mutex<load::Book>,
+    homes: Mutex<homes::Homes>,
+    tally: Mutex<tally::Tally>,
+}
+
+impl Shared {
+    #[must_use]
+    pub fn new(settings: settings::Gateway, boot: u64) -> Self {
+        Self {
+            retries: Mutex::new(settings.retries),
+            settings,
+            boot,
+            time: clock::TimeOfDay::open(),
+            snapshot: ArcSwap::default(),
+            is_ready: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            entries: AtomicUsize::new(1),
+            active: AtomicU32::new(0),
+            book: Mutex::default(),
+            homes: Mutex::default(),
+            tally: Mutex::default(),
+        }
+    }
+
+    /// Work under way at the endpoints.
+    pub fn book(&self) -> MutexGuard<'_, load::Book> {
+        lock(&self.book)
+    }
+
+    /// Where prompt parts are.
+    pub fn homes(&self) -> MutexGuard<'_, homes::Homes> {
+        lock(&self.homes)
+    }
+
+    /// What the settings allow of retries now.
+    pub fn retries(&self) -> MutexGuard<'_, settings::Retries> {
+        lock(&self.retries)
+    }
+
+    /// Counts for billing.
+    pub fn tally(&self) -> MutexGuard<'_, tally::Tally> {
+        lock(&self.tally)
+    }
+
+    /// Counts a request that began to run this long ago.
+    pub fn count(&self, account: &str, ago_ms: u64) {
+        let window_ms = self.settings.billing_window_s.max(1) * 1_000;
+        let window = self.time.unix_ms().saturating_sub(ago_ms) / window_ms;
+        self.tally().add(self.boot, window, account);
+    }
+
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Acquire)
+    }
+
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Acquire) && !self.is_draining()
+    }
+}
+
+/// A panic while a lock was held has ended its thread and with it the process, so what a lock
+/// guards is never half changed.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/gateway/tally.rs
@@ -0,0 +1,100 @@
+//! How many requests of each client account began to run, by billing window.
+//!
+//! Each entry counts its own and tells the others with its digests, so that the counts of an entry
+//! that dies are known elsewhere up to its last digest.
+
+use std::collections::{BTreeMap, HashMap};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+/// Windows that are told and kept; a report is due two windows after a window's end.
+const KEPT_WINDOWS: u64 = 6;
+
+/// What one start of an entry has counted.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    windows: BTreeMap<u64, BTreeMap<CompactString, u32>>,
+}
+
+impl Counts {
+    /// Counts one request of an account.
+    pub fn add(&mut self, window: u64, account: &str) {
+        *self.windows.entry(window).or_default().entry(account.into()).or_default() += 1;
+        while let Some((&oldest, _)) = self.windows.first_key_value()
+            && oldest + KEPT_WINDOWS < window
+        {
+            self.windows.pop_first();
+        }
+    }
+
+    /// The newest windows, this many.
+    #[must_use]
+    pub fn newest(&self, count: usize) -> Self {
+        let newest = self.windows.iter().rev().take(count);
+        Self { windows: newest.map(|(window, counts)| (*window, counts.clone())).collect() }
+    }
+
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.windows.is_empty()
+    }
+
+    /// Takes over what another copy of the same counts says; counts only grow.
+    fn merge(&mut self, other: &Self) {
+        for (window, counts) in &other.windows {
+            let mine = self.windows.entry(*window).or_default();
+            for (account, count) in counts {
+                let known = mine.entry(account.clone()).or_default();
+                *known = (*known).max(*count);
+            }
+        }
+        while self.windows.len() > KEPT_WINDOWS as usize {
+            self.windows.pop_first();
+        }
+    }
+}
+
+/// The counts of all entries, as one of them knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// By start of an entry.
+    by_boot: HashMap<u64, Counts>,
+}
+
+impl Tally {
+    /// Counts one request of an account at this start of this entry.
+    pub fn add(&mut self, boot: u64, window: u64, account: &str) {
+        self.by_boot.entry(boot).or_default().add(window, account);
+    }
+
+    /// What one start of an entry has counted in its newest windows.
+    #[must_use]
+    pub fn newest_of(&self, boot: u64, windows: usize) -> Counts {
+        self.by_boot.get(&boot).map(|counts| counts.newest(windows)).unwrap_or_default()
+    }
+
+    /// Takes over what an entry told of its own counts.
+    pub fn take(&mut self, boot: u64, counts: &Counts) {
+        self.by_boot.entry(boot).or_default().merge(counts);
+    }
+
+    /// All entries' counts of a window.
+    #[must_use]
+    pub fn sum(&self, window: u64) -> BTreeMap<CompactString, u32> {
+        let mut sum: BTreeMap<CompactString, u32> = BTreeMap::new();
+        for counts in self.by_boot.values().filter_map(|counts| counts.windows.get(&window)) {
+            for (account, count) in counts {
+                *sum.entry(account.clone()).or_default() += count;
+            }
+        }
+        sum
+    }
+
+    /// Forgets entries that have counted nothing since this window.
+    pub fn forget_before(&mut self, window: u64) {
+        self.by_boot.retain(|_, counts| {
+            counts.windows.last_key_value().is_some_and(|(last, _)| *last >= window)
+        });
+    }
+}
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -140,6 +140,12 @@
         self.epoch(now_ms + left_ms)
     }
 
+    /// Whether the outcome of a write is open; stepping settles it.
+    #[must_use]
+    pub fn is_writing(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// Who holds the lease, as last seen.
     #[must_use]
     pub fn holder(&self) -> Option<&Record> {
--- a/src/seal.rs
+++ b/src/seal.rs
@@ -8,8 +8,6 @@
 use serde::de::DeserializeOwned;
 use subtle::ConstantTimeEq;
 
-use crate::wire;
-
 /// Longest datagram sent or taken.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
 /// Longest frame sent or taken; a body of a megabyte and what goes with it.
@@ -85,13 +83,11 @@
 ///
 /// # Errors
 /// When the message does not fit a datagram.
-pub fn datagram(secret: &Secret, message: &wire::Datagram) -> Result<Vec<u8>, Reject> {
-    let mut bytes = postcard::to_stdvec(message).map_err(|_| Reject::Message)?;
-    if bytes.len() + TAG_BYTES > MAX_DATAGRAM_BYTES {
+pub fn datagram<T: Serialize>(secret: &Secret, message: &T) -> Result<Vec<u8>, Reject> {
+    let bytes = bytes(secret, message)?;
+    if bytes.len() > MAX_DATAGRAM_BYTES {
         return Err(Reject::Size);
     }
-    let tag = secret.tag(0, &bytes);
-    bytes.extend_from_slice(&tag);
     Ok(bytes)
 }
 
@@ -99,13 +95,35 @@
 ///
 /// # Errors
 /// When the bytes are not a sealed message of this fleet.
-pub fn open_datagram(secret: &Secret, bytes: &[u8]) -> Result<wire::Datagram, Reject> {
+pub fn open_datagram<T: DeserializeOwned>(secret: &Secret, bytes: &[u8]) -> Result<T, Reject> {
     if bytes.len() < TAG_BYTES || bytes.len() > MAX_DATAGRAM_BYTES {
         return Err(Reject::Size);
     }
     open(secret, 0, bytes)
 }
 
+/// Seals a message of any length, sent alone on its connection.
+///
+/// # Errors
+/// When the message cannot be encoded.
+pub fn bytes<T: Serialize>(secret: &Secret, message: &T) -> Result<Vec<u8>, Reject> {
+    let mut bytes = postcard::to_stdvec(message).map_err(|_| Reject::Message)?;
+    let tag = secret.tag(0, &bytes);
+    bytes.extend_from_slice(&tag);
+    Ok(bytes)
+}
+
+/// Opens a message of any length.
+///
+/// # Errors
+/// When the bytes are not a sealed message of this fleet.
+pub fn open_bytes<T: DeserializeOwned>(secret: &Secret, bytes: &[u8]) -> Result<T, Reject> {
+    if bytes.len() < TAG_BYTES {
+        return Err(Reject::Size);
+    }
+    open(secret, 0, bytes)
+}
+
 fn open<T: DeserializeOwned>(secret: &Secret, number: u64, sealed: &[u8]) -> Result<T, Reject> {
     let (bytes, tag) = sealed.split_at(sealed.len() - TAG_BYTES);
     let same: bool = secret.tag(number, bytes).ct_eq(tag).into();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -175,7 +175,15 @@
     }
 }
 
-fn require(holds: bool, path: jsonc::Path, sentence: &str) -> Result<(), (jsonc::Path, String)> {
+/// A rule of the settings: holds, or is told with its place.
+///
+/// # Errors
+/// The place and the sentence, when it does not hold.
+pub fn require(
+    holds: bool,
+    path: jsonc::Path,
+    sentence: &str,
+) -> Result<(), (jsonc::Path, String)> {
     if holds { Ok(()) } else { Err((path, sentence.to_owned())) }
 }
 
--- a/tests/properties/bytes.rs
+++ b/tests/properties/bytes.rs
@@ -54,7 +54,7 @@
 
     #[test]
     fn datagrams_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..2000)) {
-        prop_assert!(seal::open_datagram(&secret(), &bytes).is_err());
+        prop_assert!(seal::open_datagram::<wire::Datagram>(&secret(), &bytes).is_err());
     }
 
     /// Frames arrive in any pieces, with any byte changed: what opens is what was sealed, in order.
