Turn away the less urgent while hardly any engine is free; wait out a live engine's queue

Cause: engines read prompts in the order of arrival whatever their rank (measured: 22 ms to 30 ms for each thousand tokens ahead, alike for all three classes), so overload made every class late and then lost; and a request was moved after 1.6 s from an engine that was merely busy, losing its place. Ruled out: refusing only summaries (a client account's own priority replaces the route's, so rank, not class, tells), thresholds of a third and more (refusals cost more than they gain).

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -14,7 +14,7 @@
 
 use super::directory::{Endpoint, EndpointKey};
 use super::request::{Part, Prompt};
-use super::{health, homes, load, reading, route};
+use super::{gate, health, homes, load, reading, route};
 
 /// What each running request adds to the time to a first event, by its part of each step.
 const CROWD_MS: f64 = 3.0;
@@ -56,6 +56,8 @@
     pub work: load::Work,
     /// Time until its first event, as expected.
     pub first_ms: f64,
+    /// Share of the engines at which nearly nothing waits.
+    pub free_share: f64,
 }
 
 /// The endpoint for a request, out of those given. Endpoints that could not be reached just now are
@@ -72,6 +74,7 @@
     let open: Vec<&Endpoint> = all.iter().copied().filter(is_open).collect();
     let candidates = if open.is_empty() { all } else { open };
     let favourite = prompt.and_then(|prompt| rendezvous(&candidates, prompt, known));
+    let free_share = free_share(&candidates, known);
     let choices = candidates.into_iter().map(|endpoint| match (engine, prompt) {
         (Some(engine), Some(prompt)) => engine_choice(endpoint, engine, prompt, favourite, known),
         _ => plain_choice(endpoint, known),
@@ -82,7 +85,15 @@
         .min_by(|(a, lot_a), (b, lot_b)| {
             a.cost_ms.total_cmp(&b.cost_ms).then(lot_a.total_cmp(lot_b))
         })
-        .map(|(choice, _)| choice)
+        .map(|(choice, _)| Choice { free_share, ..choice })
+}
+
+/// Share of the endpoints at which nearly no prompt waits to be read.
+fn free_share(candidates: &[&Endpoint], known: &Known<'_>) -> f64 {
+    let wait_ms =
+        |one: &Endpoint| known.reading.ms(known.book.at(one.key, known.now_ms).unread_tokens);
+    let free = candidates.iter().filter(|one| wait_ms(one) <= gate::FREE_WAIT_MS).count();
+    free as f64 / candidates.len().max(1) as f64
 }
 
 /// The parts that other requests have too.
@@ -118,7 +129,7 @@
     if favourite == Some(endpoint.key) {
         cost_ms -= reread_ms * RENDEZVOUS_PART;
     }
-    Choice { endpoint, cost_ms, unread_tokens, work, first_ms }
+    Choice { endpoint, cost_ms, unread_tokens, work, first_ms, free_share: 1.0 }
 }
 
 fn plain_choice<'a>(endpoint: &'a Endpoint, known: &Known<'_>) -> Choice<'a> {
@@ -127,7 +138,7 @@
     let rounds = f64::from(work.requests) / f64::from(endpoint.slots.max(1));
     let first_ms = answer_ms * (1.0 + rounds);
     let cost_ms = first_ms + outside_ms(endpoint, known);
-    Choice { endpoint, cost_ms, unread_tokens: 0, work, first_ms }
+    Choice { endpoint, cost_ms, unread_tokens: 0, work, first_ms, free_share: 1.0 }
 }
 
 /// What does not depend on the load.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod duty;
 pub mod events;
 pub mod events_body;
+pub mod gate;
 pub mod health;
 pub mod homes;
 pub mod http1;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use super::attempt::{Failure, Patience, Running};
 use super::directory::EndpointKey;
 use super::request::{Answer, Call, Request};
-use super::{Gateway, choose, events_body, http1, route, shared};
+use super::{Gateway, choose, events_body, gate, http1, route, shared};
 use crate::error;
 
 /// Longest answer that is gathered before it is sent, in bytes.
@@ -28,8 +28,16 @@
 /// Part of the latency target for which a request is held while there is no endpoint: below an
 /// eighth, so that the caller can still be in time elsewhere.
 const HOLD_PART: f64 = 0.12;
+/// A first event that takes this many times as long as expected is not waited for any longer where
+/// another endpoint may try. Below, a request would lose its place in a queue for nothing.
+const SLOW_TIMES: u64 = 4;
 /// Least time left in which another send makes sense: a connection and a short answer.
 const LEAST_LEFT_MS: u64 = 40;
+/// When a caller of the most urgent rank comes back after a refusal; each later rank waits as much
+/// longer. A queue of a second drains in three of these.
+const COME_BACK_RANK_MS: f64 = 300.0;
+/// When a caller of an entry that has just started and knows no configuration comes back.
+const STARTING_MS: std::ops::Range<u32> = 600..1_800;
 /// When a caller that was sent away by a stopping entry comes back: at once, since it then reaches
 /// another.
 const COME_BACK_MS: u32 = 50;
@@ -122,7 +130,7 @@
     /// A wait ends early only where the request may run again elsewhere. A stream's endpoint may be
     /// silent for a queue's length, so its silence counts only when it says nothing to anybody.
     #[must_use]
-    fn patience(&self, now_ms: u64) -> Patience {
+    fn patience(&self, first_ms: f64, now_ms: u64) -> Patience {
         let left_ms = self.left_ms(now_ms);
         if !self.kind.is_repeatable() || self.attempts >= self.route().max_attempts {
             return Patience { if_silent_ms: left_ms, at_most_ms: left_ms };
@@ -132,7 +140,7 @@
             let patience_ms = self.stream_patience_ms();
             return Patience {
                 if_silent_ms: (patience_ms * 2 / 5).min(left_ms),
-                at_most_ms: (patience_ms * 4 / 5).min(left_ms),
+                at_most_ms: (patience_ms / 2).max(first_ms as u64 * SLOW_TIMES).min(left_ms),
             };
         }
         // Half of what is left stays for the other endpoint.
@@ -171,10 +179,10 @@
         let refuse = error::Refusal::not_run;
         let arrived_ms = self.now_ms();
         let snapshot = self.shared.snapshot.load();
-        let table = snapshot
-            .table
-            .clone()
-            .ok_or_else(|| refuse(error::Kind::NotReady).retry_after_ms(500))?;
+        let table = snapshot.table.clone().ok_or_else(|| {
+            let wait_ms = rand::rng().random_range(STARTING_MS);
+            refuse(error::Kind::NotReady).retry_after_ms(wait_ms)
+        })?;
         let key = table
             .find(&request.host, request.path())
             .ok_or_else(|| refuse(error::Kind::UnknownPath))?;
@@ -255,12 +263,19 @@
                 time::sleep(LOOK_AGAIN).await;
                 continue;
             };
+            let is_first = job.attempts == 0 && unsent == 0;
+            if is_first
+                && job.request.prompt.is_some()
+                && !gate::admits(job.priority, choice.free_share)
+            {
+                return Err(self.given_up(job, error::Kind::TooLate));
+            }
             if job.attempts > 0 && !self.may_retry(job) {
                 return Err(self.given_up(job, error::Kind::EndpointFailed));
             }
             job.tried.push(choice.endpoint.key);
             job.attempts += 1;
-            let patience = job.patience(now_ms);
+            let patience = job.patience(choice.first_ms, now_ms);
             self.log_choice(job, &choice);
             let failure = match self.attempt(job, &choice, patience).await {
                 Ok(running) => return Ok(running),
@@ -398,8 +413,12 @@
         }
         // It ran nowhere, so the caller may come back; in a while, spread out, the urgent first.
         let rank = f64::from(job.priority.min(4)) + 1.0;
-        let wait_ms = 150.0 * rank * rand::rng().random_range(0.5..1.5);
-        error::Refusal::not_run(error::Kind::NoEndpoint).retry_after_ms(wait_ms as u32)
+        let wait_ms = COME_BACK_RANK_MS * rank * rand::rng().random_range(0.5..1.5);
+        let kind = match kind {
+            error::Kind::TooLate => kind,
+            _ => error::Kind::NoEndpoint,
+        };
+        error::Refusal::not_run(kind).retry_after_ms(wait_ms as u32)
     }
 
     fn log_choice(&self, job: &Job, choice: &choose::Choice<'_>) {
