--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -25,6 +25,8 @@
 /// so that mostly one writes.
 const VACANT_MS: u64 = 300;
 const VACANT_RANK_MS: u64 = 500;
+/// Entries beside the holder that keep an eye on the lease.
+const STAND_BY: usize = 2;
 /// How long after a window's end it is sealed: all entries' digests have come by then.
 const SETTLE_MS: u64 = 900;
 /// A call under a duty takes at most this; so much of the term has to be left.
@@ -43,9 +45,33 @@
     pub counts: BTreeMap<CompactString, u32>,
 }
 
+/// Pause after the store failed a call of billing.
+const RETRY_MS: u64 = 500;
+/// How often the counts of windows that are still open are written, at most: what is lost when all
+/// entries die at once is this much of a window of five seconds, below the tolerance of a
+/// twentieth.
+const SAVE_MS: u64 = 200;
+/// Bytes a second that these writes may come to; with many entries they come less often.
+const SAVE_BYTES_PER_S: u64 = 20_000;
+const OPEN_KEY: &str = "briarwinch-usage/open";
+/// Windows whose counts are saved.
+const SAVED_WINDOWS: usize = 3;
+
+/// Counts that outlast the death of all entries.
+#[derive(Debug, Default)]
+struct Saved {
+    version: u64,
+    text: String,
+    next_ms: u64,
+}
+
 /// Billing, as the holder of the duties knows it.
 #[derive(Debug, Default)]
 struct Billing {
+    /// What was saved of open windows, once read.
+    saved: Option<Saved>,
+    /// Nothing is tried before this time.
+    retry_ms: u64,
     /// What the store holds, once read, with its version.
     seals: Option<(u64, Vec<Sealed>)>,
     reported: BTreeSet<u64>,
@@ -65,8 +91,10 @@
         }
         let held = contender.epoch(now_ms).is_some();
         note_holding(&control, held);
-        if !held && !contender.is_writing() && !may_contend(&control, now_ms, &mut vacant_since_ms)
-        {
+        if !contender.is_engaged() && !may_contend(&control, now_ms, &mut vacant_since_ms) {
+            if stands_by(&control, now_ms) && contender.step_aside(now_ms) == lease::Step::Read {
+                read(&control, &mut contender).await;
+            }
             time::sleep(Duration::from_millis(STEP_MS)).await;
             continue;
         }
@@ -98,6 +126,11 @@
     }
 }
 
+/// Whether this entry is one of the next in line for the duties.
+fn stands_by<P>(control: &Control<P>, now_ms: u64) -> bool {
+    control.shared.is_ready() && control.peers.borrow().rank(now_ms) <= STAND_BY
+}
+
 /// Whether this entry contends: nobody is heard to hold the duties, and it is this one's turn.
 fn may_contend<P>(control: &Control<P>, now_ms: u64, vacant_since_ms: &mut Option<u64>) -> bool {
     let peers = control.peers.borrow();
@@ -155,12 +188,20 @@
 impl Billing {
     /// Seals and reports what is due, one call at a time.
     async fn tick<P: Platform>(&mut self, control: &Control<P>, contender: &lease::Contender) {
-        let Some(fence) = contender.epoch_for(control.now_ms(), CALL_MS) else {
+        let now_ms = control.now_ms();
+        let Some(fence) = contender.epoch_for(now_ms, CALL_MS) else {
             return;
         };
-        if self.seals.is_none() && !self.read(control).await {
+        if now_ms < self.retry_ms {
             return;
         }
+        let is_read = (self.saved.is_some() || self.load(control).await)
+            && (self.seals.is_some() || self.read(control).await);
+        if !is_read {
+            self.retry_ms = now_ms + RETRY_MS;
+            return;
+        }
+        self.save(control).await;
         if let Some(sealed) = self.due(control) {
             self.seal(control, sealed).await;
             return;
@@ -178,6 +219,7 @@
                     self.reported.insert(sealed.window);
                 }
                 Err(failure) => {
+                    self.retry_ms = control.now_ms() + RETRY_MS;
                     slog::info!(control.log, "usage not reported"; "window" => sealed.window,
                         "failure" => failure.to_string());
                 }
@@ -233,10 +275,61 @@
             Ok(version) => self.seals = Some((version, seals)),
             // Read again before anything else: the write may have been done, or another came first.
             Err(failure) => {
+                self.retry_ms = control.now_ms() + RETRY_MS;
                 slog::info!(control.log, "window not sealed"; "failure" => failure.to_string());
             }
         }
     }
+
+    /// Takes up what former holders saved: counts of entries that may all be dead.
+    async fn load<P: Platform>(&mut self, control: &Control<P>) -> bool {
+        match control.platform.get(OPEN_KEY).await {
+            Ok(None) => self.saved = Some(Saved::default()),
+            Ok(Some(object)) => {
+                match serde_json::from_str(&object.value) {
+                    Ok(counts) => control.shared.tally().take_saved(counts),
+                    Err(error) => {
+                        slog::error!(control.log, "saved counts not readable";
+                            "error" => error.to_string());
+                    }
+                }
+                self.saved = Some(Saved { version: object.version, ..Saved::default() });
+            }
+            Err(failure) => {
+                slog::info!(control.log, "saved counts not read"; "failure" => failure.to_string());
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Saves the counts of the newest windows, if they have changed.
+    async fn save<P: Platform>(&mut self, control: &Control<P>) {
+        let now_ms = control.now_ms();
+        let Some(saved) = self.saved.as_mut().filter(|saved| now_ms >= saved.next_ms) else {
+            return;
+        };
+        let counts = control.shared.tally().newest(SAVED_WINDOWS);
+        let text = serde_json::to_string(&counts).unwrap_or_default();
+        if text == saved.text {
+            return;
+        }
+        let condition = match saved.version {
+            0 => Condition::Absent,
+            version => Condition::Version(version),
+        };
+        match control.platform.put(OPEN_KEY, text.clone(), condition).await {
+            Ok(version) => {
+                let pause_ms = SAVE_MS.max(text.len() as u64 * 1_000 / SAVE_BYTES_PER_S);
+                *saved = Saved { version, text, next_ms: now_ms + pause_ms };
+            }
+            Err(failure) => {
+                slog::info!(control.log, "counts not saved"; "failure" => failure.to_string());
+                self.saved = None;
+                self.retry_ms = now_ms + RETRY_MS;
+            }
+        }
+    }
 }
 
 /// A peer that is gone no longer holds the duties for this entry.
--- a/src/gateway/tally.rs
+++ b/src/gateway/tally.rs
@@ -35,6 +35,11 @@
         Self { windows: newest.map(|(window, counts)| (*window, counts.clone())).collect() }
     }
 
+    fn since(&self, first: u64) -> Self {
+        let newest = self.windows.range(first..);
+        Self { windows: newest.map(|(window, counts)| (*window, counts.clone())).collect() }
+    }
+
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.windows.is_empty()
@@ -79,6 +84,23 @@
         self.by_boot.entry(boot).or_default().merge(counts);
     }
 
+    /// All entries' counts of the newest windows.
+    #[must_use]
+    pub fn newest(&self, windows: usize) -> BTreeMap<u64, Counts> {
+        let last = self.by_boot.values().filter_map(|counts| counts.windows.last_key_value());
+        let last = last.map(|(window, _)| *window).max().unwrap_or(0);
+        let first = (last + 1).saturating_sub(windows as u64);
+        let newest = self.by_boot.iter().map(|(boot, counts)| (*boot, counts.since(first)));
+        newest.filter(|(_, counts)| !counts.is_empty()).collect()
+    }
+
+    /// Takes over counts by start of an entry, as [`Tally::newest`] gave them.
+    pub fn take_saved(&mut self, saved: BTreeMap<u64, Counts>) {
+        for (boot, counts) in saved {
+            self.take(boot, &counts);
+        }
+    }
+
     /// All entries' counts of a window.
     #[must_use]
     pub fn sum(&self, window: u64) -> BTreeMap<CompactString, u32> {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -140,10 +140,19 @@
         self.epoch(now_ms + left_ms)
     }
 
-    /// Whether the outcome of a write is open; stepping settles it.
+    /// Whether only stepping on settles something: a write's outcome is open, or a term runs that
+    /// has to be renewed or given back.
     #[must_use]
-    pub fn is_writing(&self) -> bool {
-        self.pending.is_some()
+    pub fn is_engaged(&self) -> bool {
+        self.pending.is_some() || self.holding.is_some()
+    }
+
+    /// What to do now for one who does not contend but may have to soon: read from time to time.
+    ///
+    /// Who sees a record for the first time has to wait for its whole term. Who has watched it
+    /// stand takes over as soon as the term is over.
+    pub fn step_aside(&mut self, now_ms: u64) -> Step {
+        self.read_when_due(now_ms)
     }
 
     /// Who holds the lease, as last seen.
