--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -3,13 +3,18 @@
 //! The load pattern for engines: prompts of ten thousand tokens and more, most of it shared with
 //! other requests, between short urgent ones. A part that has to be read again costs every request
 //! at that endpoint the reading time, so requests go where their parts are, until the wait there is
-//! longer than the reading would be elsewhere (bounded load). A part that nobody has goes to the
+//! far longer than the reading would be elsewhere (bounded load). A part that nobody has goes to the
 //! endpoint that rendezvous hashing names, so that entries that see it at the same time agree.
 //!
+//! What other entries have sent is known a moment late. If all of them weighed all endpoints, all
+//! would send to the one that was free a moment ago; so each weighs the endpoints that have the
+//! parts and a few others by lot (the power of d choices, Mitzenmacher 2001).
+//!
 //! The load pattern for plain services: few slots, answers of some ten milliseconds, endpoints of
 //! unequal speed, some of which fail or hang. Requests go where the fewest are under way, by time.
 
 use rand::Rng;
+use rand::seq::SliceRandom;
 use xxhash_rust::xxh3;
 
 use super::directory::{Endpoint, EndpointKey};
@@ -21,12 +26,17 @@
 /// Requests beyond the slots wait for a whole run of another; a run takes about this.
 const OVER_SLOTS_MS: f64 = 400.0;
 /// What the time to read a shared part again costs, beside that the request waits for it: the same
-/// time is taken from all that come later, and the part displaces others. With 1 in place of 6 a day
-/// of summaries at 2.3 times the usual rate read 2.9 million tokens again, with 6 it read 1.8.
-const REREAD_WEIGHT: f64 = 6.0;
+/// time is taken from all that come later, and the part displaces others. On a day of summaries at
+/// twice the usual rate before 55 engines, weights of 6, 10 and 16 read 13.3, 10.1 and 7.5 million
+/// tokens again and earned 0.55, 0.61 and 0.63 of the worth; beyond 16 the middle class suffers.
+const REREAD_WEIGHT: f64 = 16.0;
 /// Part of the reading time by which the rendezvous choice goes before others for parts that
 /// nobody has.
 const RENDEZVOUS_PART: f64 = 1.0;
+/// Endpoints that are weighed beside those that have the parts: this part of them, and at least so
+/// many. On the day named above, weighing all of them earned 0.39 of the worth, a tenth 0.55.
+const BY_LOT_PART: f64 = 0.1;
+const BY_LOT_LEAST: usize = 6;
 /// The way to another availability zone and back, and its price in bytes.
 const OTHER_ZONE_MS: f64 = 4.0;
 /// What a failed answer costs a caller: it comes back after about this time.
@@ -72,20 +82,49 @@
     let all: Vec<&Endpoint> = endpoints.collect();
     let is_open = |one: &&Endpoint| !known.health.is_avoided(one.key, known.now_ms);
     let open: Vec<&Endpoint> = all.iter().copied().filter(is_open).collect();
-    let candidates = if open.is_empty() { all } else { open };
-    let favourite = prompt.and_then(|prompt| rendezvous(&candidates, prompt, known));
-    let free_share = free_share(&candidates, known);
-    let choices = candidates.into_iter().map(|endpoint| match (engine, prompt) {
-        (Some(engine), Some(prompt)) => engine_choice(endpoint, engine, prompt, favourite, known),
-        _ => plain_choice(endpoint, known),
+    let mut candidates = if open.is_empty() { all } else { open };
+    // Equal costs are decided by the order, which is drawn by lot: else all entries would take the
+    // same endpoint.
+    candidates.shuffle(random);
+    match (engine, prompt) {
+        (Some(engine), Some(prompt)) => choose_engine(&candidates, engine, prompt, known),
+        _ => cheapest(candidates.into_iter().map(|endpoint| plain_choice(endpoint, known))),
+    }
+}
+
+fn cheapest<'a>(choices: impl Iterator<Item = Choice<'a>>) -> Option<Choice<'a>> {
+    choices.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+}
+
+fn choose_engine<'a>(
+    candidates: &[&'a Endpoint],
+    engine: &route::Engine,
+    prompt: &Prompt,
+    known: &Known<'_>,
+) -> Option<Choice<'a>> {
+    let favourite = rendezvous(candidates, prompt, known);
+    let free_share = free_share(candidates, known);
+    let by_lot = (candidates.len() as f64 * BY_LOT_PART).ceil() as usize;
+    let mut others = by_lot.max(BY_LOT_LEAST);
+    let weighed = candidates.iter().copied().filter(|one| {
+        if favourite == Some(one.key) || has_shared_part(one, prompt, known) {
+            return true;
+        }
+        let is_drawn = others > 0;
+        others = others.saturating_sub(1);
+        is_drawn
     });
-    // Equal costs are drawn by lot, else all entries would take the same endpoint.
-    let with_lot = choices.map(|choice| (choice, random.random::<f64>()));
-    with_lot
-        .min_by(|(a, lot_a), (b, lot_b)| {
-            a.cost_ms.total_cmp(&b.cost_ms).then(lot_a.total_cmp(lot_b))
-        })
-        .map(|(choice, _)| Choice { free_share, ..choice })
+    let choices = weighed.map(|endpoint| engine_choice(endpoint, engine, prompt, favourite, known));
+    cheapest(choices).map(|choice| Choice { free_share, ..choice })
+}
+
+/// The parts that other requests have too.
+fn shared(prompt: &Prompt) -> &[Part] {
+    prompt.parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
+fn has_shared_part(endpoint: &Endpoint, prompt: &Prompt, known: &Known<'_>) -> bool {
+    known.homes.known_tokens(endpoint.key, shared(prompt), known.now_ms) > 0
 }
 
 /// Share of the endpoints at which nearly no prompt waits to be read.
@@ -96,12 +135,7 @@
     free as f64 / candidates.len().max(1) as f64
 }
 
-/// The parts that other requests have too.
-fn shared(prompt: &Prompt) -> &[Part] {
-    prompt.parts.split_last().map_or(&[], |(_, shared)| shared)
-}
-
-/// Where the last shared part belongs if nobody has it.
+/// Where the first shared part belongs that nobody has.
 fn rendezvous(candidates: &[&Endpoint], prompt: &Prompt, known: &Known<'_>) -> Option<EndpointKey> {
     let part =
         shared(prompt).iter().find(|part| !known.homes.is_anywhere(part.id, known.now_ms))?;
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -3,6 +3,7 @@
 //! request's path waits for it.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -94,8 +95,12 @@
     /// This entry holds the duties.
     pub(super) holds_duties: Cell<bool>,
     lists_known: Cell<bool>,
+    /// Topics whose last call the store failed.
+    failing: RefCell<HashSet<Topic>>,
 }
 
+/// Entries of a zone that read the store. With two, the loss of one delays nothing.
+const READERS_PER_ZONE: usize = 2;
 /// Exit code of an entry whose control thread has ended.
 const EXIT_CONTROL: i32 = 70;
 
@@ -137,6 +142,7 @@
         socket: UdpSocket::from_std(sockets.udp)?,
         holds_duties: Cell::new(false),
         lists_known: Cell::new(false),
+        failing: RefCell::default(),
         shared,
         log,
     });
@@ -155,6 +161,28 @@
         clock::boot_ms()
     }
 
+    /// Notes whether the store answered a call for a topic.
+    pub(super) fn store_answered(&self, topic: Topic, is_good: bool) {
+        let mut failing = self.failing.borrow_mut();
+        if is_good {
+            failing.remove(&topic);
+        } else {
+            failing.insert(topic);
+        }
+    }
+
+    /// Whether the store answered the last calls.
+    pub(super) fn has_store(&self) -> bool {
+        self.failing.borrow().is_empty()
+    }
+
+    /// Whether this entry reads the store for its zone. The others learn from digests, so that the
+    /// calls to the store grow with the zones and hardly with the fleet.
+    pub(super) fn reads_store(&self) -> bool {
+        let zone = &self.shared.settings.zone;
+        self.peers.borrow().readers_before(zone, self.now_ms()) < READERS_PER_ZONE
+    }
+
     /// Takes a configuration, if it is newer than the one in force.
     pub(super) fn take_table(&self, parts: route::Parts, source: &'static str) {
         let known = self.config_version();
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -17,12 +17,12 @@
 
 /// Names an endpoint across all instances: a digest of its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct EndpointKey(pub u64);
+pub struct EndpointKey([u8; 8]);
 
 impl EndpointKey {
     #[must_use]
     pub fn of(id: &str) -> Self {
-        Self(xxh3::xxh3_64(id.as_bytes()))
+        Self(xxh3::xxh3_64(id.as_bytes()).to_le_bytes())
     }
 }
 
--- a/src/gateway/homes.rs
+++ b/src/gateway/homes.rs
@@ -16,17 +16,38 @@
 /// Parts remembered at most; about 4 MB.
 const MAX_PARTS: usize = 50_000;
 
+/// How long the other entries go on what they were told of a part: they are told again while it is
+/// used, well before they forget it.
+const TELL_AGAIN_MS: u64 = 12_000;
+
+/// Names a prompt part in messages between entries; eight bytes, where a number would take ten.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartName([u8; 8]);
+
+impl PartName {
+    #[must_use]
+    pub fn of(id: u64) -> Self {
+        Self(id.to_le_bytes())
+    }
+
+    fn id(self) -> u64 {
+        u64::from_le_bytes(self.0)
+    }
+}
+
 /// A part that was sent to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placed {
     pub endpoint: EndpointKey,
-    pub part: u64,
+    pub part: PartName,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Held {
     endpoint: EndpointKey,
     used_ms: u64,
+    /// When all entries last knew it.
+    told_ms: u64,
 }
 
 /// Parts by where they are.
@@ -41,20 +62,34 @@
     /// Notes that these parts were sent to an endpoint, by this entry.
     pub fn place(&mut self, endpoint: EndpointKey, parts: &[Part], now_ms: u64) {
         for part in parts {
-            let placed = Placed { endpoint, part: part.id };
-            self.note(placed, now_ms);
-            self.untold.push(placed);
+            let told_ms = self.told_ms(endpoint, part.id);
+            if told_ms.is_none_or(|told_ms| now_ms >= told_ms + TELL_AGAIN_MS) {
+                self.untold.push(Placed { endpoint, part: PartName::of(part.id) });
+                self.hold(part.id, Held { endpoint, used_ms: now_ms, told_ms: now_ms });
+            } else {
+                let told_ms = told_ms.unwrap_or(now_ms);
+                self.hold(part.id, Held { endpoint, used_ms: now_ms, told_ms });
+            }
         }
     }
 
     /// Notes what another entry has told.
     pub fn note(&mut self, placed: Placed, now_ms: u64) {
+        let held = Held { endpoint: placed.endpoint, used_ms: now_ms, told_ms: now_ms };
+        self.hold(placed.part.id(), held);
+    }
+
+    fn told_ms(&self, endpoint: EndpointKey, part: u64) -> Option<u64> {
+        self.held.get(&part)?.iter().find(|one| one.endpoint == endpoint).map(|one| one.told_ms)
+    }
+
+    fn hold(&mut self, part: u64, new: Held) {
         if self.held.len() >= MAX_PARTS {
-            self.sweep(now_ms);
+            self.sweep(new.used_ms);
         }
-        let held = self.held.entry(placed.part).or_default();
-        held.retain(|one| one.endpoint != placed.endpoint);
-        held.push(Held { endpoint: placed.endpoint, used_ms: now_ms });
+        let held = self.held.entry(part).or_default();
+        held.retain(|one| one.endpoint != new.endpoint);
+        held.push(new);
     }
 
     /// Tokens at the start of a prompt that an endpoint has already.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,26 +18,33 @@
 use tokio::{task, time};
 
 use super::control::{Control, Platform};
-use super::{directory, homes, load, route, settings, tally};
+use super::{directory, gate, homes, load, route, settings, tally};
 use crate::store::{Condition, ObjectStore};
 use crate::{clock, metric, seal};
 
-/// Pause between digests while something changes: what is under way at an endpoint is then known
-/// everywhere within a few steps of its engine.
+/// Pause between digests while something changes, for each [`FEW_PEERS`] or part of them: what is
+/// under way at an endpoint is then known everywhere within a few steps of its engine, and the cost
+/// of control grows slowly with the fleet.
 const TELL_MS: u64 = 100;
-/// Pause between digests while nothing changes.
+const FEW_PEERS: usize = 8;
+/// Digests are sent in any case after this many pauses.
 const IDLE_TELLS: u32 = 5;
-/// Peers told each time. All of a small fleet; of a large one a part, so that the cost of control
-/// does not grow with the fleet.
-const FAN_OUT: usize = 8;
+/// Peers told each time, at most; of a larger fleet a part by lot.
+const FAN_OUT: usize = 64;
 /// A peer that was not heard of for this long counts as gone for duties and shares.
 pub(super) const GONE_MS: u64 = 2_000;
 /// A peer that is gone for this long is no longer told anything.
 const FORGET_MS: u64 = 30_000;
-/// Prompt parts in a digest; 17 bytes each.
-const MAX_PLACED: usize = 24;
-/// Windows of counts in a digest.
+/// Prompt parts in a message; 16 bytes each.
+const MAX_PLACED: usize = 70;
+/// Endpoints in a digest; about 13 bytes each. Those with the most to read go first.
+const MAX_WORK: usize = 80;
+/// Windows of counts that are told.
 const TOLD_WINDOWS: usize = 2;
+/// Counts are told after each so many digests.
+const COUNTS_EVERY: u32 = 3;
+/// Client accounts in a message of counts; up to 16 bytes each.
+const MAX_COUNTED: usize = 60;
 /// Addresses of other entries in a digest.
 const MAX_MEMBERS: usize = 8;
 /// How long a peer may stay ahead before its state is pulled: the own watch is mostly as fast.
@@ -58,25 +65,49 @@
     unix_ms: u64,
     config_version: u64,
     directory_revision: u64,
+    zone: CompactString,
+    /// The store answered this entry's last calls, as far as it makes any.
+    has_store: bool,
     holds_duties: bool,
     is_stopping: bool,
     members: Vec<SocketAddr>,
+    turned_away_cs: [u8; gate::RANKS],
     work: Vec<load::Row>,
-    placed: Vec<homes::Placed>,
-    counts: tally::Counts,
 }
 
-/// What a pull brings.
+/// What entries send each other by UDP.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum Message {
+    Digest(Digest),
+    /// Prompt parts that were sent to endpoints.
+    Placed(Vec<homes::Placed>),
+    /// What one start of an entry has counted.
+    Counts {
+        boot: u64,
+        counts: tally::Counts,
+    },
+}
+
+/// What a pull brings: what its sender has that is newer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct State {
     config: Option<route::Parts>,
-    directory: directory::Directory,
+    directory: Option<directory::Directory>,
 }
 
+/// What a pull says first: the sender's own versions.
 #[derive(Clone, Copy, Debug)]
+struct Known {
+    config_version: u64,
+    directory_revision: u64,
+}
+
+#[derive(Clone, Debug)]
 struct Peer {
     boot: u64,
     heard_ms: u64,
+    zone: CompactString,
+    has_store: bool,
     holds_duties: bool,
     is_stopping: bool,
 }
@@ -127,6 +158,15 @@
         live.filter(|(addr, peer)| **addr < self.own && !peer.is_stopping).count()
     }
 
+    /// Live peers of a zone that read the store before this entry does.
+    pub(super) fn readers_before(&self, zone: &str, now_ms: u64) -> usize {
+        let live = self.heard.iter().filter(|(_, peer)| now_ms < peer.heard_ms + GONE_MS);
+        let before = live.filter(|(addr, peer)| {
+            **addr < self.own && peer.zone == zone && peer.has_store && !peer.is_stopping
+        });
+        before.count()
+    }
+
     fn targets(&self, now_ms: u64) -> Vec<SocketAddr> {
         let heard = self.heard.iter().filter(|(_, peer)| now_ms < peer.heard_ms + FORGET_MS);
         let mut all: HashSet<SocketAddr> = heard.map(|(addr, _)| *addr).collect();
@@ -152,24 +192,46 @@
 pub(super) async fn tell<P: Platform>(control: Rc<Control<P>>) {
     let mut last_work = Vec::new();
     let mut quiet = 0;
+    let mut round: u32 = 0;
     loop {
-        time::sleep(Duration::from_millis(TELL_MS)).await;
+        let steps = control.peers.borrow().heard.len() / FEW_PEERS + 1;
+        time::sleep(Duration::from_millis(TELL_MS * steps as u64)).await;
         let now_ms = control.now_ms();
-        let mut work = control.shared.book().rows();
-        work.sort_by_key(|row| row.endpoint);
-        let placed = control.shared.homes().take_untold(MAX_PLACED);
+        round = round.wrapping_add(1);
         quiet += 1;
-        if work == last_work && placed.is_empty() && quiet < IDLE_TELLS {
-            continue;
+        let work = told_work(&control);
+        if work != last_work || quiet >= IDLE_TELLS {
+            quiet = 0;
+            last_work.clone_from(&work);
+            send_digest(&control, work, now_ms);
+        }
+        let placed = control.shared.homes().take_untold(MAX_PLACED);
+        if !placed.is_empty() {
+            send(&control, &Message::Placed(placed), now_ms);
+        }
+        if round.is_multiple_of(COUNTS_EVERY) {
+            send_counts(&control, now_ms);
         }
-        quiet = 0;
-        last_work.clone_from(&work);
-        send(&control, work, placed, now_ms);
         update_entries(&control, now_ms);
         control.change_directory("grace time over", |directory| directory.expire(now_ms));
     }
 }
 
+fn told_work<P>(control: &Control<P>) -> Vec<load::Row> {
+    let mut work = control.shared.book().rows();
+    work.sort_by_key(|row| std::cmp::Reverse(row.work.unread_tokens));
+    work.truncate(MAX_WORK);
+    work.sort_by_key(|row| row.endpoint);
+    work
+}
+
+fn send_counts<P>(control: &Control<P>, now_ms: u64) {
+    let boot = control.shared.boot;
+    for counts in control.counts(TOLD_WINDOWS).split(MAX_COUNTED) {
+        send(control, &Message::Counts { boot, counts }, now_ms);
+    }
+}
+
 fn update_entries<P>(control: &Control<P>, now_ms: u64) {
     /// Peers heard of within the longest retry window share the budget.
     const SHARES_MS: u64 = 10_000;
@@ -179,11 +241,8 @@
     control.shared.entries.store(1 + expected, Ordering::Relaxed);
 }
 
-fn send<P>(control: &Control<P>, work: Vec<load::Row>, placed: Vec<homes::Placed>, now_ms: u64) {
-    let (targets, members) = {
-        let peers = control.peers.borrow();
-        (peers.targets(now_ms), peers.members(now_ms))
-    };
+fn send_digest<P>(control: &Control<P>, work: Vec<load::Row>, now_ms: u64) {
+    let members = control.peers.borrow().members(now_ms);
     let digest = Digest {
         from: control.shared.settings.peer_addr(),
         boot: control.shared.boot,
@@ -191,21 +250,26 @@
         unix_ms: control.shared.time.unix_ms(),
         config_version: control.config_version(),
         directory_revision: control.directory.borrow().revision(),
+        zone: control.shared.settings.zone.clone(),
+        has_store: control.has_store(),
         holds_duties: control.holds_duties.get(),
         is_stopping: control.shared.is_draining(),
         members,
+        turned_away_cs: control.shared.turned_away.ages_cs(now_ms),
         work,
-        placed,
-        counts: control.counts(TOLD_WINDOWS),
     };
-    let bytes = match seal::datagram(&control.secret, &digest) {
+    send(control, &Message::Digest(digest), now_ms);
+}
+
+fn send<P>(control: &Control<P>, message: &Message, now_ms: u64) {
+    let bytes = match seal::datagram(&control.secret, message) {
         Ok(bytes) => bytes,
         Err(error) => {
-            slog::warn!(control.log, "digest not sent"; "reason" => error.to_string());
+            slog::warn!(control.log, "peers not told"; "reason" => error.to_string());
             return;
         }
     };
-    for addr in targets {
+    for addr in control.peers.borrow().targets(now_ms) {
         // A datagram that does not leave is like one that was lost: the next one repairs it.
         let _ = control.socket.try_send_to(&bytes, addr);
     }
@@ -218,8 +282,14 @@
         let Ok((count, _)) = control.socket.recv_from(&mut buffer).await else {
             continue;
         };
-        match seal::open_datagram::<Digest>(&control.secret, &buffer[..count]) {
-            Ok(digest) => take(&control, &digest),
+        let now_ms = control.now_ms();
+        match seal::open_datagram::<Message>(&control.secret, &buffer[..count]) {
+            Ok(Message::Digest(digest)) => take(&control, &digest),
+            Ok(Message::Placed(placed)) => {
+                let mut homes = control.shared.homes();
+                placed.into_iter().for_each(|placed| homes.note(placed, now_ms));
+            }
+            Ok(Message::Counts { boot, counts }) => control.shared.tally().take(boot, &counts),
             Err(reject) => metric::count_reject(reject),
         }
     }
@@ -229,18 +299,14 @@
     let now_ms = control.now_ms();
     let shared = &control.shared;
     shared.book().take_digest(digest.boot, &digest.work, now_ms);
-    {
-        let mut homes = shared.homes();
-        for placed in &digest.placed {
-            homes.note(*placed, now_ms);
-        }
-    }
-    shared.tally().take(digest.boot, &digest.counts);
+    shared.turned_away.take(digest.turned_away_cs, now_ms);
     {
         let mut peers = control.peers.borrow_mut();
         let peer = Peer {
             boot: digest.boot,
             heard_ms: now_ms,
+            zone: digest.zone.clone(),
+            has_store: digest.has_store,
             holds_duties: digest.holds_duties,
             is_stopping: digest.is_stopping,
         };
@@ -288,7 +354,9 @@
                 if let Some(parts) = state.config {
                     control.take_table(parts, "peer");
                 }
-                control.change_directory("peer", |directory| directory.adopt(state.directory));
+                if let Some(newer) = state.directory {
+                    control.change_directory("peer", |directory| directory.adopt(newer));
+                }
             }
             Ok(Err(error)) => {
                 slog::info!(control.log, "pull failed"; "peer" => digest.from.to_string(),
@@ -305,6 +373,9 @@
 
 async fn read_state<P>(control: &Control<P>, addr: SocketAddr) -> anyhow::Result<State> {
     let mut stream = TcpStream::connect(addr).await?;
+    let directory_revision = control.directory.borrow().revision();
+    stream.write_u64(control.config_version()).await?;
+    stream.write_u64(directory_revision).await?;
     let length = stream.read_u32().await?;
     anyhow::ensure!(length <= MAX_STATE_BYTES, "a state of {length} bytes");
     let mut bytes = vec![0; length as usize];
@@ -334,9 +405,17 @@
 }
 
 async fn write_state<P>(control: &Control<P>, mut stream: TcpStream) -> anyhow::Result<()> {
-    let state = State {
-        config: control.table.borrow().as_ref().map(|table| table.parts().clone()),
-        directory: control.directory.borrow().clone(),
+    let known = Known {
+        config_version: stream.read_u64().await?,
+        directory_revision: stream.read_u64().await?,
+    };
+    let state = {
+        let (table, directory) = (control.table.borrow(), control.directory.borrow());
+        let newer = table.as_ref().filter(|table| table.version() > known.config_version);
+        State {
+            config: newer.map(|table| table.parts().clone()),
+            directory: (directory.revision() > known.directory_revision).then(|| directory.clone()),
+        }
     };
     let bytes = seal::bytes(&control.secret, &state)?;
     stream.write_u32(bytes.len() as u32).await?;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -264,9 +264,7 @@
                 continue;
             };
             let is_first = job.attempts == 0 && unsent == 0;
-            if is_first
-                && job.request.prompt.is_some()
-                && !gate::admits(job.priority, choice.free_share)
+            if is_first && job.request.prompt.is_some() && !self.passes_gate(job, choice.free_share)
             {
                 return Err(self.given_up(job, error::Kind::TooLate));
             }
@@ -309,6 +307,17 @@
         }
     }
 
+    /// Whether a prompt is sent while this share of the engines is free.
+    fn passes_gate(&self, job: &Job, free_share: f64) -> bool {
+        let now_ms = self.now_ms();
+        let turned_away = &self.shared.turned_away;
+        if gate::admits(job.priority, free_share) {
+            return !turned_away.is_before(job.priority, now_ms);
+        }
+        turned_away.note(job.priority, now_ms);
+        false
+    }
+
     /// Takes a retry out of the route's attempts and the shared budget.
     fn may_retry(&self, job: &Job) -> bool {
         let now_ms = self.now_ms();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 
-use super::{directory, drain, homes, load, route, settings, tally};
+use super::{directory, drain, gate, homes, load, route, settings, tally};
 use crate::clock;
 
 /// Configuration and endpoints at one moment.
@@ -32,6 +32,8 @@
     pub entries: AtomicUsize,
     /// Requests under way here.
     pub active: AtomicU32,
+    /// When a request of each rank was last turned away at an engine's gate, here or elsewhere.
+    pub turned_away: gate::TurnedAway,
     /// What the settings allow of retries; may change while the process runs.
     retries: Mutex<settings::Retries>,
     book: Mutex<load::Book>,
@@ -53,6 +55,7 @@
             draining_since_ms: AtomicU64::new(u64::MAX),
             entries: AtomicUsize::new(1),
             active: AtomicU32::new(0),
+            turned_away: gate::TurnedAway::default(),
             book: Mutex::default(),
             homes: Mutex::default(),
             tally: Mutex::default(),
--- a/src/gateway/tally.rs
+++ b/src/gateway/tally.rs
@@ -45,6 +45,20 @@
         self.windows.is_empty()
     }
 
+    /// The same counts in pieces of at most so many accounts.
+    #[must_use]
+    pub fn split(&self, most: usize) -> Vec<Self> {
+        let mut pieces = Vec::new();
+        for (window, counts) in &self.windows {
+            let accounts: Vec<(&CompactString, &u32)> = counts.iter().collect();
+            for piece in accounts.chunks(most.max(1)) {
+                let counts = piece.iter().map(|(name, count)| ((*name).clone(), **count)).collect();
+                pieces.push(Self { windows: BTreeMap::from([(*window, counts)]) });
+            }
+        }
+        pieces
+    }
+
     /// Takes over what another copy of the same counts says; counts only grow.
     fn merge(&mut self, other: &Self) {
         for (window, counts) in &other.windows {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -12,7 +12,9 @@
 
 /// How long a watch waits at the store. Longer would save calls; a watch that is silently dead is
 /// then found later, and peers cover that time.
-const WAIT_MS: u64 = 10_000;
+const WAIT_MS: u64 = 5_000;
+/// How often an entry that leaves reading to others looks whether they still do.
+const ASIDE: Duration = Duration::from_millis(400);
 /// Pause after a first failed call; doubled with each.
 const FIRST_PAUSE_MS: u64 = 100;
 /// Longest pause: the store's return is seen within this, of the two seconds in which a change has
@@ -58,12 +60,20 @@
     let mut from = None;
     let mut outage = Outage::default();
     loop {
+        // Each entry reads once for itself: what peers tell at the start may be old.
+        if from.is_some() && !control.reads_store() {
+            control.store_answered(topic, true);
+            time::sleep(ASIDE).await;
+            continue;
+        }
         let wait_ms = if outage.keep_until_ms(control.now_ms()).is_some() { 500 } else { WAIT_MS };
         let brought = match from {
             None => control.platform.list_all(topic).await.map_err(WatchFailure::Failed),
             Some(revision) => control.platform.watch(topic, revision, wait_ms).await,
         };
         let now_ms = control.now_ms();
+        let is_good = !matches!(brought, Err(WatchFailure::Failed(_)));
+        control.store_answered(topic, is_good);
         match brought {
             Ok(batch) => {
                 if let Some(away_ms) = outage.answered(now_ms) {
--- /dev/null
+++ b/tests/gateway/billing.rs
@@ -0,0 +1,71 @@
+//! Counts of requests by billing window: what an entry told is not lost with it, and nothing is
+//! counted twice.
+
+use briarwinch::clock;
+use briarwinch::gateway::tally::Tally;
+
+fn count(tally: &Tally, window: u64, account: &str) -> u32 {
+    tally.sum(window).get(account).copied().unwrap_or(0)
+}
+
+/// An entry dies in the middle of a window. Its requests ran and are owed, and the client account
+/// would be billed for less.
+#[test]
+fn counts_of_an_entry_that_died_are_kept_by_those_it_told() {
+    let (mut dying, mut living) = (Tally::default(), Tally::default());
+    for _ in 0..5 {
+        dying.add(1, 100, "court");
+    }
+    living.add(2, 100, "court");
+    living.take(1, &dying.newest_of(1, 2));
+    living.take(1, &dying.newest_of(1, 2));
+    assert_eq!(count(&living, 100, "court"), 6, "told twice, counted once");
+}
+
+/// All entries are killed at once. What the holder of the duties had saved is taken up by the next
+/// one; entries that live on and tell their counts again must not be counted twice.
+#[test]
+fn saved_counts_are_taken_up_once() {
+    let mut before = Tally::default();
+    before.add(1, 100, "court");
+    before.add(2, 100, "court");
+    before.add(2, 99, "press");
+    let saved = before.newest(2);
+    let mut after = Tally::default();
+    after.add(3, 100, "court");
+    after.take_saved(saved.clone());
+    after.take_saved(saved);
+    after.take(2, &before.newest_of(2, 2));
+    assert_eq!(count(&after, 100, "court"), 3);
+    assert_eq!(count(&after, 99, "press"), 1);
+}
+
+#[test]
+fn counts_travel_in_pieces_without_loss() {
+    let mut here = Tally::default();
+    for account in 0..200 {
+        here.add(1, 100, &format!("account-{account}"));
+    }
+    let mut there = Tally::default();
+    let pieces = here.newest_of(1, 2).split(60);
+    assert_eq!(pieces.len(), 4);
+    pieces.iter().for_each(|piece| there.take(1, piece));
+    assert_eq!(there.sum(100), here.sum(100));
+}
+
+#[test]
+fn old_windows_are_forgotten() {
+    let mut tally = Tally::default();
+    tally.add(1, 100, "court");
+    tally.add(1, 200, "court");
+    assert_eq!(count(&tally, 100, "court"), 0);
+}
+
+/// An instance's time of day jumps while a process starts there. Its requests would be counted into
+/// windows that are long over or yet to come.
+#[test]
+fn time_of_day_is_corrected_by_the_median_of_older_peers() {
+    assert_eq!(clock::correction_ms(&mut [2_400, 2_399, 2_401]), Some(2_400));
+    assert_eq!(clock::correction_ms(&mut [3, -2_400, 1]), None, "one peer's own jump counts not");
+    assert_eq!(clock::correction_ms(&mut []), None);
+}
--- /dev/null
+++ b/tests/gateway/choice.rs
@@ -0,0 +1,231 @@
+//! Choosing an endpoint: parts of prompts stay where they are, entries that know old news do not all
+//! choose the same, endpoints that fail are left out.
+
+use std::collections::{HashMap, HashSet};
+
+use briarwinch::gateway::choose::{self, Known};
+use briarwinch::gateway::directory::{Endpoint, EndpointKey};
+use briarwinch::gateway::request::{Part, Prompt};
+use briarwinch::gateway::{health, homes, load, reading, route};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const ENGINE: route::Engine = route::Engine { slots: 64, memory_tokens: 620_000 };
+const NOW_MS: u64 = 1_000_000;
+
+fn endpoints(count: usize) -> Vec<Endpoint> {
+    let one = |index: usize| {
+        let id = format!("endpoint-{index}");
+        Endpoint {
+            key: EndpointKey::of(&id),
+            id: id.into(),
+            service: "engine".into(),
+            addr: ([127, 0, 0, 1], 1_000 + index as u16).into(),
+            zone: "a".into(),
+            slots: 64,
+            is_leaving: false,
+        }
+    };
+    (0..count).map(one).collect()
+}
+
+/// What one entry knows.
+#[derive(Default)]
+struct Entry {
+    book: load::Book,
+    homes: homes::Homes,
+    health: health::Health,
+    reading: reading::Reading,
+}
+
+impl Entry {
+    fn choose(&self, endpoints: &[Endpoint], prompt: &Prompt, random: &mut StdRng) -> EndpointKey {
+        let known = Known {
+            book: &self.book,
+            homes: &self.homes,
+            health: &self.health,
+            reading: &self.reading,
+            zone: "a",
+            now_ms: NOW_MS,
+        };
+        let choice = choose::choose(endpoints.iter(), Some(&ENGINE), Some(prompt), &known, random);
+        choice.expect("an endpoint").endpoint.key
+    }
+
+    fn plain(&self, endpoints: &[Endpoint], random: &mut StdRng) -> EndpointKey {
+        let known = Known {
+            book: &self.book,
+            homes: &self.homes,
+            health: &self.health,
+            reading: &self.reading,
+            zone: "a",
+            now_ms: NOW_MS,
+        };
+        choose::choose(endpoints.iter(), None, None, &known, random).expect("one").endpoint.key
+    }
+}
+
+fn summary(document: u64, session: u64) -> Prompt {
+    Prompt {
+        tokens: 17_000,
+        max_output_tokens: 120,
+        parts: vec![Part { id: document, tokens: 13_300 }, Part { id: session, tokens: 3_700 }],
+    }
+}
+
+fn question(session: u64) -> Prompt {
+    Prompt {
+        tokens: 1_400,
+        max_output_tokens: 170,
+        parts: vec![Part { id: session, tokens: 1_400 }],
+    }
+}
+
+fn work(unread_tokens: u64) -> load::Work {
+    load::Work { requests: 1, unread_tokens }
+}
+
+#[test]
+fn entries_that_see_a_document_for_the_first_time_agree_on_its_home() {
+    let endpoints = endpoints(9);
+    for seed in 0..20 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let here = Entry::default().choose(&endpoints, &summary(seed, 1), &mut random);
+        let there = Entry::default().choose(&endpoints, &summary(seed, 2), &mut random);
+        assert_eq!(here, there, "seed {seed}");
+    }
+}
+
+#[test]
+fn documents_spread_over_all_endpoints() {
+    let endpoints = endpoints(9);
+    let mut random = StdRng::seed_from_u64(1);
+    let entry = Entry::default();
+    let homes: HashSet<EndpointKey> = (0..80)
+        .map(|document| entry.choose(&endpoints, &summary(document, 1), &mut random))
+        .collect();
+    assert_eq!(homes.len(), 9);
+}
+
+/// In overload every engine has some queue. An entry that goes for the shortest queue of the moment
+/// sends a document each time to another engine, which has to read it again. Users see the time to
+/// the first word grow for everybody, although there would be engines enough.
+#[test]
+fn documents_stay_where_they_are_while_the_wait_there_is_bearable() {
+    let endpoints = endpoints(9);
+    let mut random = StdRng::seed_from_u64(2);
+    let mut entry = Entry::default();
+    let home = endpoints[4].key;
+    entry.homes.place(home, &summary(7, 1).parts, NOW_MS);
+    entry.book.add(home, work(60_000));
+    for session in 0..50 {
+        assert_eq!(entry.choose(&endpoints, &summary(7, session), &mut random), home);
+    }
+    entry.book.add(home, work(400_000));
+    let other = entry.choose(&endpoints, &summary(7, 99), &mut random);
+    assert_ne!(other, home, "an endless wait is worse than reading again");
+}
+
+/// Entries learn with a delay what the others have sent. When all of them weigh all endpoints, all
+/// send to the one that was free a moment ago. Short urgent questions then wait behind each other on
+/// one engine while others idle.
+#[test]
+fn entries_with_the_same_old_news_do_not_all_choose_the_same_endpoint() {
+    let endpoints = endpoints(55);
+    let mut entry = Entry::default();
+    for (index, endpoint) in endpoints.iter().enumerate() {
+        entry.book.add(endpoint.key, work(2_000 + 100 * index as u64));
+    }
+    let mut chosen: HashMap<EndpointKey, usize> = HashMap::new();
+    for seed in 0..28 {
+        let mut random = StdRng::seed_from_u64(seed);
+        *chosen.entry(entry.choose(&endpoints, &question(seed), &mut random)).or_default() += 1;
+    }
+    let most = chosen.values().max().copied().unwrap_or(0);
+    assert!(most <= 9, "{most} of 28 chose the same (seeds 0 to 27)");
+    let worst = endpoints[40..].iter().filter(|one| chosen.contains_key(&one.key)).count();
+    assert!(worst <= 2, "nearly nobody takes the busiest quarter");
+}
+
+#[test]
+fn questions_go_where_little_waits() {
+    let endpoints = endpoints(6);
+    let mut entry = Entry::default();
+    for endpoint in &endpoints[1..] {
+        entry.book.add(endpoint.key, work(30_000));
+    }
+    for seed in 0..10 {
+        let mut random = StdRng::seed_from_u64(seed);
+        assert_eq!(entry.choose(&endpoints, &question(seed), &mut random), endpoints[0].key);
+    }
+}
+
+#[test]
+fn what_other_entries_have_sent_counts_until_their_digests_are_old() {
+    let endpoints = endpoints(2);
+    let mut random = StdRng::seed_from_u64(3);
+    let mut entry = Entry::default();
+    let row = load::Row { endpoint: endpoints[0].key, work: work(50_000) };
+    entry.book.take_digest(77, &[row], NOW_MS);
+    assert_eq!(entry.choose(&endpoints, &question(1), &mut random), endpoints[1].key);
+    assert_eq!(entry.book.at(endpoints[0].key, NOW_MS + 60_000), load::Work::default());
+}
+
+#[test]
+fn endpoints_that_cannot_be_reached_are_left_out_until_there_is_no_other() {
+    let endpoints = endpoints(2);
+    let mut random = StdRng::seed_from_u64(4);
+    let mut entry = Entry::default();
+    entry.health.unreachable(endpoints[0].key, NOW_MS);
+    for _ in 0..10 {
+        assert_eq!(entry.plain(&endpoints, &mut random), endpoints[1].key);
+    }
+    assert_eq!(entry.plain(&endpoints[..1], &mut random), endpoints[0].key);
+    entry.health.heard(endpoints[0].key, NOW_MS);
+    assert!(!entry.health.is_avoided(endpoints[0].key, NOW_MS));
+}
+
+#[test]
+fn endpoints_that_fail_are_chosen_less_until_their_failures_are_old() {
+    let endpoints = endpoints(2);
+    let mut random = StdRng::seed_from_u64(5);
+    let mut entry = Entry::default();
+    for _ in 0..20 {
+        entry.health.ended(endpoints[0].key, false, 20, NOW_MS);
+        entry.health.ended(endpoints[1].key, true, 20, NOW_MS);
+    }
+    for _ in 0..10 {
+        assert_eq!(entry.plain(&endpoints, &mut random), endpoints[1].key);
+    }
+    assert!(entry.health.failed_share(endpoints[0].key, NOW_MS + 20_000) < 0.01);
+}
+
+#[test]
+fn reading_speed_is_learned_from_answers() {
+    let mut reading = reading::Reading::default();
+    for _ in 0..200 {
+        reading.learn(10_000, 50 + 300);
+    }
+    assert!((reading.ms(10_000) - 300.0).abs() < 15.0, "{}", reading.ms(10_000));
+    let before = reading.ms(10_000);
+    reading.learn(10_000, 60_000);
+    assert!((reading.ms(10_000) - before).abs() < 1.0, "an engine that was stuck says nothing");
+}
+
+#[test]
+fn parts_are_told_once_and_forgotten_with_their_endpoint() {
+    let endpoints = endpoints(2);
+    let (mut here, mut there) = (homes::Homes::default(), homes::Homes::default());
+    let parts = summary(7, 1).parts;
+    here.place(endpoints[0].key, &parts, NOW_MS);
+    here.place(endpoints[0].key, &parts, NOW_MS + 100);
+    let told = here.take_untold(100);
+    assert_eq!(told.len(), 2, "one line for each part");
+    told.into_iter().for_each(|placed| there.note(placed, NOW_MS));
+    assert_eq!(there.known_tokens(endpoints[0].key, &parts, NOW_MS), 17_000);
+    assert_eq!(there.known_tokens(endpoints[1].key, &parts, NOW_MS), 0);
+    there.forget(endpoints[0].key);
+    assert_eq!(there.known_tokens(endpoints[0].key, &parts, NOW_MS), 0);
+    here.place(endpoints[0].key, &parts, NOW_MS + 30_000);
+    assert_eq!(here.take_untold(100).len(), 2, "told again before the others forget");
+}
--- /dev/null
+++ b/tests/gateway/directory.rs
@@ -0,0 +1,77 @@
+//! The list of endpoints: what leaves goes at once, what lapsed with the store's outage is kept for
+//! a while, what is old never replaces what is newer.
+
+use briarwinch::gateway::directory::{Change, Directory, Endpoint, EndpointKey};
+
+fn endpoint(id: &str) -> Endpoint {
+    Endpoint {
+        key: EndpointKey::of(id),
+        id: id.into(),
+        service: "engine".into(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        zone: "a".into(),
+        slots: 8,
+        is_leaving: false,
+    }
+}
+
+fn taking(directory: &Directory) -> Vec<String> {
+    directory.taking("engine").map(|one| one.id.to_string()).collect()
+}
+
+fn listed() -> Directory {
+    let mut directory = Directory::default();
+    assert!(directory.replace(vec![endpoint("one"), endpoint("two")], 10, None));
+    directory
+}
+
+#[test]
+fn leaving_endpoints_take_nothing_new() {
+    let mut directory = listed();
+    let leaving = Endpoint { is_leaving: true, ..endpoint("one") };
+    assert!(directory.apply(Change::Present(leaving), 11, Some(99_000)));
+    assert_eq!(taking(&directory), ["two"]);
+    assert!(directory.apply(Change::Gone("two".into()), 12, None));
+    assert!(taking(&directory).is_empty());
+}
+
+/// While the store is away, entries of living endpoints lapse; they are back soon after it is. An
+/// entry that took the first list at its word would turn users away although all endpoints live.
+#[test]
+fn entries_that_lapsed_with_an_outage_are_kept_until_their_grace_time_is_over() {
+    let mut directory = listed();
+    directory.replace(vec![endpoint("two")], 20, Some(5_000));
+    assert_eq!(taking(&directory), ["one", "two"]);
+    assert!(!directory.expire(4_999));
+    assert!(directory.expire(5_000));
+    assert_eq!(taking(&directory), ["two"]);
+}
+
+#[test]
+fn entries_that_come_back_in_time_stay() {
+    let mut directory = listed();
+    directory.apply(Change::Gone("one".into()), 20, Some(5_000));
+    directory.apply(Change::Present(endpoint("one")), 21, Some(5_000));
+    assert!(!directory.expire(9_000));
+    assert_eq!(taking(&directory), ["one", "two"]);
+}
+
+#[test]
+fn endpoints_that_were_leaving_get_no_grace_time() {
+    let mut directory = listed();
+    let leaving = Endpoint { is_leaving: true, ..endpoint("one") };
+    directory.apply(Change::Present(leaving), 11, None);
+    directory.apply(Change::Gone("one".into()), 12, Some(99_000));
+    assert!(directory.find(EndpointKey::of("one")).is_none());
+}
+
+#[test]
+fn old_lists_and_older_peers_change_nothing() {
+    let mut directory = listed();
+    assert!(!directory.replace(vec![], 9, None));
+    let mut newer = listed();
+    newer.apply(Change::Gone("one".into()), 15, None);
+    assert!(directory.adopt(newer.clone()));
+    assert!(!newer.adopt(listed()));
+    assert_eq!(taking(&directory), ["two"]);
+}
--- /dev/null
+++ b/tests/gateway/retries.rs
@@ -0,0 +1,64 @@
+//! The shared retry budget: entries that know nothing of each other never spend too much in sum, and
+//! spend most of it when there is need.
+
+use briarwinch::gateway::budget::{Allowed, Budgets};
+use proptest::prelude::*;
+
+const ALLOWED: Allowed = Allowed { ratio: 0.2, extra: 54.0, window_ms: 10_000 };
+
+/// Retries of all entries in each window of the budget's length.
+fn most_in_a_window(spent_ms: &[u64]) -> usize {
+    let in_window = |from: &u64| {
+        spent_ms.iter().filter(|at| (*from..*from + ALLOWED.window_ms).contains(at)).count()
+    };
+    spent_ms.iter().map(in_window).max().unwrap_or(0)
+}
+
+proptest! {
+    #![proptest_config(crate::cases(40))]
+    #[test]
+    fn entries_together_stay_within_the_budget(
+        entries in 1_usize..12,
+        gaps_ms in prop::collection::vec(0_u64..60, 300..900),
+    ) {
+        let mut budgets = vec![Budgets::new(ALLOWED); entries];
+        let (mut now_ms, mut spent_ms, mut requests_ms) = (50_000, Vec::new(), Vec::new());
+        for (index, gap_ms) in gaps_ms.iter().enumerate() {
+            now_ms += gap_ms;
+            let budget = &mut budgets[index % entries];
+            budget.request("engine", now_ms);
+            requests_ms.push(now_ms);
+            while budget.spend("engine", entries, now_ms) {
+                spent_ms.push(now_ms);
+            }
+        }
+        spent_ms.sort_unstable();
+        let requests = most_in_a_window(&requests_ms) as f64;
+        let allowed = ALLOWED.ratio * requests + ALLOWED.extra;
+        prop_assert!(most_in_a_window(&spent_ms) as f64 <= allowed);
+    }
+}
+
+/// An entry that restarts has forgotten what it spent, and gets its part of the fixed number again.
+/// Endpoints that are failing would see more repeats than the operators allow.
+#[test]
+fn a_restart_within_a_window_does_not_break_the_budget() {
+    let mut spent = 0;
+    // Four entries spend all they may, and one of them does so once more after its restart.
+    for _ in 0..5 {
+        let mut budgets = Budgets::new(ALLOWED);
+        while budgets.spend("engine", 4, 60_000) {
+            spent += 1;
+        }
+    }
+    assert!(f64::from(spent) <= ALLOWED.extra, "{spent} in one window, with one restart of four");
+}
+
+#[test]
+fn services_have_budgets_of_their_own() {
+    let mut budgets = Budgets::new(ALLOWED);
+    while budgets.spend("engine", 1, 60_000) {}
+    assert!(budgets.spend("ledger", 1, 60_000));
+    assert!(!budgets.spend("engine", 1, 60_000));
+    assert!(budgets.spend("engine", 1, 75_000), "a window later there is room again");
+}
--- /dev/null
+++ b/tests/gateway/routes.rs
@@ -0,0 +1,82 @@
+//! Routes, services and client accounts of a configuration.
+
+use briarwinch::gateway::route::{
+    Account, Kind, Limits, Parts, Route, Service, ServiceKey, Share, Table,
+};
+
+fn route(host: &str, prefix: &str, shares: &[(u32, u32)]) -> Route {
+    let share =
+        |(service, weight): &(u32, u32)| Share { service: ServiceKey(*service), weight: *weight };
+    Route {
+        name: prefix.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        kind: Kind::Repeatable,
+        shares: shares.iter().map(share).collect(),
+        timeout_ms: 800,
+        target_ms: 300,
+        pause_ms: 0,
+        priority: 2,
+        max_attempts: 2,
+        is_public: false,
+    }
+}
+
+fn table() -> Table {
+    let service = |name: &str| Service {
+        name: name.into(),
+        max_connections: 100,
+        engine: None,
+        bounds: None,
+    };
+    Table::from(Parts {
+        version: 3,
+        routes: vec![
+            route("one.example", "/a/", &[(0, 1)]),
+            route("one.example", "/a/b/", &[(1, 1)]),
+            route("two.example", "/a/", &[(0, 90), (1, 10)]),
+            route("two.example", "/none/", &[]),
+        ],
+        services: vec![service("ledger"), service("engine")],
+        accounts: vec![Account {
+            name: "court".into(),
+            keys: vec!["key-1".into(), "key-2".into()],
+            priority: Some(0),
+        }],
+        limits: Some(Limits { max_body_bytes: 1_000 }),
+    })
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let table = table();
+    let find = |host: &str, path: &str| {
+        table.find(host, path).map(|key| table.route(key).path_prefix.to_string())
+    };
+    assert_eq!(find("one.example", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(find("one.example", "/a/bc").as_deref(), Some("/a/"));
+    assert_eq!(find("ONE.example:8080", "/a/x").as_deref(), Some("/a/"));
+    assert_eq!(find("one.example", "/b/"), None);
+    assert_eq!(find("three.example", "/a/"), None);
+}
+
+#[test]
+fn split_traffic_follows_the_weights() {
+    let table = table();
+    let key = table.find("two.example", "/a/").expect("a route");
+    let draw = |draw| table.draw_service(table.route(key), draw);
+    assert_eq!(draw(0.0), Some(ServiceKey(0)));
+    assert_eq!(draw(0.89), Some(ServiceKey(0)));
+    assert_eq!(draw(0.91), Some(ServiceKey(1)));
+    assert_eq!(draw(1.0), Some(ServiceKey(1)));
+    let none = table.find("two.example", "/none/").expect("a route");
+    assert_eq!(table.draw_service(table.route(none), 0.5), None);
+}
+
+#[test]
+fn keys_name_their_account() {
+    let table = table();
+    assert_eq!(table.account_of("key-2").map(|one| one.name.as_str()), Some("court"));
+    assert!(table.account_of("key-3").is_none());
+    assert!(table.has_accounts());
+}
--- /dev/null
+++ b/tests/gateway/streams.rs
@@ -0,0 +1,49 @@
+//! Streams of events are passed on in whole events only.
+
+use briarwinch::gateway::events::Splitter;
+use proptest::prelude::*;
+
+const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n:note\n\nid: 3\ndata: c\n\n";
+
+proptest! {
+    #![proptest_config(crate::cases(300))]
+    #[test]
+    fn any_cutting_into_pieces_gives_the_same_events(cuts in prop::collection::vec(0..STREAM.len(), 0..6)) {
+        let mut cuts = cuts;
+        cuts.extend([0, STREAM.len()]);
+        cuts.sort_unstable();
+        let mut splitter = Splitter::default();
+        let (mut out, mut last_id) = (Vec::new(), None);
+        for pair in cuts.windows(2) {
+            let events = splitter.push(&STREAM[pair[0]..pair[1]]).expect("no event too long");
+            prop_assert!(events.bytes.is_empty() || events.bytes.ends_with(b"\n\n") || events.bytes.ends_with(b"\r\n\r\n"));
+            if let (Some(first), Some(before)) = (events.first_id, last_id) {
+                prop_assert!(first > before);
+            }
+            last_id = events.last_id.or(last_id);
+            out.extend_from_slice(&events.bytes);
+        }
+        prop_assert_eq!(out, STREAM);
+        prop_assert_eq!(last_id, Some(3));
+        prop_assert!(!splitter.is_torn());
+    }
+}
+
+/// An endpoint that crashes may stop in the middle of an event. Passed on, the torn event and the
+/// next endpoint's first one would run together for the user.
+#[test]
+fn a_torn_event_is_kept_back() {
+    let mut splitter = Splitter::default();
+    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("short");
+    assert_eq!(&events.bytes[..], b"id: 1\ndata: a\n\n");
+    assert_eq!((events.first_id, events.last_id), (Some(1), Some(1)));
+    assert!(splitter.is_torn());
+}
+
+#[test]
+fn an_endless_event_is_given_up() {
+    let mut splitter = Splitter::default();
+    let piece = vec![b'x'; 300 << 10];
+    let pushed: Vec<bool> = (0..5).map(|_| splitter.push(&piece).is_some()).collect();
+    assert_eq!(pushed.last(), Some(&false));
+}
