--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -48,6 +48,13 @@
     Gone(CompactString),
 }
 
+/// An entry that has vanished around the store's return and is kept for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lapsed {
+    pub endpoint: EndpointKey,
+    pub left_ms: u64,
+}
+
 /// All endpoints, with the revision of the store at which they last changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Directory {
@@ -138,12 +145,24 @@
         self.endpoints.len() != before
     }
 
-    /// Takes a peer's directory if it is newer than this one.
-    pub fn adopt(&mut self, other: Self) -> bool {
+    /// Entries that have vanished and are still kept, with the time left for each, for peers.
+    #[must_use]
+    pub fn lapsed(&self, now_ms: u64) -> Vec<Lapsed> {
+        let left = |(endpoint, until_ms): (&EndpointKey, &u64)| Lapsed {
+            endpoint: *endpoint,
+            left_ms: until_ms.saturating_sub(now_ms),
+        };
+        self.lapsed.iter().map(left).collect()
+    }
+
+    /// Takes a peer's directory if it is newer than this one. What the peer keeps for a grace time
+    /// is kept here for no longer.
+    pub fn adopt(&mut self, other: Self, lapsed: &[Lapsed], now_ms: u64) -> bool {
         if other.revision <= self.revision {
             return false;
         }
         *self = other;
+        self.lapsed = lapsed.iter().map(|one| (one.endpoint, now_ms + one.left_ms)).collect();
         true
     }
 
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -5,7 +5,9 @@
 //! and soon nobody's first event is in time. While hardly any engine is free, what is less urgent is
 //! turned away at once, with when to come back; the most urgent is always sent.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use serde::{Deserialize, Serialize};
 
 /// Ranks that are told apart; all later ones count as the last.
 pub const RANKS: usize = 4;
@@ -13,48 +15,109 @@
 /// engines at different moments; without this one would send what is less urgent while another turns
 /// the more urgent away.
 const HOLD_OFF_MS: u64 = 2_000;
+/// Over this time a rank must not get nothing while less urgent requests are sent.
+const FAIR_MS: u64 = 5_000;
+/// Of the requests of a rank, one in so many may be turned away while less urgent ones are sent.
+/// Users notice when it is more than one in twelve.
+const FAIR_ONE_IN: u32 = 16;
+/// Age that stands for "long ago" in messages.
+const LONG_AGO: u8 = u8::MAX;
+/// Unit of ages in messages.
+const AGE_STEP_MS: u64 = 25;
 
-/// When requests of each rank were last turned away, on the boot clock.
-#[derive(Debug, Default)]
-pub struct TurnedAway {
-    last_ms: [AtomicU64; RANKS],
+/// What became of the requests of one rank lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rank {
+    turned_away_ms: u64,
+    sent_ms: u64,
+    /// Requests, and those turned away, of this step of [`FAIR_MS`] and the one before.
+    step: u64,
+    seen: [u32; 2],
+    away: [u32; 2],
 }
 
-impl TurnedAway {
-    /// A request of this rank is turned away.
-    pub fn note(&self, priority: u8, at_ms: u64) {
-        let rank = usize::from(priority).min(RANKS - 1);
-        self.last_ms[rank].fetch_max(at_ms, Ordering::Relaxed);
+impl Rank {
+    fn roll(&mut self, now_ms: u64) {
+        let step = now_ms / FAIR_MS;
+        if step != self.step {
+            let is_next = step == self.step + 1;
+            let last = |counts: [u32; 2]| if is_next { counts[0] } else { 0 };
+            self.seen = [0, last(self.seen)];
+            self.away = [0, last(self.away)];
+            self.step = step;
+        }
     }
 
-    /// How long ago requests of each rank were turned away, in hundredths of a second, for the other
-    /// entries.
-    #[must_use]
-    pub fn ages_cs(&self, now_ms: u64) -> [u8; RANKS] {
-        std::array::from_fn(|rank| {
-            let ago_ms = now_ms.saturating_sub(self.last_ms[rank].load(Ordering::Relaxed));
-            u8::try_from(ago_ms / 10).unwrap_or(u8::MAX)
-        })
+    /// Whether one more may be turned away without taking too many.
+    fn has_room(&self) -> bool {
+        let (seen, away): (u32, u32) = (self.seen.iter().sum(), self.away.iter().sum());
+        (away + 1) * FAIR_ONE_IN <= seen
     }
+}
+
+/// How long ago requests of each rank were turned away and sent, for the other entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ages {
+    turned_away: [u8; RANKS],
+    sent: [u8; RANKS],
+}
 
-    /// Takes what another entry told.
-    pub fn take(&self, ages_cs: [u8; RANKS], now_ms: u64) {
-        for (rank, age_cs) in (0u8..).zip(ages_cs) {
-            if age_cs < u8::MAX {
-                self.note(rank, now_ms.saturating_sub(u64::from(age_cs) * 10));
-            }
+/// The gate before the engines, with what it and the other entries' gates did lately.
+#[derive(Debug, Default)]
+pub struct Gate {
+    ranks: Mutex<[Rank; RANKS]>,
+}
+
+impl Gate {
+    /// Whether a prompt of this rank is sent while this share of the engines is free.
+    pub fn passes(&self, priority: u8, free_share: f64, now_ms: u64) -> bool {
+        let rank = usize::from(priority).min(RANKS - 1);
+        let mut ranks = self.ranks.lock().unwrap_or_else(PoisonError::into_inner);
+        ranks[rank].roll(now_ms);
+        ranks[rank].seen[0] += 1;
+        let is_admitted = admits(priority, free_share);
+        let lately = |at_ms: u64, within_ms: u64| at_ms > 0 && now_ms < at_ms + within_ms;
+        let is_held_off =
+            ranks[..rank].iter().any(|before| lately(before.turned_away_ms, HOLD_OFF_MS));
+        if !is_admitted {
+            ranks[rank].turned_away_ms = now_ms;
+        }
+        let is_overtaken = ranks[rank + 1..].iter().any(|later| lately(later.sent_ms, FAIR_MS));
+        let must_send = is_overtaken && !ranks[rank].has_room();
+        if (is_admitted && !is_held_off) || must_send {
+            ranks[rank].sent_ms = now_ms;
+            return true;
         }
+        ranks[rank].away[0] += 1;
+        false
     }
 
-    /// Whether something more urgent than this rank was turned away lately.
+    /// What the other entries have to know of this one.
     #[must_use]
-    pub fn is_before(&self, priority: u8, now_ms: u64) -> bool {
-        let rank = usize::from(priority).min(RANKS - 1);
-        let lately = |last: &AtomicU64| {
-            let last_ms = last.load(Ordering::Relaxed);
-            last_ms > 0 && now_ms < last_ms + HOLD_OFF_MS
+    pub fn ages(&self, now_ms: u64) -> Ages {
+        let ranks = self.ranks.lock().unwrap_or_else(PoisonError::into_inner);
+        let age = |at_ms: u64| {
+            let steps = now_ms.saturating_sub(at_ms) / AGE_STEP_MS;
+            u8::try_from(steps).unwrap_or(LONG_AGO)
         };
-        self.last_ms[..rank].iter().any(lately)
+        Ages {
+            turned_away: ranks.map(|rank| age(rank.turned_away_ms)),
+            sent: ranks.map(|rank| age(rank.sent_ms)),
+        }
+    }
+
+    /// Takes what another entry told of itself.
+    pub fn take(&self, ages: Ages, now_ms: u64) {
+        let mut ranks = self.ranks.lock().unwrap_or_else(PoisonError::into_inner);
+        let at_ms = |age: u8| {
+            if age == LONG_AGO { 0 } else { now_ms.saturating_sub(u64::from(age) * AGE_STEP_MS) }
+        };
+        for (rank, (turned_away, sent)) in
+            ranks.iter_mut().zip(ages.turned_away.into_iter().zip(ages.sent))
+        {
+            rank.turned_away_ms = rank.turned_away_ms.max(at_ms(turned_away));
+            rank.sent_ms = rank.sent_ms.max(at_ms(sent));
+        }
     }
 }
 
@@ -67,7 +130,7 @@
 const FREE_FOR_LATER: f64 = 0.25;
 
 /// Whether a prompt of this rank (zero is the most urgent) is sent while this share of the engines
-/// is free.
+/// is free, as far as the engines go.
 ///
 /// Measured on a day with summaries at 2.3 times the usual rate and four engines of nine failing in
 /// turn: without the gate 0.68 of the worth was earned, with it 0.75; requests that failed after
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -71,7 +71,7 @@
     holds_duties: bool,
     is_stopping: bool,
     members: Vec<SocketAddr>,
-    turned_away_cs: [u8; gate::RANKS],
+    gate: gate::Ages,
     work: Vec<load::Row>,
 }
 
@@ -93,6 +93,7 @@
 struct State {
     config: Option<route::Parts>,
     directory: Option<directory::Directory>,
+    lapsed: Vec<directory::Lapsed>,
 }
 
 /// What a pull says first: the sender's own versions.
@@ -257,7 +258,7 @@
         holds_duties: control.holds_duties.get(),
         is_stopping: control.shared.is_draining(),
         members,
-        turned_away_cs: control.shared.turned_away.ages_cs(now_ms),
+        gate: control.shared.gate.ages(now_ms),
         work,
     };
     send(control, &Message::Digest(digest), now_ms);
@@ -301,7 +302,7 @@
     let now_ms = control.now_ms();
     let shared = &control.shared;
     shared.book().take_digest(digest.boot, &digest.work, now_ms);
-    shared.turned_away.take(digest.turned_away_cs, now_ms);
+    shared.gate.take(digest.gate, now_ms);
     {
         let mut peers = control.peers.borrow_mut();
         let peer = Peer {
@@ -357,7 +358,10 @@
                     control.take_table(parts, "peer");
                 }
                 if let Some(newer) = state.directory {
-                    control.change_directory("peer", |directory| directory.adopt(newer));
+                    let now_ms = control.now_ms();
+                    control.change_directory("peer", |directory| {
+                        directory.adopt(newer, &state.lapsed, now_ms)
+                    });
                 }
             }
             Ok(Err(error)) => {
@@ -417,6 +421,7 @@
         State {
             config: newer.map(|table| table.parts().clone()),
             directory: (directory.revision() > known.directory_revision).then(|| directory.clone()),
+            lapsed: directory.lapsed(control.now_ms()),
         }
     };
     let bytes = seal::bytes(&control.secret, &state)?;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use super::attempt::{Failure, Patience, Running};
 use super::directory::EndpointKey;
 use super::request::{Answer, Call, Request};
-use super::{Gateway, choose, events_body, gate, http1, measures, route, shared};
+use super::{Gateway, choose, events_body, http1, measures, route, shared};
 use crate::error;
 
 /// Longest answer that is gathered before it is sent, in bytes.
@@ -273,7 +273,9 @@
                 continue;
             };
             let is_first = job.attempts == 0 && unsent == 0;
-            if is_first && job.request.prompt.is_some() && !self.passes_gate(job, choice.free_share)
+            if is_first
+                && job.request.prompt.is_some()
+                && !self.shared.gate.passes(job.priority, choice.free_share, now_ms)
             {
                 return Err(self.given_up(job, error::Kind::TooLate));
             }
@@ -327,17 +329,6 @@
         }
     }
 
-    /// Whether a prompt is sent while this share of the engines is free.
-    fn passes_gate(&self, job: &Job, free_share: f64) -> bool {
-        let now_ms = self.now_ms();
-        let turned_away = &self.shared.turned_away;
-        if gate::admits(job.priority, free_share) {
-            return !turned_away.is_before(job.priority, now_ms);
-        }
-        turned_away.note(job.priority, now_ms);
-        false
-    }
-
     /// Takes a retry out of the route's attempts and the shared budget.
     fn may_retry(&self, job: &Job) -> bool {
         let now_ms = self.now_ms();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -32,8 +32,8 @@
     pub entries: AtomicUsize,
     /// Requests under way here.
     pub active: AtomicU32,
-    /// When a request of each rank was last turned away at an engine's gate, here or elsewhere.
-    pub turned_away: gate::TurnedAway,
+    /// Turns prompts away while hardly any engine is free.
+    pub gate: gate::Gate,
     /// What the settings allow of retries; may change while the process runs.
     retries: Mutex<settings::Retries>,
     book: Mutex<load::Book>,
@@ -55,7 +55,7 @@
             draining_since_ms: AtomicU64::new(u64::MAX),
             entries: AtomicUsize::new(1),
             active: AtomicU32::new(0),
-            turned_away: gate::TurnedAway::default(),
+            gate: gate::Gate::default(),
             book: Mutex::default(),
             homes: Mutex::default(),
             tally: Mutex::default(),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -63,6 +63,8 @@
         // Each entry reads once for itself: what peers tell at the start may be old.
         if from.is_some() && !control.reads_store() {
             control.store_answered(topic, true);
+            // An outage of long ago says nothing about what vanishes when this entry reads again.
+            outage = Outage::default();
             time::sleep(ASIDE).await;
             continue;
         }
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -71,7 +71,24 @@
     assert!(!directory.replace(vec![], 9, None));
     let mut newer = listed();
     newer.apply(Change::Gone("one".into()), 15, None);
-    assert!(directory.adopt(newer.clone()));
-    assert!(!newer.adopt(listed()));
+    assert!(directory.adopt(newer.clone(), &[], 0));
+    assert!(!newer.adopt(listed(), &[], 0));
     assert_eq!(taking(&directory), ["two"]);
 }
+
+/// An entry keeps a vanished endpoint for its grace time, and a peer pulls its list just then. A
+/// peer that knew nothing of the grace time would send requests to an endpoint that has left, for as
+/// long as the list does not change again.
+#[test]
+fn what_a_peer_keeps_for_a_while_is_kept_no_longer_by_who_pulls_it() {
+    let mut keeping = listed();
+    keeping.apply(Change::Gone("one".into()), 20, Some(5_000));
+    keeping.apply(Change::Present(endpoint("three")), 21, Some(5_000));
+    let lapsed = keeping.lapsed(4_000);
+    let mut pulling = listed();
+    assert!(pulling.adopt(keeping, &lapsed, 70_000));
+    assert_eq!(taking(&pulling), ["one", "three", "two"]);
+    assert!(!pulling.expire(70_999));
+    assert!(pulling.expire(71_000));
+    assert_eq!(taking(&pulling), ["three", "two"]);
+}
--- a/tests/gateway/gate.rs
+++ b/tests/gateway/gate.rs
@@ -1,6 +1,6 @@
 //! Turning prompts away: the less urgent first, and never the other way round.
 
-use briarwinch::gateway::gate::{self, TurnedAway};
+use briarwinch::gateway::gate::{self, Gate};
 use proptest::prelude::*;
 
 proptest! {
@@ -28,18 +28,32 @@
 /// less urgent and larger ones begin.
 #[test]
 fn less_urgent_requests_wait_after_a_more_urgent_one_was_turned_away_elsewhere() {
-    let (here, there) = (TurnedAway::default(), TurnedAway::default());
-    here.note(1, 50_000);
-    there.take(here.ages_cs(50_100), 90_100);
-    assert!(there.is_before(2, 90_200), "the other entry was told");
-    assert!(!there.is_before(1, 90_200), "its own rank is not held off");
-    assert!(!there.is_before(2, 93_000), "the hold-off ends");
+    let (here, there) = (Gate::default(), Gate::default());
+    assert!(!here.passes(1, 0.0, 50_000));
+    there.take(here.ages(50_100), 90_100);
+    assert!(!there.passes(2, 1.0, 90_200), "the other entry was told");
+    assert!(there.passes(1, 1.0, 90_200), "its own rank is not held off");
+    assert!(there.passes(2, 1.0, 93_000), "the hold-off ends");
+}
+
+/// Summaries were sent until a moment ago, and now hardly any engine is free. Were all drafting
+/// requests turned away at once, their users would get nothing in the same seconds in which less
+/// urgent and larger requests begin.
+#[test]
+fn few_requests_are_turned_away_while_less_urgent_ones_were_sent_lately() {
+    let gate = Gate::default();
+    assert!(gate.passes(2, 1.0, 10_000));
+    let turned_away = (0..64).filter(|step| !gate.passes(1, 0.0, 10_100 + step * 50)).count();
+    assert!(turned_away <= 4, "{turned_away} of 64");
+    assert!(!gate.passes(2, 1.0, 13_400), "nothing less urgent is sent meanwhile");
+    let later = (0..64).filter(|step| !gate.passes(1, 0.0, 16_000 + step * 10)).count();
+    assert_eq!(later, 64, "nothing less urgent was sent for long");
 }
 
 #[test]
 fn nothing_is_held_off_before_anything_was_turned_away() {
-    let turned_away = TurnedAway::default();
-    assert!(!turned_away.is_before(3, 100));
-    turned_away.take(TurnedAway::default().ages_cs(1_000_000), 100);
-    assert!(!turned_away.is_before(3, 100));
+    let gate = Gate::default();
+    assert!(gate.passes(3, 1.0, 100));
+    gate.take(Gate::default().ages(1_000_000), 100);
+    assert!(gate.passes(3, 1.0, 100));
 }
