--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -30,6 +30,11 @@
 /// twice the usual rate before 55 engines, weights of 6, 10 and 16 read 13.3, 10.1 and 7.5 million
 /// tokens again and earned 0.55, 0.61 and 0.63 of the worth; beyond 16 the middle class suffers.
 const REREAD_WEIGHT: f64 = 16.0;
+/// Part of the caller's patience from which on it may be gone before the first event.
+const PATIENCE_PART: f64 = 0.6;
+/// What a ms beyond that costs: more than any reading again, since the request is lost and what was
+/// read of it is read in vain.
+const LOST_WEIGHT: f64 = 20.0;
 /// Part of the reading time by which the rendezvous choice goes before others for parts that
 /// nobody has.
 const RENDEZVOUS_PART: f64 = 1.0;
@@ -53,6 +58,8 @@
     pub reading: &'a reading::Reading,
     pub zone: &'a str,
     pub now_ms: u64,
+    /// How long the caller waits for a first event.
+    pub patience_ms: f64,
 }
 
 /// An endpoint with what choosing it would mean.
@@ -135,10 +142,11 @@
     free as f64 / candidates.len().max(1) as f64
 }
 
-/// Where the first shared part belongs that nobody has.
+/// Where the last shared part belongs, if nobody has it. The first would not do: a few first parts
+/// are common to hundreds of documents, which would all go to the same few endpoints.
 fn rendezvous(candidates: &[&Endpoint], prompt: &Prompt, known: &Known<'_>) -> Option<EndpointKey> {
     let part =
-        shared(prompt).iter().find(|part| !known.homes.is_anywhere(part.id, known.now_ms))?;
+        shared(prompt).last().filter(|part| !known.homes.is_anywhere(part.id, known.now_ms))?;
     let weight = |one: &&Endpoint| xxh3::xxh3_64_with_seed(one.id.as_bytes(), part.id);
     candidates.iter().copied().max_by_key(weight).map(|one| one.key)
 }
@@ -159,7 +167,9 @@
     let over = (f64::from(work.requests + 1) - slots).max(0.0) / slots;
     let crowd_ms = f64::from(work.requests) * CROWD_MS + over * OVER_SLOTS_MS;
     let first_ms = known.reading.first_ms(work.unread_tokens + u64::from(unread_tokens)) + crowd_ms;
-    let mut cost_ms = first_ms + reread_ms * REREAD_WEIGHT + outside_ms(endpoint, known);
+    let lost_ms = (first_ms - known.patience_ms * PATIENCE_PART).max(0.0);
+    let mut cost_ms =
+        first_ms + lost_ms * LOST_WEIGHT + reread_ms * REREAD_WEIGHT + outside_ms(endpoint, known);
     if favourite == Some(endpoint.key) {
         cost_ms -= reread_ms * RENDEZVOUS_PART;
     }
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -28,7 +28,9 @@
 /// What became of the requests of one rank lately.
 #[derive(Clone, Copy, Debug, Default)]
 struct Rank {
+    /// Of requests with this priority of their own.
     turned_away_ms: u64,
+    /// Of requests on routes with this priority, as all below.
     sent_ms: u64,
     /// Requests, and those turned away, of this step of [`FAIR_MS`] and the one before.
     step: u64,
@@ -69,26 +71,30 @@
 }
 
 impl Gate {
-    /// Whether a prompt of this rank is sent while this share of the engines is free.
-    pub fn passes(&self, priority: u8, free_share: f64, now_ms: u64) -> bool {
+    /// Whether a prompt is sent while this share of the engines is free.
+    ///
+    /// `priority` is the request's own, which its client account may have set. What is owed to a kind
+    /// of request is owed by its route's priority.
+    pub fn passes(&self, priority: u8, route_priority: u8, free_share: f64, now_ms: u64) -> bool {
         let rank = usize::from(priority).min(RANKS - 1);
+        let kind = usize::from(route_priority).min(RANKS - 1);
         let mut ranks = self.ranks.lock().unwrap_or_else(PoisonError::into_inner);
-        ranks[rank].roll(now_ms);
-        ranks[rank].seen[0] += 1;
+        ranks[kind].roll(now_ms);
+        ranks[kind].seen[0] += 1;
         let is_admitted = admits(priority, free_share);
         let lately = |at_ms: u64, within_ms: u64| at_ms > 0 && now_ms < at_ms + within_ms;
         let is_held_off =
             ranks[..rank].iter().any(|before| lately(before.turned_away_ms, HOLD_OFF_MS));
-        if !is_admitted {
-            ranks[rank].turned_away_ms = now_ms;
-        }
-        let is_overtaken = ranks[rank + 1..].iter().any(|later| lately(later.sent_ms, FAIR_MS));
-        let must_send = is_overtaken && !ranks[rank].has_room();
+        let is_overtaken = ranks[kind + 1..].iter().any(|later| lately(later.sent_ms, FAIR_MS));
+        let must_send = is_overtaken && !ranks[kind].has_room();
         if (is_admitted && !is_held_off) || must_send {
-            ranks[rank].sent_ms = now_ms;
+            ranks[kind].sent_ms = now_ms;
             return true;
         }
-        ranks[rank].away[0] += 1;
+        if !is_admitted {
+            ranks[rank].turned_away_ms = now_ms;
+        }
+        ranks[kind].away[0] += 1;
         false
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -275,7 +275,12 @@
             let is_first = job.attempts == 0 && unsent == 0;
             if is_first
                 && job.request.prompt.is_some()
-                && !self.shared.gate.passes(job.priority, choice.free_share, now_ms)
+                && !self.shared.gate.passes(
+                    job.priority,
+                    job.route().priority,
+                    choice.free_share,
+                    now_ms,
+                )
             {
                 return Err(self.given_up(job, error::Kind::TooLate));
             }
@@ -351,6 +356,7 @@
             health: &health,
             zone: &self.shared.settings.zone,
             now_ms: self.now_ms(),
+            patience_ms: job.stream_patience_ms() as f64,
             reading: &readings.get(&service.name).copied().unwrap_or_default(),
         };
         choose::choose(
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -12,6 +12,7 @@
 
 const ENGINE: route::Engine = route::Engine { slots: 64, memory_tokens: 620_000 };
 const NOW_MS: u64 = 1_000_000;
+const PATIENCE_MS: f64 = 8_000.0;
 
 fn endpoints(count: usize) -> Vec<Endpoint> {
     let one = |index: usize| {
@@ -47,6 +48,7 @@
             reading: &self.reading,
             zone: "a",
             now_ms: NOW_MS,
+            patience_ms: PATIENCE_MS,
         };
         let choice = choose::choose(endpoints.iter(), Some(&ENGINE), Some(prompt), &known, random);
         choice.expect("an endpoint").endpoint.key
@@ -60,6 +62,7 @@
             reading: &self.reading,
             zone: "a",
             now_ms: NOW_MS,
+            patience_ms: PATIENCE_MS,
         };
         choose::choose(endpoints.iter(), None, None, &known, random).expect("one").endpoint.key
     }
@@ -96,6 +99,41 @@
     }
 }
 
+/// Hundreds of documents begin with one of a few common texts. Placed by that text, all of them go
+/// to the same few endpoints when the day begins, and their users wait for seconds while the other
+/// endpoints idle.
+#[test]
+fn documents_with_a_common_beginning_spread_from_the_start() {
+    let endpoints = endpoints(40);
+    let entry = Entry::default();
+    let mut random = StdRng::seed_from_u64(6);
+    let draft = |document: u64| Prompt {
+        tokens: 9_200,
+        max_output_tokens: 50,
+        parts: vec![
+            Part { id: 1, tokens: 2_500 },
+            Part { id: 100 + document, tokens: 3_800 },
+            Part { id: 10_000 + document, tokens: 2_900 },
+        ],
+    };
+    let homes: HashSet<EndpointKey> =
+        (0..60).map(|document| entry.choose(&endpoints, &draft(document), &mut random)).collect();
+    assert!(homes.len() >= 25, "{} homes for 60 documents", homes.len());
+}
+
+/// The home of a document has a queue longer than its user's patience. Sent there all the same, the
+/// request is lost, and the engine has worked for nothing.
+#[test]
+fn a_request_does_not_go_where_it_would_be_lost() {
+    let endpoints = endpoints(9);
+    let mut random = StdRng::seed_from_u64(7);
+    let mut entry = Entry::default();
+    entry.homes.place(endpoints[4].key, &summary(7, 1).parts, NOW_MS);
+    entry.book.add(endpoints[4].key, work(300_000));
+    let chosen = entry.choose(&endpoints, &summary(7, 2), &mut random);
+    assert_ne!(chosen, endpoints[4].key);
+}
+
 #[test]
 fn documents_spread_over_all_endpoints() {
     let endpoints = endpoints(9);
@@ -121,7 +159,7 @@
     for session in 0..50 {
         assert_eq!(entry.choose(&endpoints, &summary(7, session), &mut random), home);
     }
-    entry.book.add(home, work(400_000));
+    entry.book.add(home, work(600_000));
     let other = entry.choose(&endpoints, &summary(7, 99), &mut random);
     assert_ne!(other, home, "an endless wait is worse than reading again");
 }
--- a/tests/gateway/gate.rs
+++ b/tests/gateway/gate.rs
@@ -29,11 +29,11 @@
 #[test]
 fn less_urgent_requests_wait_after_a_more_urgent_one_was_turned_away_elsewhere() {
     let (here, there) = (Gate::default(), Gate::default());
-    assert!(!here.passes(1, 0.0, 50_000));
+    assert!(!here.passes(1, 1, 0.0, 50_000));
     there.take(here.ages(50_100), 90_100);
-    assert!(!there.passes(2, 1.0, 90_200), "the other entry was told");
-    assert!(there.passes(1, 1.0, 90_200), "its own rank is not held off");
-    assert!(there.passes(2, 1.0, 93_000), "the hold-off ends");
+    assert!(!there.passes(2, 2, 1.0, 90_200), "the other entry was told");
+    assert!(there.passes(1, 1, 1.0, 90_200), "its own rank is not held off");
+    assert!(there.passes(2, 2, 1.0, 93_000), "the hold-off ends");
 }
 
 /// Summaries were sent until a moment ago, and now hardly any engine is free. Were all drafting
@@ -42,18 +42,28 @@
 #[test]
 fn few_requests_are_turned_away_while_less_urgent_ones_were_sent_lately() {
     let gate = Gate::default();
-    assert!(gate.passes(2, 1.0, 10_000));
-    let turned_away = (0..64).filter(|step| !gate.passes(1, 0.0, 10_100 + step * 50)).count();
+    assert!(gate.passes(2, 2, 1.0, 10_000));
+    let turned_away = (0..64).filter(|step| !gate.passes(1, 1, 0.0, 10_100 + step * 50)).count();
     assert!(turned_away <= 4, "{turned_away} of 64");
-    assert!(!gate.passes(2, 1.0, 13_400), "nothing less urgent is sent meanwhile");
-    let later = (0..64).filter(|step| !gate.passes(1, 0.0, 16_000 + step * 10)).count();
+    assert!(!gate.passes(2, 2, 1.0, 13_400), "nothing less urgent is sent meanwhile");
+    let later = (0..64).filter(|step| !gate.passes(1, 1, 0.0, 16_000 + step * 10)).count();
     assert_eq!(later, 64, "nothing less urgent was sent for long");
 }
 
+/// A client account has a low priority of its own. Its drafting requests are turned away first, but
+/// they are drafting requests still, and of these too few must not get nothing.
+#[test]
+fn what_a_kind_of_request_is_owed_does_not_hang_on_the_accounts_priority() {
+    let gate = Gate::default();
+    assert!(gate.passes(0, 2, 1.0, 10_000), "a summary of an urgent account");
+    let turned_away = (0..32).filter(|step| !gate.passes(3, 1, 0.1, 10_100 + step * 50)).count();
+    assert!(turned_away <= 2, "{turned_away} of 32");
+}
+
 #[test]
 fn nothing_is_held_off_before_anything_was_turned_away() {
     let gate = Gate::default();
-    assert!(gate.passes(3, 1.0, 100));
+    assert!(gate.passes(3, 3, 1.0, 100));
     gate.take(Gate::default().ages(1_000_000), 100);
-    assert!(gate.passes(3, 1.0, 100));
+    assert!(gate.passes(3, 3, 1.0, 100));
 }
