Begin nothing right before a stopping entry ends; write its last lines

And the last log lines never came out, since the process did not wait for its log. After: nothing new is begun in the last 0.9 s, and the process ends once refusals have left.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -66,9 +66,12 @@
         println!("{}: no mistakes", line.settings.display());
         return ExitCode::SUCCESS;
     }
-    let log = logging::open(settings.id(), settings.log_output());
+    let (log, guard) = logging::open(settings.id(), settings.log_output());
     let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
-    match runner.block_on(async move { run(settings, log).await }) {
+    let outcome = runner.block_on(async move { run(settings, log).await });
+    // The last lines say how the process ended.
+    drop(guard);
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -17,15 +17,35 @@
 /// told with their last answer that it closes.
 const QUIET_MS: u64 = 600;
 /// What is kept of the time to the kill, to end by itself.
-const SPARE_MS: u64 = 500;
+const SPARE_MS: u64 = 200;
+/// Before that end nothing new is begun for so long: callers on open connections are told that their
+/// request did not run. Without it the end would cut a request that had just been sent on.
+pub(super) const LAST_CALL_MS: u64 = 900;
+/// How long no request has been under way before the end, once nothing new is begun: a refusal has
+/// left by then.
+const REFUSED_MS: u64 = 100;
+
+/// When a stop that began at this time ends at the latest, and when nothing new is begun any more.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ends {
+    pub(super) last_call_ms: u64,
+    end_ms: u64,
+}
+
+impl Ends {
+    pub(super) fn of(since_ms: u64, stop_s: f64) -> Self {
+        let end_ms = since_ms.saturating_add((stop_s * 1_000.0) as u64).saturating_sub(SPARE_MS);
+        Self { last_call_ms: end_ms.saturating_sub(LAST_CALL_MS), end_ms }
+    }
+}
 
 /// Waits until the entry may end.
 pub async fn drain(shared: &shared::Shared, log: &slog::Logger) {
     let begin_ms = clock::boot_ms();
     shared.draining_since_ms.store(begin_ms, Ordering::Release);
     shared.is_draining.store(true, Ordering::Release);
-    let limit_ms = ((shared.settings.stop_s * 1_000.0) as u64).saturating_sub(SPARE_MS);
-    slog::info!(log, "draining"; "limit_ms" => limit_ms);
+    let ends = Ends::of(begin_ms, shared.settings.stop_s);
+    slog::info!(log, "draining"; "limit_ms" => ends.end_ms - begin_ms);
     let mut quiet_since_ms = begin_ms;
     loop {
         let now_ms = clock::boot_ms();
@@ -33,8 +53,11 @@
         if active > 0 {
             quiet_since_ms = now_ms;
         }
-        let is_quiet = now_ms - quiet_since_ms >= QUIET_MS && now_ms - begin_ms >= TURN_AWAY_MS;
-        if is_quiet || now_ms - begin_ms >= limit_ms {
+        let last_request_ms = shared.last_request_ms.load(Ordering::Acquire);
+        let quiet_ms = now_ms - quiet_since_ms.max(last_request_ms).min(now_ms);
+        let is_quiet = quiet_ms >= QUIET_MS && now_ms - begin_ms >= TURN_AWAY_MS;
+        let is_refused = now_ms >= ends.last_call_ms + REFUSED_MS && quiet_ms >= REFUSED_MS;
+        if is_quiet || is_refused || now_ms >= ends.end_ms {
             slog::info!(log, "drained"; "left" => active, "took_ms" => now_ms - begin_ms);
             return;
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -187,6 +187,10 @@
     fn admit(&self, request: Request) -> Result<Job, error::Refusal> {
         let refuse = error::Refusal::not_run;
         let arrived_ms = self.now_ms();
+        self.shared.last_request_ms.store(arrived_ms, Ordering::Release);
+        if self.shared.is_past_last_call() {
+            return Err(refuse(error::Kind::Draining).retry_after_ms(COME_BACK_MS));
+        }
         let snapshot = self.shared.snapshot.load();
         let table = snapshot.table.clone().ok_or_else(|| {
             let wait_ms = rand::rng().random_range(STARTING_MS);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -30,6 +30,8 @@
     pub draining_since_ms: AtomicU64,
     /// Entries heard of lately, this one among them.
     pub entries: AtomicUsize,
+    /// When a caller's last request came, on the boot clock.
+    pub last_request_ms: AtomicU64,
     /// Requests under way here.
     pub active: AtomicU32,
     /// Turns prompts away while hardly any engine is free.
@@ -54,6 +56,7 @@
             is_draining: AtomicBool::new(false),
             draining_since_ms: AtomicU64::new(u64::MAX),
             entries: AtomicUsize::new(1),
+            last_request_ms: AtomicU64::new(0),
             active: AtomicU32::new(0),
             gate: gate::Gate::default(),
             book: Mutex::default(),
@@ -102,6 +105,13 @@
         clock::boot_ms() >= since_ms.saturating_add(drain::TURN_AWAY_MS)
     }
 
+    /// Whether nothing new is begun any more: the process ends within a moment.
+    #[must_use]
+    pub fn is_past_last_call(&self) -> bool {
+        let since_ms = self.draining_since_ms.load(Ordering::Acquire);
+        clock::boot_ms() >= drain::Ends::of(since_ms, self.settings.stop_s).last_call_ms
+    }
+
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.is_ready.load(Ordering::Acquire) && !self.is_draining()
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -18,20 +18,20 @@
     Stdout,
 }
 
-/// Opens a log of JSON lines.
-pub fn open(daemon: &str, output: Output) -> slog::Logger {
+/// Opens a log of JSON lines. The guard, when dropped, writes what still waits.
+pub fn open(daemon: &str, output: Output) -> (slog::Logger, slog_async::AsyncGuard) {
     let writer: Box<dyn io::Write + Send> = match output {
         Output::Stderr => Box::new(io::stderr()),
         Output::Stdout => Box::new(io::stdout()),
     };
     let lines =
         slog_json::Json::new(writer).add_default_keys().set_newlines(true).set_flush(true).build();
-    let drain = slog_async::Async::new(Mutex::new(lines).fuse())
+    let (drain, guard) = slog_async::Async::new(Mutex::new(lines).fuse())
         .chan_size(WAITING_LINES)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build();
+        .build_with_guard();
     let bounded = Bounded { inner: drain.fuse(), allowance: Mutex::new(Allowance::new()) };
-    slog::Logger::root(bounded.fuse(), slog::o!("daemon" => daemon.to_owned()))
+    (slog::Logger::root(bounded.fuse(), slog::o!("daemon" => daemon.to_owned())), guard)
 }
 
 /// Lines a second of requests that end well. An entry at its processor's limit serves about 150
