--- a/src/cli.rs
+++ b/src/cli.rs
@@ -70,6 +70,16 @@
     Status,
     /// Tell what happened to a request
     Explain { request: String },
+    /// Tell a request's way out of the logs of all processes
+    Story {
+        request: String,
+        /// Logs: JSON lines
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Also what the processes believed meanwhile
+        #[arg(long)]
+        around: bool,
+    },
     /// Show who holds which duty
     Duties,
     /// List and resolve claims whose outcome is unknown
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use tokio::time;
 
 use super::directory::EndpointKey;
-use super::{Gateway, choose, directory, http1, load, pool, relay, request};
+use super::{Gateway, choose, directory, http1, job, load, pool, request};
 
 /// Answers to other requests that are skipped before the awaited one; endpoints have been seen to
 /// send one too many.
@@ -90,7 +90,7 @@
     /// Sends a request to the chosen endpoint and waits for the head of its answer.
     pub(super) async fn attempt(
         self: &Rc<Self>,
-        job: &relay::Job,
+        job: &job::Job,
         choice: &choose::Choice<'_>,
         patience: Patience,
     ) -> Result<Running, Failure> {
@@ -144,7 +144,7 @@
     /// been closed.
     async fn connection(
         &self,
-        job: &relay::Job,
+        job: &job::Job,
         endpoint: &directory::Endpoint,
     ) -> Result<http1::Connection, Failure> {
         if job.kind.is_repeatable() {
@@ -164,7 +164,7 @@
         &self,
         connection: &mut http1::Connection,
         bytes: &[u8],
-        job: &relay::Job,
+        job: &job::Job,
     ) -> Result<(http1::Head, request::AnswerFacts), http1::Error> {
         let mut head = connection.exchange(bytes).await?;
         for _ in 0..MAX_STRAY_ANSWERS {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task;
 
-use super::{directory, duty, peers, route, shared, tally, watch};
+use super::{billing, directory, duty, members, peers, pulls, route, shared, tally, watch};
 use crate::{bound, clock, lease, seal, store};
 
 /// What is followed in the store.
@@ -68,16 +68,7 @@
     async fn report_usage(
         &self,
         holder: &Holder,
-        seal: &duty::Sealed,
-    ) -> Result<(), store::Failure>;
-
-    /// Orders the number of endpoints of a service in a zone.
-    async fn order_endpoints(
-        &self,
-        holder: &Holder,
-        service: &str,
-        zone: &str,
-        count: u32,
+        seal: &billing::Sealed,
     ) -> Result<(), store::Failure>;
 }
 
@@ -148,9 +139,9 @@
     });
     task::spawn_local(watch::follow(Rc::clone(&control), Topic::Config));
     task::spawn_local(watch::follow(Rc::clone(&control), Topic::Endpoints));
-    task::spawn_local(peers::serve_pulls(Rc::clone(&control), listener));
+    task::spawn_local(pulls::serve(Rc::clone(&control), listener));
     task::spawn_local(peers::receive(Rc::clone(&control)));
-    task::spawn_local(peers::enrol(Rc::clone(&control)));
+    task::spawn_local(members::enrol(Rc::clone(&control)));
     task::spawn_local(duty::contend(Rc::clone(&control)));
     peers::tell(control).await;
     Ok(())
--- a/src/gateway/events_body.rs
+++ b/src/gateway/events_body.rs
@@ -11,7 +11,7 @@
 use tokio::time;
 
 use super::attempt::Running;
-use super::relay::Job;
+use super::job::Job;
 use super::{Gateway, events, http1, measures};
 use crate::error;
 
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -120,9 +120,10 @@
         work
     }
 
-    /// Requests under way from this entry.
+    /// Age of the oldest digest that counts; zero where there are no other entries.
     #[must_use]
-    pub fn own_requests(&self) -> u32 {
-        self.own.values().map(|work| work.requests).sum()
+    pub fn age_ms(&self, now_ms: u64) -> u64 {
+        let ages = self.peers.values().map(|digest| now_ms.saturating_sub(digest.at_ms));
+        ages.filter(|age_ms| *age_ms < DIGEST_OLD_MS).max().unwrap_or(0)
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! [`request::EndpointForm`] and [`control::Platform`].
 
 pub mod attempt;
+pub mod billing;
 pub mod budget;
 pub mod choose;
 pub mod control;
@@ -19,10 +20,13 @@
 pub mod health;
 pub mod homes;
 pub mod http1;
+pub mod job;
 pub mod load;
 pub mod measures;
+pub mod members;
 pub mod peers;
 pub mod pool;
+pub mod pulls;
 pub mod reading;
 pub mod relay;
 pub mod reload;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,4 +1,4 @@
-//! What entries tell each other: digests by UDP, whole states by TCP.
+//! What entries tell each other by UDP.
 //!
 //! A digest says which configuration and endpoints its sender knows, what it has under way, which
 //! prompt parts it sent where, what it counted, and who else there is. Who is behind pulls. So an
@@ -13,13 +13,10 @@
 use compact_str::CompactString;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::{task, time};
 
 use super::control::{Control, Platform};
-use super::{directory, gate, homes, load, measures, route, settings, tally};
-use crate::store::{Condition, ObjectStore};
+use super::{gate, homes, load, measures, pulls, settings, tally};
 use crate::{clock, metric, seal};
 
 /// Pause between digests while something changes, for each [`FEW_PEERS`] or part of them: what is
@@ -47,14 +44,6 @@
 const MAX_COUNTED: usize = 60;
 /// Addresses of other entries in a digest.
 const MAX_MEMBERS: usize = 8;
-/// How long a peer may stay ahead before its state is pulled: the own watch is mostly as fast.
-const PULL_AFTER_MS: u64 = 60;
-const PULL_LIMIT: Duration = Duration::from_millis(1_500);
-const MAX_STATE_BYTES: u32 = 8 << 20;
-/// Entries note themselves in the store under this prefix, for those whose seeds are out of date.
-const MEMBERS_PREFIX: &str = "briarwinch-members/";
-/// How often an entry that knows few others reads that list.
-const ENROL_MS: u64 = 5_000;
 
 /// What an entry tells of itself.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -88,21 +77,6 @@
     },
 }
 
-/// What a pull brings: what its sender has that is newer.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct State {
-    config: Option<route::Parts>,
-    directory: Option<directory::Directory>,
-    lapsed: Vec<directory::Lapsed>,
-}
-
-/// What a pull says first: the sender's own versions.
-#[derive(Clone, Copy, Debug)]
-struct Known {
-    config_version: u64,
-    directory_revision: u64,
-}
-
 #[derive(Clone, Debug)]
 struct Peer {
     boot: u64,
@@ -180,7 +154,16 @@
         live.map(|(addr, _)| *addr).choose_multiple(&mut rand::rng(), MAX_MEMBERS)
     }
 
-    fn name(&mut self, addr: SocketAddr) {
+    /// Notes that a pull from this peer is under way; false if one is already.
+    fn begin_pull(&mut self, addr: SocketAddr) -> bool {
+        self.pulling.insert(addr)
+    }
+
+    pub(super) fn end_pull(&mut self, addr: SocketAddr) {
+        self.pulling.remove(&addr);
+    }
+
+    pub(super) fn name(&mut self, addr: SocketAddr) {
         /// More than the entries of the largest fleet.
         const MAX_NAMED: usize = 1_000;
         if addr != self.own && !self.heard.contains_key(&addr) && self.named.len() < MAX_NAMED {
@@ -323,10 +306,13 @@
         }
         correct_time(control, &mut peers, digest);
     }
-    let is_behind = digest.config_version > control.config_version()
-        || digest.directory_revision > control.directory.borrow().revision();
-    if is_behind && control.peers.borrow_mut().pulling.insert(digest.from) {
-        task::spawn_local(pull(Rc::clone(control), digest.clone()));
+    let offered = pulls::Offered {
+        from: digest.from,
+        config_version: digest.config_version,
+        directory_revision: digest.directory_revision,
+    };
+    if offered.is_newer(control) && control.peers.borrow_mut().begin_pull(digest.from) {
+        task::spawn_local(pulls::pull(Rc::clone(control), offered));
     }
 }
 
@@ -346,122 +332,3 @@
         slog::warn!(control.log, "time of day corrected"; "by_ms" => by_ms);
     }
 }
-
-async fn pull<P: Platform>(control: Rc<Control<P>>, digest: Digest) {
-    time::sleep(Duration::from_millis(PULL_AFTER_MS)).await;
-    let is_behind = digest.config_version > control.config_version()
-        || digest.directory_revision > control.directory.borrow().revision();
-    if is_behind {
-        match time::timeout(PULL_LIMIT, read_state(&control, digest.from)).await {
-            Ok(Ok(state)) => {
-                if let Some(parts) = state.config {
-                    control.take_table(parts, "peer");
-                }
-                if let Some(newer) = state.directory {
-                    let now_ms = control.now_ms();
-                    control.change_directory("peer", |directory| {
-                        directory.adopt(newer, &state.lapsed, now_ms)
-                    });
-                }
-            }
-            Ok(Err(error)) => {
-                slog::info!(control.log, "pull failed"; "peer" => digest.from.to_string(),
-                    "error" => format!("{error:#}"));
-            }
-            Err(_) => {
-                slog::info!(control.log, "pull failed"; "peer" => digest.from.to_string(),
-                    "error" => "no answer in time");
-            }
-        }
-    }
-    control.peers.borrow_mut().pulling.remove(&digest.from);
-}
-
-async fn read_state<P>(control: &Control<P>, addr: SocketAddr) -> anyhow::Result<State> {
-    let mut stream = TcpStream::connect(addr).await?;
-    let directory_revision = control.directory.borrow().revision();
-    stream.write_u64(control.config_version()).await?;
-    stream.write_u64(directory_revision).await?;
-    let length = stream.read_u32().await?;
-    anyhow::ensure!(length <= MAX_STATE_BYTES, "a state of {length} bytes");
-    let mut bytes = vec![0; length as usize];
-    stream.read_exact(&mut bytes).await?;
-    Ok(seal::open_bytes(&control.secret, &bytes)?)
-}
-
-/// Gives the whole state to peers that ask.
-pub(super) async fn serve_pulls<P: Platform + 'static>(
-    control: Rc<Control<P>>,
-    listener: TcpListener,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of descriptors, mostly: the next connection may find some again.
-            time::sleep(Duration::from_millis(TELL_MS)).await;
-            continue;
-        };
-        let control = Rc::clone(&control);
-        task::spawn_local(async move {
-            let given = time::timeout(PULL_LIMIT, write_state(&control, stream)).await;
-            if !matches!(given, Ok(Ok(()))) {
-                slog::info!(control.log, "a peer's pull was not served");
-            }
-        });
-    }
-}
-
-async fn write_state<P>(control: &Control<P>, mut stream: TcpStream) -> anyhow::Result<()> {
-    let known = Known {
-        config_version: stream.read_u64().await?,
-        directory_revision: stream.read_u64().await?,
-    };
-    let state = {
-        let (table, directory) = (control.table.borrow(), control.directory.borrow());
-        let newer = table.as_ref().filter(|table| table.version() > known.config_version);
-        State {
-            config: newer.map(|table| table.parts().clone()),
-            directory: (directory.revision() > known.directory_revision).then(|| directory.clone()),
-            lapsed: directory.lapsed(control.now_ms()),
-        }
-    };
-    let bytes = seal::bytes(&control.secret, &state)?;
-    stream.write_u32(bytes.len() as u32).await?;
-    stream.write_all(&bytes).await?;
-    stream.shutdown().await?;
-    Ok(())
-}
-
-/// Notes this entry in the store, and reads who else is there while few others are known.
-pub(super) async fn enrol<P: Platform>(control: Rc<Control<P>>) {
-    let own = control.shared.settings.peer_addr();
-    let key = format!("{MEMBERS_PREFIX}{}", control.shared.settings.id);
-    let mut is_enrolled = false;
-    loop {
-        if !is_enrolled {
-            is_enrolled = enrol_once(&control, &key, own).await;
-        }
-        if control.peers.borrow().live(control.now_ms()) == 0
-            && let Ok(listing) = control.platform.list(MEMBERS_PREFIX).await
-        {
-            let addrs = listing.objects.iter().filter_map(|one| {
-                let text: CompactString = serde_json::from_str(&one.value).ok()?;
-                text.parse().ok()
-            });
-            let mut peers = control.peers.borrow_mut();
-            addrs.for_each(|addr| peers.name(addr));
-        }
-        time::sleep(Duration::from_millis(ENROL_MS)).await;
-    }
-}
-
-async fn enrol_once<P: ObjectStore>(control: &Control<P>, key: &str, own: SocketAddr) -> bool {
-    let value = serde_json::Value::from(own.to_string()).to_string();
-    match control.platform.get(key).await {
-        Ok(Some(object)) if object.value == value => true,
-        Ok(Some(object)) => {
-            control.platform.put(key, value, Condition::Version(object.version)).await.is_ok()
-        }
-        Ok(None) => control.platform.put(key, value, Condition::Absent).await.is_ok(),
-        Err(_) => false,
-    }
-}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,7 +4,6 @@
 //! attempts and the retry budget; what may run once is sent once, and its outcome is told as it is.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -12,10 +11,10 @@
 use rand::Rng;
 use tokio::time;
 
-use super::attempt::{Failure, Patience, Running};
-use super::directory::EndpointKey;
-use super::request::{Answer, Call, Request};
-use super::{Gateway, choose, events_body, http1, measures, route, shared};
+use super::attempt::{Failure, Running};
+use super::job::{Active, Job};
+use super::request::{Answer, Request};
+use super::{Gateway, choose, events_body, http1, measures, shared};
 use crate::error;
 
 /// Longest answer that is gathered before it is sent, in bytes.
@@ -28,11 +27,6 @@
 /// Part of the latency target for which a request is held while there is no endpoint: below an
 /// eighth, so that the caller can still be in time elsewhere.
 const HOLD_PART: f64 = 0.12;
-/// A first event that takes this many times as long as expected is not waited for any longer where
-/// another endpoint may try. Below, a request would lose its place in a queue for nothing.
-const SLOW_TIMES: u64 = 4;
-/// Least time left in which another send makes sense: a connection and a short answer.
-const LEAST_LEFT_MS: u64 = 40;
 /// When a caller of the most urgent rank comes back after a refusal; each later rank waits as much
 /// longer. A queue of a second drains in three of these.
 const COME_BACK_RANK_MS: f64 = 300.0;
@@ -41,113 +35,6 @@
 /// When a caller that was sent away by a stopping entry comes back: at once, since it then reaches
 /// another.
 const COME_BACK_MS: u32 = 50;
-/// Callers of streams leave after a gap of this, at least.
-const STREAM_PATIENCE_MS: u64 = 2_000;
-
-/// A request that is allowed and on its way.
-#[derive(Debug)]
-pub struct Job {
-    pub request: Request,
-    pub table: Arc<route::Table>,
-    pub route: route::RouteKey,
-    pub service: route::ServiceKey,
-    pub kind: route::Kind,
-    pub account: Option<CompactString>,
-    pub priority: u8,
-    pub arrived_ms: u64,
-    /// When the caller, or the route, gives up.
-    pub end_ms: u64,
-    /// Endpoints that have, or may have, seen it.
-    pub tried: Vec<EndpointKey>,
-    pub attempts: u32,
-    /// Some endpoint may have run it.
-    pub may_have_run: bool,
-    is_counted: bool,
-    _active: Active,
-}
-
-/// Counts a request while it is under way.
-#[derive(Debug)]
-struct Active(Arc<shared::Shared>);
-
-impl Active {
-    fn begin(shared: &Arc<shared::Shared>) -> Self {
-        measures::active(shared.active.fetch_add(1, Ordering::AcqRel) + 1);
-        Self(Arc::clone(shared))
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        measures::active(self.0.active.fetch_sub(1, Ordering::AcqRel) - 1);
-    }
-}
-
-impl Job {
-    #[must_use]
-    pub fn route(&self) -> &route::Route {
-        self.table.route(self.route)
-    }
-
-    #[must_use]
-    pub fn service(&self) -> &route::Service {
-        self.table.service(self.service)
-    }
-
-    /// The request as an endpoint gets it now.
-    #[must_use]
-    pub fn call<'a>(&'a self, endpoint_id: &'a str, now_ms: u64) -> Call<'a> {
-        Call {
-            request: &self.request,
-            left_ms: u32::try_from(self.left_ms(now_ms)).unwrap_or(u32::MAX).max(1),
-            endpoint_id,
-            account: self.account.as_deref(),
-            priority: self.request.prompt.is_some().then_some(self.priority),
-            after_event: self.request.after_event,
-        }
-    }
-
-    #[must_use]
-    pub fn left_ms(&self, now_ms: u64) -> u64 {
-        self.end_ms.saturating_sub(now_ms)
-    }
-
-    /// How long a caller of this stream waits for its next event.
-    #[must_use]
-    pub fn stream_patience_ms(&self) -> u64 {
-        let route = self.route();
-        STREAM_PATIENCE_MS.max(4 * u64::from(route.target_ms)).max(8 * u64::from(route.pause_ms))
-    }
-
-    /// Whether one more endpoint may see the request, as far as the request itself goes.
-    #[must_use]
-    pub fn has_attempt_left(&self, now_ms: u64) -> bool {
-        self.attempts < self.route().max_attempts && self.left_ms(now_ms) >= LEAST_LEFT_MS
-    }
-
-    /// How long to wait for the head of an answer.
-    ///
-    /// A wait ends early only where the request may run again elsewhere. A stream's endpoint may be
-    /// silent for a queue's length, so its silence counts only when it says nothing to anybody.
-    #[must_use]
-    fn patience(&self, first_ms: f64, now_ms: u64) -> Patience {
-        let left_ms = self.left_ms(now_ms);
-        if !self.kind.is_repeatable() || self.attempts >= self.route().max_attempts {
-            return Patience { if_silent_ms: left_ms, at_most_ms: left_ms };
-        }
-        let target_ms = u64::from(self.route().target_ms);
-        if self.kind.is_stream() {
-            let patience_ms = self.stream_patience_ms();
-            return Patience {
-                if_silent_ms: (patience_ms * 2 / 5).min(left_ms),
-                at_most_ms: (patience_ms / 2).max(first_ms as u64 * SLOW_TIMES).min(left_ms),
-            };
-        }
-        // Half of what is left stays for the other endpoint.
-        let wait_ms = target_ms.min(left_ms / 2);
-        Patience { if_silent_ms: wait_ms, at_most_ms: wait_ms }
-    }
-}
 
 impl Gateway {
     /// Serves a request of a caller.
@@ -286,6 +173,7 @@
                     now_ms,
                 )
             {
+                self.log_turned_away(job, &choice);
                 return Err(self.given_up(job, error::Kind::TooLate));
             }
             if job.attempts > 0 && !self.may_retry(job) {
@@ -451,6 +339,14 @@
         error::Refusal::not_run(kind).retry_after_ms(wait_ms as u32)
     }
 
+    fn log_turned_away(&self, job: &Job, choice: &choose::Choice<'_>) {
+        slog::info!(self.log, "turned away"; "request" => job.request.id.as_str(),
+            "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
+            "version" => job.table.version(), "priority" => job.priority,
+            "free_share" => choice.free_share, "first_ms" => choice.first_ms as u64,
+            "load_age_ms" => self.shared.book().age_ms(self.now_ms()));
+    }
+
     fn log_choice(&self, job: &Job, choice: &choose::Choice<'_>) {
         slog::debug!(self.log, "sent"; "request" => job.request.id.as_str(),
             "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
@@ -458,6 +354,7 @@
             "attempt" => job.attempts, "cost_ms" => choice.cost_ms as u64,
             "first_ms" => choice.first_ms as u64, "unread_tokens" => choice.unread_tokens,
             "ahead_tokens" => choice.work.unread_tokens, "running" => choice.work.requests,
+            "load_age_ms" => self.shared.book().age_ms(self.now_ms()),
             "left_ms" => job.left_ms(self.now_ms()));
     }
 
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -86,15 +86,6 @@
     pub memory_tokens: u64,
 }
 
-/// How many endpoints a service may have in each availability zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Bounds {
-    pub least: u32,
-    pub most: u32,
-    /// From the order to the first request served.
-    pub start_ms: u64,
-}
-
 /// Endpoints that answer alike.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
@@ -102,7 +93,6 @@
     /// Connections that one endpoint takes from all callers together.
     pub max_connections: u32,
     pub engine: Option<Engine>,
-    pub bounds: Option<Bounds>,
 }
 
 /// A client account.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod spread;
 pub mod sse;
 pub mod store;
+pub mod story;
 pub mod trace;
 pub mod usage;
 pub mod wire;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,15 +1,16 @@
-//! The operator's commands: check, diff, apply, keys, status, explain, duties, claims.
+//! The operator's commands: check, diff, apply, keys, status, explain, story, duties, claims.
 
 mod resolve;
 mod tables;
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
+use anyhow::Context;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::store::{self, Condition, Failure, ObjectStore};
-use crate::{admin, cli, config, explain, jsonc, keys, platform};
+use crate::{admin, cli, config, explain, jsonc, keys, platform, story};
 
 /// How a command ended badly.
 #[derive(Debug, derive_more::Display, derive_more::From)]
@@ -65,6 +66,7 @@
         },
         cli::Command::Status => status(line).await,
         cli::Command::Explain { request } => explain_request(line, request).await,
+        cli::Command::Story { request, files, around } => tell_story(request, files, *around),
         cli::Command::Duties => duties(line).await,
         cli::Command::Claims { command } => match command {
             cli::ClaimCommand::List => resolve::list_claims(line).await,
@@ -75,6 +77,20 @@
     }
 }
 
+fn tell_story(request: &str, files: &[PathBuf], around: bool) -> Result<String, Problem> {
+    let mut lines = Vec::new();
+    for file in files {
+        let text = std::fs::read_to_string(file)
+            .with_context(|| format!("cannot read the log {}", file.display()))?;
+        lines.extend(text.lines().filter_map(story::Line::parse));
+    }
+    let told = story::tell(lines, request, around);
+    if told.is_empty() {
+        return Err(Problem::NoAnswer(format!("no line of these logs names `{request}`")));
+    }
+    Ok(told.iter().map(|line| format!("{line}\n")).collect())
+}
+
 fn print<T: Serialize>(output: cli::Output, value: &T, text: impl FnOnce() -> String) -> String {
     match output {
         cli::Output::Text => text(),
--- /dev/null
+++ b/src/story.rs
@@ -0,0 +1,79 @@
+//! One request's way, out of the logs of all processes.
+//!
+//! In go log lines of any number of processes; out come those that name the request, in order of
+//! time, one short line each. What the fleet believed just then (configuration, endpoints, store)
+//! stands between them when asked for.
+
+use compact_str::CompactString;
+use serde_json::{Map, Value};
+
+/// One line of a log, as far as it is needed here.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// RFC 3339, in UTC; sorts as text.
+    pub time: CompactString,
+    pub daemon: CompactString,
+    pub message: CompactString,
+    pub fields: Map<String, Value>,
+}
+
+/// Fields that each line has and that stand elsewhere in the story.
+const COMMON: [&str; 5] = ["msg", "ts", "daemon", "level", "request"];
+
+impl Line {
+    /// Reads a line; whatever a collector put before the JSON is left out.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let start = text.find('{')?;
+        let mut fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
+        let take = |name: &str| Some(CompactString::from(fields.get(name)?.as_str()?));
+        let (time, daemon, message) = (take("ts")?, take("daemon")?, take("msg")?);
+        fields.retain(|name, _| !COMMON[..4].contains(&name.as_str()));
+        Some(Self { time, daemon, message, fields })
+    }
+
+    /// Whether it names this request.
+    #[must_use]
+    pub fn is_about(&self, request: &str) -> bool {
+        self.fields.get("request").and_then(Value::as_str) == Some(request)
+    }
+
+    fn is_of_the_fleet(&self) -> bool {
+        !self.fields.contains_key("request")
+    }
+}
+
+impl std::fmt::Display for Line {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} {} {}", self.time, self.daemon, self.message)?;
+        for (name, value) in self.fields.iter().filter(|(name, _)| !COMMON.contains(&name.as_str()))
+        {
+            match value {
+                Value::String(text) if text.is_empty() => {}
+                Value::String(text) => write!(f, " {name}={text}")?,
+                value => write!(f, " {name}={value}")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The lines about a request, in order of time; with `around`, also what the processes that handled
+/// it said of the fleet between its first and its last line.
+#[must_use]
+pub fn tell(mut lines: Vec<Line>, request: &str, around: bool) -> Vec<Line> {
+    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let about: Vec<Line> = lines.iter().filter(|line| line.is_about(request)).cloned().collect();
+    let (Some(first), Some(last)) = (about.first(), about.last()) else {
+        return Vec::new();
+    };
+    if !around {
+        return about;
+    }
+    let is_near = |line: &Line| {
+        let is_between = line.time >= first.time && line.time <= last.time;
+        let is_handler = about.iter().any(|one| one.daemon == line.daemon);
+        line.is_about(request) || (line.is_of_the_fleet() && is_between && is_handler)
+    };
+    lines.iter().filter(|line| is_near(line)).cloned().collect()
+}
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -23,12 +23,7 @@
 }
 
 fn table() -> Table {
-    let service = |name: &str| Service {
-        name: name.into(),
-        max_connections: 100,
-        engine: None,
-        bounds: None,
-    };
+    let service = |name: &str| Service { name: name.into(), max_connections: 100, engine: None };
     Table::from(Parts {
         version: 3,
         routes: vec![
