--- a/src/logging.rs
+++ b/src/logging.rs
@@ -26,7 +26,8 @@
     };
     let lines =
         slog_json::Json::new(writer).add_default_keys().set_newlines(true).set_flush(true).build();
-    let (drain, guard) = slog_async::Async::new(Mutex::new(lines).fuse())
+    // When whoever reads the log is gone, lines are lost and there is nobody to tell; requests go on.
+    let (drain, guard) = slog_async::Async::new(Mutex::new(lines).ignore_res())
         .chan_size(WAITING_LINES)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
