Bound what waits to be told and what is kept of gone entries; pass an endpoint's failure on when the budget is out

Read as a newcomer: the list of parts to tell grew without bound in a large fleet; peers and counts of gone entries were never forgotten; and a request whose retry the budget did not allow got the router's 502 in place of the answer that its endpoint had given.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -55,8 +55,8 @@
         self.step(service, now_ms).requests += 1;
     }
 
-    /// Takes one retry out, if this entry's part of the budget allows it.
-    pub fn spend(&mut self, service: &str, entries: usize, now_ms: u64) -> bool {
+    /// Whether this entry's part of the budget allows one more retry.
+    pub fn has_room(&mut self, service: &str, entries: usize, now_ms: u64) -> bool {
         let allowed = self.allowed;
         self.step(service, now_ms);
         let steps = &self.services[service];
@@ -64,11 +64,16 @@
         let retries: u32 = steps.iter().map(|step| step.retries).sum();
         let part = allowed.extra / entries.max(1) as f64;
         let most = USED_PART * (allowed.ratio * f64::from(requests) + part);
-        if f64::from(retries + 1) > most {
-            return false;
+        f64::from(retries + 1) <= most
+    }
+
+    /// Takes one retry out, if this entry's part of the budget allows it.
+    pub fn spend(&mut self, service: &str, entries: usize, now_ms: u64) -> bool {
+        let has_room = self.has_room(service, entries, now_ms);
+        if has_room {
+            self.step(service, now_ms).retries += 1;
         }
-        self.step(service, now_ms).retries += 1;
-        true
+        has_room
     }
 
     fn step(&mut self, service: &str, now_ms: u64) -> &mut Step {
--- a/src/gateway/homes.rs
+++ b/src/gateway/homes.rs
@@ -3,7 +3,7 @@
 //! A part that an endpoint has read is not read again there. Entries note where they sent which
 //! part and tell each other; an endpoint that restarts or leaves loses its parts.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +20,10 @@
 /// used, well before they forget it.
 const TELL_AGAIN_MS: u64 = 12_000;
 
+/// Parts that wait to be told, at most. The oldest are dropped: that costs other entries' reading
+/// again, where growing would cost the process.
+const MAX_UNTOLD: usize = 2_000;
+
 /// Names a prompt part in messages between entries; eight bytes, where a number would take ten.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartName([u8; 8]);
@@ -55,7 +59,7 @@
 pub struct Homes {
     held: HashMap<u64, Vec<Held>>,
     /// Placed here and not yet told to the other entries.
-    untold: Vec<Placed>,
+    untold: VecDeque<Placed>,
 }
 
 impl Homes {
@@ -64,7 +68,10 @@
         for part in parts {
             let told_ms = self.told_ms(endpoint, part.id);
             if told_ms.is_none_or(|told_ms| now_ms >= told_ms + TELL_AGAIN_MS) {
-                self.untold.push(Placed { endpoint, part: PartName::of(part.id) });
+                if self.untold.len() >= MAX_UNTOLD {
+                    self.untold.pop_front();
+                }
+                self.untold.push_back(Placed { endpoint, part: PartName::of(part.id) });
                 self.hold(part.id, Held { endpoint, used_ms: now_ms, told_ms: now_ms });
             } else {
                 let told_ms = told_ms.unwrap_or(now_ms);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -30,10 +30,12 @@
 const FAN_OUT: usize = 64;
 /// A peer that was not heard of for this long counts as gone for duties and shares.
 pub(super) const GONE_MS: u64 = 2_000;
-/// A peer that is gone for this long is no longer told anything.
+/// A peer that is gone for this long is forgotten and no longer told anything.
 const FORGET_MS: u64 = 30_000;
 /// Prompt parts in a message; 16 bytes each.
 const MAX_PLACED: usize = 70;
+/// Messages of parts after one another; a day's start places hundreds at once.
+const MAX_PLACED_MESSAGES: usize = 4;
 /// Endpoints in a digest; about 13 bytes each. Those with the most to read go first.
 const MAX_WORK: usize = 80;
 /// Windows of counts that are told.
@@ -142,9 +144,8 @@
         before.count()
     }
 
-    fn targets(&self, now_ms: u64) -> Vec<SocketAddr> {
-        let heard = self.heard.iter().filter(|(_, peer)| now_ms < peer.heard_ms + FORGET_MS);
-        let mut all: HashSet<SocketAddr> = heard.map(|(addr, _)| *addr).collect();
+    fn targets(&self) -> Vec<SocketAddr> {
+        let mut all: HashSet<SocketAddr> = self.heard.keys().copied().collect();
         all.extend(self.named.iter().chain(&self.seeds).filter(|addr| **addr != self.own));
         all.into_iter().choose_multiple(&mut rand::rng(), FAN_OUT)
     }
@@ -154,6 +155,11 @@
         live.map(|(addr, _)| *addr).choose_multiple(&mut rand::rng(), MAX_MEMBERS)
     }
 
+    /// Forgets peers that have been gone for long.
+    fn forget(&mut self, now_ms: u64) {
+        self.heard.retain(|_, peer| now_ms < peer.heard_ms + FORGET_MS);
+    }
+
     /// Notes that a pull from this peer is under way; false if one is already.
     fn begin_pull(&mut self, addr: SocketAddr) -> bool {
         self.pulling.insert(addr)
@@ -189,12 +195,15 @@
             last_work.clone_from(&work);
             send_digest(&control, work, now_ms);
         }
-        let placed = control.shared.homes().take_untold(MAX_PLACED);
-        if !placed.is_empty() {
-            send(&control, &Message::Placed(placed), now_ms);
+        for _ in 0..MAX_PLACED_MESSAGES {
+            let placed = control.shared.homes().take_untold(MAX_PLACED);
+            if placed.is_empty() {
+                break;
+            }
+            send(&control, &Message::Placed(placed));
         }
         if round.is_multiple_of(COUNTS_EVERY) {
-            send_counts(&control, now_ms);
+            send_counts(&control);
         }
         update_entries(&control, now_ms);
         control.change_directory("grace time over", |directory| directory.expire(now_ms));
@@ -209,16 +218,18 @@
     work
 }
 
-fn send_counts<P>(control: &Control<P>, now_ms: u64) {
+fn send_counts<P>(control: &Control<P>) {
     let boot = control.shared.boot;
+    control.shared.forget_old_counts();
     for counts in control.counts(TOLD_WINDOWS).split(MAX_COUNTED) {
-        send(control, &Message::Counts { boot, counts }, now_ms);
+        send(control, &Message::Counts { boot, counts });
     }
 }
 
 fn update_entries<P>(control: &Control<P>, now_ms: u64) {
     /// Peers heard of within the longest retry window share the budget.
     const SHARES_MS: u64 = 10_000;
+    control.peers.borrow_mut().forget(now_ms);
     let peers = control.peers.borrow();
     let sharing = peers.heard.values().filter(|peer| now_ms < peer.heard_ms + SHARES_MS).count();
     let expected = sharing.max(peers.seeds.len());
@@ -244,10 +255,10 @@
         gate: control.shared.gate.ages(now_ms),
         work,
     };
-    send(control, &Message::Digest(digest), now_ms);
+    send(control, &Message::Digest(digest));
 }
 
-fn send<P>(control: &Control<P>, message: &Message, now_ms: u64) {
+fn send<P>(control: &Control<P>, message: &Message) {
     let bytes = match seal::datagram(&control.secret, message) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -255,7 +266,7 @@
             return;
         }
     };
-    for addr in control.peers.borrow().targets(now_ms) {
+    for addr in control.peers.borrow().targets() {
         // A datagram that does not leave is like one that was lost: the next one repairs it.
         let _ = control.socket.try_send_to(&bytes, addr);
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -212,14 +212,9 @@
                     self.health.borrow_mut().ended(choice.endpoint.key, false, took_ms, now_ms);
                     if !job.kind.is_repeatable() {
                         let is_over = job.left_ms(self.now_ms()) == 0;
-                        return Err(self.given_up(
-                            job,
-                            if is_over {
-                                error::Kind::DeadlineExceeded
-                            } else {
-                                error::Kind::LinkLost
-                            },
-                        ));
+                        let over = error::Kind::DeadlineExceeded;
+                        let kind = if is_over { over } else { error::Kind::LinkLost };
+                        return Err(self.given_up(job, kind));
                     }
                 }
             }
@@ -306,10 +301,15 @@
         }
     }
 
-    /// Whether another endpoint is there for one more attempt.
+    /// Whether there are an endpoint, an attempt and a part of the budget for one more send. Else the
+    /// failure that an endpoint gave is the caller's answer.
     fn can_retry(&self, job: &Job) -> bool {
+        let now_ms = self.now_ms();
+        let entries = self.shared.entries.load(Ordering::Relaxed);
         let snapshot = self.shared.snapshot.load();
-        job.has_attempt_left(self.now_ms()) && self.choose(&snapshot, job).is_some()
+        job.has_attempt_left(now_ms)
+            && self.budgets.borrow_mut().has_room(&job.service().name, entries, now_ms)
+            && self.choose(&snapshot, job).is_some()
     }
 
     /// Counts a request that began to run, once, for its account's bill.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -85,11 +85,21 @@
         lock(&self.tally)
     }
 
+    /// The billing window of this long ago.
+    fn window(&self, ago_ms: u64) -> u64 {
+        let window_ms = self.settings.billing_window_s.max(1) * 1_000;
+        self.time.unix_ms().saturating_sub(ago_ms) / window_ms
+    }
+
     /// Counts a request that began to run this long ago.
     pub fn count(&self, account: &str, ago_ms: u64) {
-        let window_ms = self.settings.billing_window_s.max(1) * 1_000;
-        let window = self.time.unix_ms().saturating_sub(ago_ms) / window_ms;
-        self.tally().add(self.boot, window, account);
+        self.tally().add(self.boot, self.window(ago_ms), account);
+    }
+
+    /// Forgets starts of entries that have counted nothing in any window that may be asked for.
+    pub fn forget_old_counts(&self) {
+        let first = self.window(0).saturating_sub(tally::KEPT_WINDOWS);
+        self.tally().forget_before(first);
     }
 
     #[must_use]
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -267,3 +267,17 @@
     here.place(endpoints[0].key, &parts, NOW_MS + 30_000);
     assert_eq!(here.take_untold(100).len(), 2, "told again before the others forget");
 }
+
+/// A fleet so large that parts are placed faster than they can be told. The list must not grow until
+/// the process is killed for its memory.
+#[test]
+fn parts_that_wait_to_be_told_are_bounded() {
+    let endpoints = endpoints(1);
+    let mut homes = homes::Homes::default();
+    for part in 0..10_000 {
+        homes.place(endpoints[0].key, &[Part { id: part, tokens: 10 }], NOW_MS);
+    }
+    let told = homes.take_untold(usize::MAX);
+    assert!(told.len() <= 2_000, "{}", told.len());
+    assert!(homes.is_anywhere(0, NOW_MS), "it is still known here");
+}
--- a/tests/gateway/retries.rs
+++ b/tests/gateway/retries.rs
@@ -54,6 +54,21 @@
     assert!(f64::from(spent) <= ALLOWED.extra, "{spent} in one window, with one restart of four");
 }
 
+/// An endpoint fails and the budget is used up. The failure that it gave is the caller's answer; asking
+/// whether a retry is possible must not use one up.
+#[test]
+fn asking_for_room_takes_nothing() {
+    let mut budgets = Budgets::new(ALLOWED);
+    let spent = (0..100).filter(|_| {
+        let has_room = budgets.has_room("engine", 4, 60_000);
+        let same = budgets.has_room("engine", 4, 60_000);
+        assert_eq!(has_room, same);
+        assert_eq!(budgets.spend("engine", 4, 60_000), has_room);
+        has_room
+    });
+    assert!(spent.count() > 4);
+}
+
 #[test]
 fn services_have_budgets_of_their_own() {
     let mut budgets = Budgets::new(ALLOWED);
