Say in the pool what it bounds; build what is known once in the tests of the choice

The pool's head claimed that entries share an endpoint's connections; nothing does that yet. No change of behaviour; the tests keep their assertions.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -1,7 +1,7 @@
 //! Idle connections to endpoints, kept for the next request.
 //!
-//! The newest is used first, so that a burst's connections grow old and are closed. How many
-//! connections an endpoint may have at once is shared by the entries that live.
+//! The newest is used first, so that a burst's connections grow old and are closed. The number kept
+//! is bounded; the number open at a time is not, beyond the requests under way.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -40,8 +40,8 @@
 }
 
 impl Entry {
-    fn choose(&self, endpoints: &[Endpoint], prompt: &Prompt, random: &mut StdRng) -> EndpointKey {
-        let known = Known {
+    fn known(&self) -> Known<'_> {
+        Known {
             book: &self.book,
             homes: &self.homes,
             health: &self.health,
@@ -49,22 +49,18 @@
             zone: "a",
             now_ms: NOW_MS,
             patience_ms: PATIENCE_MS,
-        };
-        let choice = choose::choose(endpoints.iter(), Some(&ENGINE), Some(prompt), &known, random);
+        }
+    }
+
+    fn choose(&self, endpoints: &[Endpoint], prompt: &Prompt, random: &mut StdRng) -> EndpointKey {
+        let choice =
+            choose::choose(endpoints.iter(), Some(&ENGINE), Some(prompt), &self.known(), random);
         choice.expect("an endpoint").endpoint.key
     }
 
     fn plain(&self, endpoints: &[Endpoint], random: &mut StdRng) -> EndpointKey {
-        let known = Known {
-            book: &self.book,
-            homes: &self.homes,
-            health: &self.health,
-            reading: &self.reading,
-            zone: "a",
-            now_ms: NOW_MS,
-            patience_ms: PATIENCE_MS,
-        };
-        choose::choose(endpoints.iter(), None, None, &known, random).expect("one").endpoint.key
+        let choice = choose::choose(endpoints.iter(), None, None, &self.known(), random);
+        choice.expect("an endpoint").endpoint.key
     }
 }
 
