Keep what vanished around an outage for no longer than a leaving endpoint serves

Ruled out: late news (the removal was known after 5 ms) and peers' copies.

Now the grace time ends before a leaving endpoint does (settings: leave_ms), and watches are short while the store is away, so that it begins with the store's return.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -11,10 +11,6 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-/// How long after the store's return a vanished entry is kept. The platform says that living
-/// endpoints are back within two seconds.
-pub const LAPSE_GRACE_MS: u64 = 2_200;
-
 /// Names an endpoint across all instances: a digest of its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointKey([u8; 8]);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -58,6 +58,8 @@
     pub retries: Retries,
     /// Length of a billing window.
     pub billing_window_s: u64,
+    /// How long an endpoint that leaves goes on taking requests.
+    pub leave_ms: u64,
     /// From the request to stop until the process is killed.
     pub stop_s: f64,
 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -3,72 +3,29 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::Rng;
 use tokio::time;
 
 use super::control::{Batch, Control, Item, Platform, Topic, WatchFailure};
-use super::{directory, measures};
+use super::{directory, measures, outage};
 use crate::store;
 
-/// How long a watch waits at the store. Longer would save calls; a watch that is silently dead is
-/// then found later, and peers cover that time.
-const WAIT_MS: u64 = 5_000;
 /// How often an entry that leaves reading to others looks whether they still do.
 const ASIDE: Duration = Duration::from_millis(400);
-/// Pause after a first failed call; doubled with each.
-const FIRST_PAUSE_MS: u64 = 100;
-/// Longest pause: the store's return is seen within this, of the two seconds in which a change has
-/// to be in force.
-const LONGEST_PAUSE_MS: u64 = 800;
-/// Entries of endpoints lapse when the store was away for longer than this: a third of the shortest
-/// time after which the platform drops an entry.
-const LAPSE_AFTER_MS: u64 = 1_200;
-
-/// When the store failed this watcher, and when it was back.
-#[derive(Clone, Copy, Debug, Default)]
-struct Outage {
-    since_ms: Option<u64>,
-    keep_until_ms: Option<u64>,
-    pause_ms: u64,
-}
-
-impl Outage {
-    fn failed(&mut self, now_ms: u64) -> Duration {
-        self.since_ms.get_or_insert(now_ms);
-        self.pause_ms = (self.pause_ms * 2).clamp(FIRST_PAUSE_MS, LONGEST_PAUSE_MS);
-        let pause_ms = rand::rng().random_range(self.pause_ms / 2..=self.pause_ms);
-        Duration::from_millis(pause_ms)
-    }
-
-    /// Gives for how long the store was away, if it was.
-    fn answered(&mut self, now_ms: u64) -> Option<u64> {
-        self.pause_ms = 0;
-        let away_ms = now_ms - self.since_ms.take()?;
-        if away_ms >= LAPSE_AFTER_MS {
-            self.keep_until_ms = Some(now_ms + directory::LAPSE_GRACE_MS);
-        }
-        Some(away_ms)
-    }
-
-    fn keep_until_ms(&self, now_ms: u64) -> Option<u64> {
-        self.keep_until_ms.filter(|until_ms| now_ms < *until_ms)
-    }
-}
-
 /// Follows a topic for as long as the process lives.
 pub(super) async fn follow<P: Platform>(control: Rc<Control<P>>, topic: Topic) {
     let mut from = None;
-    let mut outage = Outage::default();
+    let leave_ms = control.shared.settings.leave_ms;
+    let mut outage = outage::Outage::new(leave_ms);
     loop {
         // Each entry reads once for itself: what peers tell at the start may be old.
         if from.is_some() && !control.reads_store() {
             control.store_answered(topic, true);
             // An outage of long ago says nothing about what vanishes when this entry reads again.
-            outage = Outage::default();
+            outage = outage::Outage::new(leave_ms);
             time::sleep(ASIDE).await;
             continue;
         }
-        let wait_ms = if outage.keep_until_ms(control.now_ms()).is_some() { 500 } else { WAIT_MS };
+        let wait_ms = outage.wait_ms(control.now_ms());
         let brought = match from {
             None => control.platform.list_all(topic).await.map_err(WatchFailure::Failed),
             Some(revision) => control.platform.watch(topic, revision, wait_ms).await,
@@ -92,14 +49,15 @@
                 from = None;
             }
             Err(WatchFailure::Failed(failure)) => {
-                if outage.since_ms.is_none() {
+                if !outage.is_away() {
                     slog::warn!(control.log, "store lost"; "topic" => format!("{topic:?}"),
                         "failure" => failure.to_string());
                 }
                 if failure == store::Failure::Conflict {
                     from = None;
                 }
-                time::sleep(outage.failed(now_ms)).await;
+                let pause_ms = outage.failed(now_ms, &mut rand::rng());
+                time::sleep(Duration::from_millis(pause_ms)).await;
             }
         }
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod directory;
 mod gate;
+mod outage;
 mod retries;
 mod routes;
 mod streams;
