Take a lease again as soon as the store or the instance is back; order endpoints under the duties' lease

Ruled out: the entries' ranks, the stop of the holder.

An unanswered write is now tried again on the same version (the store takes one of both at most); a record of a former start under the same bound address is replaced at once; the entries' terms are 4 s, not 6. Tests seen failing on the former code: a_takeover_without_an_answer_is_tried_again_as_soon_as_the_store_answers, an_entry_that_starts_again_takes_its_former_lease_at_once. The property of leases now restarts holders too. Both copies of reading and writing a lease are one module, contest. The side's and entry's leases are counted on the boot clock, since the other one stands still while an instance is suspended.

Services whose configuration has bounds get their endpoints ordered by zone: planned on the work under way, written to the store before the order, so that a successor goes on from there. No site here has bounds, so only own tests show it.

--- /dev/null
+++ b/src/contest.rs
@@ -0,0 +1,53 @@
+//! The contest for a lease at the store: carries out what a [`lease::Contender`] asks for.
+//!
+//! The contender decides and knows no store; whoever contends calls these for its steps.
+
+use crate::store::{Condition, Failure, ObjectStore};
+use crate::{clock, lease};
+
+/// Reads the record of a lease for a contender.
+///
+/// # Errors
+/// When the store did not answer; the contender asks again by itself.
+pub async fn read(
+    store: &impl ObjectStore,
+    contender: &mut lease::Contender,
+    key: &str,
+) -> Result<(), Failure> {
+    let sent_ms = clock::boot_ms();
+    let seen = match store.get(key).await? {
+        None => lease::Seen { version: 0, record: None },
+        Some(object) => {
+            // A record that can't be read is replaced like one that is free.
+            let record = serde_json::from_str(&object.value).ok();
+            lease::Seen { version: object.version, record }
+        }
+    };
+    contender.read(seen, sent_ms, clock::boot_ms());
+    Ok(())
+}
+
+/// Makes a contender's write and tells it the outcome.
+///
+/// # Errors
+/// When the write was refused or not answered; the contender knows already.
+pub async fn write(
+    store: &impl ObjectStore,
+    contender: &mut lease::Contender,
+    key: &str,
+    write: &lease::Write,
+) -> Result<(), Failure> {
+    let condition = match write.if_version {
+        0 => Condition::Absent,
+        version => Condition::Version(version),
+    };
+    let value = serde_json::to_string(&write.record).unwrap_or_default();
+    let written = store.put(key, value, condition).await;
+    let now_ms = clock::boot_ms();
+    match written {
+        Ok(version) => contender.written(version, now_ms),
+        Err(Failure::Conflict) => contender.refused(now_ms),
+        Err(Failure::NoAnswer | Failure::Down) => contender.no_answer(now_ms),
+    }
+    written.map(|_| ())
+}
--- a/src/duties.rs
+++ b/src/duties.rs
@@ -14,8 +14,7 @@
 use tokio::{task, time};
 use xxhash_rust::xxh3;
 
-use crate::store::{self, Condition, Failure, ObjectStore};
-use crate::{billing, control, lease, membership, scaler};
+use crate::{billing, contest, control, lease, membership, scaler};
 
 /// Entries that contend for a duty.
 const CONTENDERS: usize = 2;
@@ -148,7 +147,8 @@
 /// Contends for a duty and does it while it is held.
 async fn contend(control: Rc<control::Control>, duty: Duty) {
     let key = duty.key();
-    let mut contender = lease::Contender::new(control.settings.id.clone(), control.boot);
+    let mut contender =
+        lease::Contender::new(control.settings.id.clone(), control.boot, lease::TERMS);
     let mut work = Work::of(&duty);
     loop {
         if control.hub.draining.load(Ordering::Acquire) {
@@ -164,8 +164,14 @@
             }
         }
         match contender.step(control.hub.now_ms()) {
-            lease::Step::Read => read(&control, &mut contender, &key).await,
-            lease::Step::Write(write) => self::write(&control, &mut contender, &key, write).await,
+            lease::Step::Read => {
+                let read = contest::read(&control.platform, &mut contender, &key).await;
+                control.store_answered(&read);
+            }
+            lease::Step::Write(write) => {
+                let written = contest::write(&control.platform, &mut contender, &key, &write).await;
+                control.store_answered(&written);
+            }
             lease::Step::WaitUntil(at_ms) => {
                 let now_ms = control.hub.now_ms();
                 let pause_ms = at_ms.saturating_sub(now_ms).clamp(1, STEP_MS);
@@ -179,42 +185,6 @@
     }
 }
 
-async fn read(control: &control::Control, contender: &mut lease::Contender, key: &str) {
-    let sent_ms = control.hub.now_ms();
-    let read = control.platform.get(key).await;
-    control.store_answered(&read);
-    let seen = match read {
-        Ok(None) => lease::Seen { version: 0, record: None },
-        Ok(Some(object)) => {
-            let record = serde_json::from_str(&object.value).ok();
-            lease::Seen { version: object.version, record }
-        }
-        Err(_) => return,
-    };
-    contender.read(seen, sent_ms, control.hub.now_ms());
-}
-
-async fn write(
-    control: &control::Control,
-    contender: &mut lease::Contender,
-    key: &str,
-    write: lease::Write,
-) {
-    let condition = match write.if_version {
-        0 => Condition::Absent,
-        version => Condition::Version(version),
-    };
-    let value = serde_json::to_string(&write.record).unwrap_or_default();
-    let written = control.platform.put(key, value, condition).await;
-    control.store_answered(&written);
-    let now_ms = control.hub.now_ms();
-    match written {
-        Ok(version) => contender.written(version, now_ms),
-        Err(store::Failure::Conflict) => contender.refused(now_ms),
-        Err(Failure::NoAnswer | Failure::Down) => contender.no_answer(now_ms),
-    }
-}
-
 fn show(control: &control::Control, duty: &Duty, contender: &lease::Contender, note: &str) {
     let Some(record) = contender.holder() else {
         return;
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -12,7 +12,9 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task;
 
-use super::{billing, directory, duty, members, peers, pulls, route, shared, tally, watch};
+use super::{
+    billing, directory, duty, members, peers, pulls, route, scaling, shared, tally, watch,
+};
 use crate::{bound, clock, lease, seal, store};
 
 /// What is followed in the store.
@@ -70,6 +72,13 @@
         holder: &Holder,
         seal: &billing::Sealed,
     ) -> Result<(), store::Failure>;
+
+    /// Orders how many endpoints of a service run in a zone.
+    async fn order_endpoints(
+        &self,
+        holder: &Holder,
+        order: &scaling::Order,
+    ) -> Result<(), store::Failure>;
 }
 
 /// The control thread's state.
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -1,4 +1,5 @@
-//! The contest for the duties of the fleet: whichever entry holds their lease does the billing.
+//! The contest for the duties of the fleet: whichever entry holds their lease does the billing
+//! and orders the endpoints.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,11 +7,21 @@
 use tokio::time;
 
 use super::control::{Control, Platform};
-use super::{billing, peers};
-use crate::lease;
-use crate::store::{Condition, Failure};
+use super::{billing, peers, scaling};
+use crate::{contest, lease};
 
 const LEASE_KEY: &str = "briarwinch-leases/duties";
+/// Terms of the duties. A usage report is due ten seconds after its window, a holder's death in
+/// between included: rivals see the last renewal within 1.3 s, wait 4.4 s, and report. Not shorter:
+/// a holder has to outlast a call of 1.2 s that got no answer, and acts of two holders must lie
+/// three seconds apart.
+const TERMS: lease::Terms = lease::Terms {
+    term_ms: 4_000,
+    margin_ms: 400,
+    renew_ms: 1_300,
+    read_ms: 1_300,
+    settle_ms: 300,
+};
 /// Longest pause between two steps.
 const STEP_MS: u64 = 200;
 /// How long no entry may hold the duties before this one contends; the others wait longer by rank,
@@ -25,9 +36,11 @@
 
 /// Contends for the duties and does them while they are held.
 pub(super) async fn contend<P: Platform>(control: Rc<Control<P>>) {
-    let id = control.shared.settings.id.clone();
-    let mut contender = lease::Contender::new(id, control.shared.boot);
+    let settings = &control.shared.settings;
+    let name = format!("{}@{}", settings.id, settings.peer_addr());
+    let mut contender = lease::Contender::of_bound_address(name.into(), control.shared.boot, TERMS);
     let mut billing = billing::Billing::default();
+    let mut scaling = scaling::Scaling::default();
     let mut vacant_since_ms = None;
     let mut quiet_until_ms = 0;
     loop {
@@ -56,12 +69,14 @@
         let now_ms = control.now_ms();
         if contender.epoch(now_ms).is_some() && !held {
             billing = billing::Billing::default();
+            scaling = scaling::Scaling::default();
             let was_returned = before.is_some_and(|record| record.term_ms == 0);
             quiet_until_ms = if was_returned { now_ms + SUCCESSION_MS } else { 0 };
             note_holding(&control, true);
         }
         if now_ms >= quiet_until_ms {
             billing.tick(&control, &contender).await;
+            scaling.tick(&control, &contender).await;
         }
     }
 }
@@ -89,19 +104,9 @@
 }
 
 async fn read<P: Platform>(control: &Control<P>, contender: &mut lease::Contender) {
-    let sent_ms = control.now_ms();
-    let seen = match control.platform.get(LEASE_KEY).await {
-        Ok(None) => lease::Seen { version: 0, record: None },
-        Ok(Some(object)) => {
-            let record = serde_json::from_str(&object.value).ok();
-            lease::Seen { version: object.version, record }
-        }
-        Err(failure) => {
-            slog::info!(control.log, "lease not read"; "failure" => failure.to_string());
-            return;
-        }
-    };
-    contender.read(seen, sent_ms, control.now_ms());
+    if let Err(failure) = contest::read(&control.platform, contender, LEASE_KEY).await {
+        slog::info!(control.log, "lease not read"; "failure" => failure.to_string());
+    }
 }
 
 async fn write<P: Platform>(
@@ -109,27 +114,11 @@
     contender: &mut lease::Contender,
     write: lease::Write,
 ) {
-    let condition = match write.if_version {
-        0 => Condition::Absent,
-        version => Condition::Version(version),
-    };
-    let epoch = write.record.epoch.0;
-    let term_ms = write.record.term_ms;
-    let value = serde_json::to_string(&write.record).unwrap_or_default();
-    let written = control.platform.put(LEASE_KEY, value, condition).await;
-    let now_ms = control.now_ms();
-    match written {
-        Ok(version) => contender.written(version, now_ms),
-        Err(failure) => {
-            slog::info!(control.log, "lease not written"; "epoch" => epoch, "term_ms" => term_ms,
-                "failure" => failure.to_string());
-            match failure {
-                Failure::Conflict => contender.refused(now_ms),
-                Failure::NoAnswer | Failure::Down => contender.no_answer(now_ms),
-            }
-        }
+    if let Err(failure) = contest::write(&control.platform, contender, LEASE_KEY, &write).await {
+        slog::info!(control.log, "lease not written"; "epoch" => write.record.epoch.0,
+            "term_ms" => write.record.term_ms, "failure" => failure.to_string());
     }
 }
 
 /// A peer that is gone no longer holds the duties for this entry.
-const _: () = assert!(peers::GONE_MS < lease::TERM_MS, "a vacancy is noticed within a term");
+const _: () = assert!(peers::GONE_MS < TERMS.term_ms, "a vacancy is noticed within a term");
--- a/src/gateway/events_body.rs
+++ b/src/gateway/events_body.rs
@@ -231,9 +231,8 @@
             return;
         };
         let took_ms = self.gateway.now_ms() - running.sent_ms;
-        let mut readings = self.gateway.readings.borrow_mut();
-        let reading = readings.entry(self.job.service().name.clone()).or_default();
-        reading.learn(running.ticket.before_tokens(), took_ms);
+        let service = &self.job.service().name;
+        self.gateway.shared.learn_reading(service, running.ticket.before_tokens(), took_ms);
     }
 
     fn note_lost(&mut self, error: &http1::Error) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod load;
 pub mod measures;
 pub mod members;
+pub mod outage;
 pub mod peers;
 pub mod pool;
 pub mod pulls;
@@ -32,18 +33,17 @@
 pub mod reload;
 pub mod request;
 pub mod route;
+pub mod scaling;
 pub mod settings;
 pub mod shared;
 pub mod tally;
 pub mod watch;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use tokio::{task, time};
 
 use crate::clock;
@@ -59,8 +59,6 @@
     pool: RefCell<pool::Pool>,
     health: RefCell<health::Health>,
     budgets: RefCell<budget::Budgets>,
-    /// By service.
-    readings: RefCell<HashMap<CompactString, reading::Reading>>,
     log: slog::Logger,
 }
 
@@ -78,7 +76,6 @@
             form,
             pool: RefCell::default(),
             health: RefCell::default(),
-            readings: RefCell::default(),
             log,
         });
         task::spawn_local(sweep(Rc::clone(&gateway)));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -236,7 +236,6 @@
         let book = self.shared.book();
         let homes = self.shared.homes();
         let health = self.health.borrow();
-        let readings = self.readings.borrow();
         let known = choose::Known {
             book: &book,
             homes: &homes,
@@ -244,7 +243,7 @@
             zone: &self.shared.settings.zone,
             now_ms: self.now_ms(),
             patience_ms: job.stream_patience_ms() as f64,
-            reading: &readings.get(&service.name).copied().unwrap_or_default(),
+            reading: &self.shared.reading(&service.name),
         };
         choose::choose(
             fresh,
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -93,6 +93,17 @@
     /// Connections that one endpoint takes from all callers together.
     pub max_connections: u32,
     pub engine: Option<Engine>,
+    /// How many endpoints may be ordered; none where their number is not the router's matter.
+    pub scaling: Option<Scaling>,
+}
+
+/// How many endpoints of a service may run in each availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Scaling {
+    pub least: u32,
+    pub most: u32,
+    /// From an order until a new endpoint serves.
+    pub start_ms: u64,
 }
 
 /// A client account.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,11 +1,13 @@
 //! What the control thread and the traffic thread of an entry share.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use compact_str::CompactString;
 
-use super::{directory, drain, gate, homes, load, route, settings, tally};
+use super::{directory, drain, gate, homes, load, reading, route, settings, tally};
 use crate::clock;
 
 /// Configuration and endpoints at one moment.
@@ -41,6 +43,8 @@
     book: Mutex<load::Book>,
     homes: Mutex<homes::Homes>,
     tally: Mutex<tally::Tally>,
+    /// How fast the engines of each service read.
+    readings: Mutex<HashMap<CompactString, reading::Reading>>,
 }
 
 impl Shared {
@@ -62,6 +66,7 @@
             book: Mutex::default(),
             homes: Mutex::default(),
             tally: Mutex::default(),
+            readings: Mutex::default(),
         }
     }
 
@@ -85,6 +90,17 @@
         lock(&self.tally)
     }
 
+    /// How fast the engines of a service read, as far as this entry has seen.
+    #[must_use]
+    pub fn reading(&self, service: &str) -> reading::Reading {
+        lock(&self.readings).get(service).copied().unwrap_or_default()
+    }
+
+    /// Learns from an answer: so many tokens were to be read before its first event.
+    pub fn learn_reading(&self, service: &CompactString, tokens: u64, took_ms: u64) {
+        lock(&self.readings).entry(service.clone()).or_default().learn(tokens, took_ms);
+    }
+
     /// The billing window of this long ago.
     fn window(&self, ago_ms: u64) -> u64 {
         let window_ms = self.settings.billing_window_s.max(1) * 1_000;
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
 
-use crate::{duties, spread, usage};
+use crate::{clock, duties, spread, usage};
 
 /// What the control thread and the traffic threads of a daemon share.
 #[derive(Debug)]
@@ -24,7 +24,6 @@
     pub duties: Mutex<Vec<duties::Status>>,
     pub bytes_out: AtomicU64,
     pub store_calls: AtomicU64,
-    started: Instant,
 }
 
 impl Default for Hub {
@@ -40,16 +39,16 @@
             duties: Mutex::default(),
             bytes_out: AtomicU64::new(0),
             store_calls: AtomicU64::new(0),
-            started: Instant::now(),
         }
     }
 }
 
 impl Hub {
-    /// Time on this daemon's own clock.
+    /// Time on this instance's boot clock. A clock that stood still while the instance was suspended
+    /// would let a holder act on a lease that has run out meanwhile.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        clock::boot_ms()
     }
 
     /// Counts usage into the billing window of this moment.
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -26,13 +26,26 @@
 )]
 pub struct Epoch(pub u64);
 
-/// Length of a term.
-pub const TERM_MS: u64 = 6_000;
-/// What a rival waits beyond the term, and a holder stops before its end, for clocks that run at
-/// different rates (a thousandth of the term is ten times what a quartz clock drifts).
-pub const MARGIN_MS: u64 = 500;
-/// How often a holder renews.
-pub const RENEW_MS: u64 = 2_000;
+/// How long terms are and how often they are looked after.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Length of a term.
+    pub term_ms: u64,
+    /// What a rival waits beyond the term, and a holder stops before its end, for clocks that run at
+    /// different rates.
+    pub margin_ms: u64,
+    /// How often a holder renews.
+    pub renew_ms: u64,
+    /// How often a rival reads the record.
+    pub read_ms: u64,
+    /// How often the outcome of an unanswered write is asked for.
+    pub settle_ms: u64,
+}
+
+/// Terms of the duties of side processes and entries: orders to endpoints may take seconds. The
+/// margin is a thousandth of the term many times over, ten times what a quartz clock drifts.
+pub const TERMS: Terms =
+    Terms { term_ms: 6_000, margin_ms: 500, renew_ms: 2_000, read_ms: 2_000, settle_ms: 500 };
 
 /// What the store holds of a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,33 +110,47 @@
 pub struct Contender {
     name: CompactString,
     boot: u64,
+    terms: Terms,
+    /// No other live process can have this name.
+    is_sole: bool,
     nonce: u64,
     holding: Option<Holding>,
     standing: Option<Standing>,
-    pending: Option<Pending>,
+    /// Writes on the same version whose outcome is open. The store takes one of them at most.
+    pending: Vec<Pending>,
+    /// None of the pending writes had taken effect when the record was last read.
+    may_write_again: bool,
     next_read_ms: u64,
     releasing: bool,
 }
 
-/// How often a rival reads the record.
-const READ_MS: u64 = 2_000;
-
 impl Contender {
     /// A daemon that has just started, with a number of this start of its own.
     #[must_use]
-    pub fn new(name: CompactString, boot: u64) -> Self {
+    pub fn new(name: CompactString, boot: u64, terms: Terms) -> Self {
         Self {
             name,
             boot,
+            terms,
+            is_sole: false,
             nonce: 0,
             holding: None,
             standing: None,
-            pending: None,
+            pending: Vec::new(),
+            may_write_again: false,
             next_read_ms: 0,
             releasing: false,
         }
     }
 
+    /// The same, under a name that holds an address which this process has bound. A record of an
+    /// earlier start under this name is of a process that has ended, and need not be waited for: when
+    /// all entries are killed at once, the duties are done again a term earlier.
+    #[must_use]
+    pub fn of_bound_address(name: CompactString, boot: u64, terms: Terms) -> Self {
+        Self { is_sole: true, ..Self::new(name, boot, terms) }
+    }
+
     /// The fencing number, while the term surely runs.
     ///
     /// To be asked right before each act under the lease: a process that was frozen past its term
@@ -131,7 +158,7 @@
     #[must_use]
     pub fn epoch(&self, now_ms: u64) -> Option<Epoch> {
         let holding = self.holding.as_ref().filter(|_| !self.releasing)?;
-        (now_ms < holding.from_ms + TERM_MS - MARGIN_MS).then_some(holding.epoch)
+        (now_ms < self.end_ms(holding)).then_some(holding.epoch)
     }
 
     /// The fencing number if at least `left_ms` of the term are left.
@@ -144,7 +171,7 @@
     /// has to be renewed or given back.
     #[must_use]
     pub fn is_engaged(&self) -> bool {
-        self.pending.is_some() || self.holding.is_some()
+        !self.pending.is_empty() || self.holding.is_some()
     }
 
     /// What to do now for one who does not contend but may have to soon: read from time to time.
@@ -163,9 +190,8 @@
 
     /// What to do now.
     pub fn step(&mut self, now_ms: u64) -> Step {
-        if self.pending.is_some() {
-            // The outcome of a write is open: only reading settles it.
-            return self.read_when_due(now_ms);
+        if let Some(last) = self.pending.last().map(|pending| pending.write.clone()) {
+            return self.settle(&last, now_ms);
         }
         if let Some(holding) = self.holding.clone() {
             return self.hold(&holding, now_ms);
@@ -173,29 +199,45 @@
         let Some(standing) = self.standing.clone() else {
             return self.read_when_due(now_ms);
         };
-        let free_at_ms = standing.since_ms
-            + standing.seen.record.as_ref().map_or(0, |record| {
-                // A term of zero length was given back by its holder.
-                if record.term_ms == 0 { 0 } else { record.term_ms + MARGIN_MS }
-            });
+        let record = standing.seen.record.as_ref();
+        let free_at_ms = record.map_or(0, |record| self.free_at_ms(record, standing.since_ms));
         if self.releasing || now_ms < free_at_ms {
             return self.read_when_due(now_ms);
         }
-        let epoch =
-            standing.seen.record.as_ref().map_or(Epoch(1), |record| Epoch(record.epoch.0 + 1));
-        self.write(standing.seen.version, epoch, TERM_MS, now_ms)
+        let epoch = record.map_or(Epoch(1), |record| Epoch(record.epoch.0 + 1));
+        self.write(standing.seen.version, epoch, self.terms.term_ms, now_ms)
+    }
+
+    /// When a record that has stood since a time may be replaced.
+    fn free_at_ms(&self, record: &Record, since_ms: u64) -> u64 {
+        let is_given_back = record.term_ms == 0;
+        let is_former_self = self.is_sole && record.holder == self.name && record.boot != self.boot;
+        if is_given_back || is_former_self {
+            return 0;
+        }
+        since_ms + record.term_ms + self.terms.margin_ms
+    }
+
+    /// The outcome of the last write is open: reading settles it, or another write on the same
+    /// version. Waited for instead, a write that was lost with the store's outage would leave nobody
+    /// in charge for a term after the store's return.
+    fn settle(&mut self, last: &Write, now_ms: u64) -> Step {
+        let is_wanted = !self.releasing || last.record.term_ms == 0;
+        if self.may_write_again && is_wanted {
+            return self.write(last.if_version, last.record.epoch, last.record.term_ms, now_ms);
+        }
+        self.read_when_due(now_ms)
     }
 
-    /// The store answered a write.
+    /// The store answered the last write.
     pub fn written(&mut self, version: u64, now_ms: u64) {
-        if let Some(pending) = self.pending.take() {
+        if let Some(pending) = self.pending.pop() {
             self.won(pending, version, now_ms);
         }
     }
 
-    /// The store refused a write: another came first.
+    /// The store refused the last write: another came first, maybe an earlier one of these.
     pub fn refused(&mut self, now_ms: u64) {
-        self.pending = None;
         self.holding = None;
         // What was known of the record is old. Kept, it would look free for ever, and every step
         // would write on the old version again and be refused again, without ever reading.
@@ -203,32 +245,32 @@
         self.next_read_ms = now_ms;
     }
 
-    /// A write got no answer.
+    /// The last write got no answer.
     pub fn no_answer(&mut self, now_ms: u64) {
         self.next_read_ms = now_ms;
     }
 
     /// The record was read; the read was sent at `sent_ms`.
     pub fn read(&mut self, seen: Seen, sent_ms: u64, now_ms: u64) {
-        self.next_read_ms = now_ms + READ_MS;
+        self.next_read_ms = now_ms + self.terms.read_ms;
         if self.older_than_known(&seen) {
             return;
         }
-        if let Some(pending) = self.pending.take() {
-            let mine = seen.record.as_ref() == Some(&pending.write.record);
-            if mine {
-                self.won(pending, seen.version, now_ms);
+        let mine =
+            self.pending.iter().position(|one| seen.record.as_ref() == Some(&one.write.record));
+        if let Some(mine) = mine {
+            let pending = self.pending.swap_remove(mine);
+            self.won(pending, seen.version, now_ms);
+            return;
+        }
+        if let Some(last) = self.pending.last() {
+            if sent_ms < last.sent_ms || seen.version == last.write.if_version {
+                // A write may still be under way and take effect after this read.
+                self.may_write_again = sent_ms >= last.sent_ms;
                 return;
             }
-            if sent_ms < pending.sent_ms || seen.version == pending.write.if_version {
-                // The write may still be under way and take effect after this read. It is kept as
-                // pending until another version shows that it cannot any more, or until the term
-                // it asked for is over; then a new write on the same version settles it.
-                if now_ms < pending.sent_ms + TERM_MS {
-                    self.pending = Some(pending);
-                    return;
-                }
-            }
+            // Another version stands, so none of them can take effect any more.
+            self.pending.clear();
         }
         let known = self.holding.as_ref().map(|holding| holding.version);
         if known.is_some_and(|version| version != seen.version) {
@@ -251,26 +293,33 @@
     fn older_than_known(&self, seen: &Seen) -> bool {
         // A lagging read shows a version that has been replaced. Taking it would restart the
         // count on a record that no longer stands.
-        let known = self.standing.as_ref().map_or(0, |standing| standing.seen.version);
-        seen.version < known
+        let standing = self.standing.as_ref().map(|standing| standing.seen.version);
+        let written_on = self.pending.last().map(|pending| pending.write.if_version);
+        Some(seen.version) < standing.max(written_on)
+    }
+
+    fn end_ms(&self, holding: &Holding) -> u64 {
+        holding.from_ms + self.terms.term_ms - self.terms.margin_ms
     }
 
     fn hold(&mut self, holding: &Holding, now_ms: u64) -> Step {
-        if now_ms >= holding.from_ms + TERM_MS - MARGIN_MS {
+        if now_ms >= self.end_ms(holding) {
             self.holding = None;
             return self.read_when_due(now_ms);
         }
         if self.releasing {
             return self.write(holding.version, holding.epoch, 0, now_ms);
         }
-        if now_ms >= holding.from_ms + RENEW_MS {
-            return self.write(holding.version, holding.epoch, TERM_MS, now_ms);
+        let renew_at_ms = holding.from_ms + self.terms.renew_ms;
+        if now_ms >= renew_at_ms {
+            return self.write(holding.version, holding.epoch, self.terms.term_ms, now_ms);
         }
-        Step::WaitUntil(holding.from_ms + RENEW_MS)
+        Step::WaitUntil(renew_at_ms)
     }
 
     fn write(&mut self, if_version: u64, epoch: Epoch, term_ms: u64, now_ms: u64) -> Step {
         self.nonce += 1;
+        self.may_write_again = false;
         let record = Record {
             holder: self.name.clone(),
             boot: self.boot,
@@ -279,11 +328,13 @@
             nonce: self.nonce,
         };
         let write = Write { if_version, record };
-        self.pending = Some(Pending { write: write.clone(), sent_ms: now_ms });
+        self.pending.push(Pending { write: write.clone(), sent_ms: now_ms });
         Step::Write(write)
     }
 
     fn won(&mut self, pending: Pending, version: u64, now_ms: u64) {
+        // All were on the same version, so no other can take effect any more.
+        self.pending.clear();
         let record = pending.write.record;
         let is_term = record.term_ms > 0;
         self.holding =
@@ -294,7 +345,9 @@
 
     fn read_when_due(&mut self, now_ms: u64) -> Step {
         if now_ms >= self.next_read_ms {
-            self.next_read_ms = now_ms + READ_MS;
+            let is_settling = !self.pending.is_empty();
+            let pause_ms = if is_settling { self.terms.settle_ms } else { self.terms.read_ms };
+            self.next_read_ms = now_ms + pause_ms;
             return Step::Read;
         }
         Step::WaitUntil(self.next_read_ms)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod contest;
 pub mod control;
 pub mod daemon;
 pub mod duties;
--- a/src/scaling.rs
+++ b/src/scaling.rs
@@ -64,6 +64,12 @@
 }
 
 impl Planner {
+    /// A planner that has been told how long an endpoint takes to start.
+    #[must_use]
+    pub fn with_start_ms(start_ms: u64) -> Self {
+        Self { start_ms: start_ms as f64, ..Self::default() }
+    }
+
     /// An endpoint that was ordered has come up; gives its start time to what is expected.
     pub fn came_up(&mut self, now_ms: u64) {
         if let Some(ordered_ms) = self.ordered_ms.pop_front() {
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -23,7 +23,12 @@
 }
 
 fn table() -> Table {
-    let service = |name: &str| Service { name: name.into(), max_connections: 100, engine: None };
+    let service = |name: &str| Service {
+        name: name.into(),
+        max_connections: 100,
+        engine: None,
+        scaling: None,
+    };
     Table::from(Parts {
         version: 3,
         routes: vec![
--- a/tests/gateway/succession.rs
+++ b/tests/gateway/succession.rs
@@ -1,9 +1,9 @@
 //! The lease of the duties passes on without a gap.
 
-use briarwinch::lease::{Contender, MARGIN_MS, Record, Seen, Step, TERM_MS};
+use briarwinch::lease::{Contender, Record, Seen, Step, TERMS};
 
 fn holding(name: &str, now_ms: u64) -> (Contender, Record) {
-    let mut contender = Contender::new(name.into(), 1);
+    let mut contender = Contender::new(name.into(), 1, TERMS);
     contender.read(Seen { version: 0, record: None }, now_ms, now_ms);
     let Step::Write(write) = contender.step(now_ms) else {
         panic!("a free lease is taken");
@@ -33,11 +33,74 @@
 #[test]
 fn an_entry_that_stood_by_takes_over_as_soon_as_the_term_is_over() {
     let (_, record) = holding("one", 0);
-    let mut next = Contender::new("two".into(), 2);
+    let mut next = Contender::new("two".into(), 2, TERMS);
     assert_eq!(next.step_aside(100), Step::Read);
     next.read(Seen { version: 5, record: Some(record) }, 100, 101);
     assert!(!matches!(next.step_aside(200), Step::Read), "it reads from time to time");
-    let free_ms = 101 + TERM_MS + MARGIN_MS;
+    let free_ms = 101 + TERMS.term_ms + TERMS.margin_ms;
     assert!(!matches!(next.step(free_ms - 1), Step::Write(_)));
     assert!(matches!(next.step(free_ms), Step::Write(_)));
 }
+
+fn taking_over(from: &Record) -> (Contender, Record, u64) {
+    let mut next = Contender::new("two".into(), 2, TERMS);
+    next.read(Seen { version: 5, record: Some(from.clone()) }, 100, 101);
+    let now_ms = 101 + TERMS.term_ms + TERMS.margin_ms;
+    let Step::Write(write) = next.step(now_ms) else {
+        panic!("the term is over");
+    };
+    (next, write.record, now_ms)
+}
+
+/// The store is away and a takeover gets no answer. An entry that waited for a whole term to see
+/// whether the write still takes effect would leave nobody in charge long after the store is back,
+/// and the windows due meanwhile are reported late.
+#[test]
+fn a_takeover_without_an_answer_is_tried_again_as_soon_as_the_store_answers() {
+    let (_, record) = holding("one", 0);
+    let (mut next, first, now_ms) = taking_over(&record);
+    next.no_answer(now_ms + 1_200);
+    assert_eq!(next.step(now_ms + 1_200), Step::Read);
+    next.read(Seen { version: 5, record: Some(record) }, now_ms + 1_200, now_ms + 1_201);
+    let Step::Write(again) = next.step(now_ms + 1_201) else {
+        panic!("it tries again");
+    };
+    assert_eq!(again.if_version, 5, "the store takes one of both at most");
+    assert_eq!(again.record.epoch, first.epoch);
+    next.written(6, now_ms + 1_205);
+    assert_eq!(next.epoch(now_ms + 1_206), Some(first.epoch));
+}
+
+/// The first write was done late, so the second is refused: by this entry's own record. Taken for a
+/// rival's, its term would be waited for in vain.
+#[test]
+fn a_late_takeover_of_ones_own_is_known_again() {
+    let (_, record) = holding("one", 0);
+    let (mut next, first, now_ms) = taking_over(&record);
+    next.no_answer(now_ms + 1_200);
+    next.read(Seen { version: 5, record: Some(record) }, now_ms + 1_200, now_ms + 1_201);
+    assert!(matches!(next.step(now_ms + 1_201), Step::Write(_)));
+    next.refused(now_ms + 1_210);
+    assert_eq!(next.step(now_ms + 1_210), Step::Read);
+    let epoch = first.epoch;
+    next.read(Seen { version: 6, record: Some(first) }, now_ms + 1_210, now_ms + 1_211);
+    assert_eq!(next.epoch(now_ms + 1_212), Some(epoch));
+    let end_ms = now_ms + TERMS.term_ms - TERMS.margin_ms;
+    assert_eq!(next.epoch(end_ms), None, "its term counts from the write that took effect");
+}
+
+/// All entries are killed at once and start again. The lease names one of them; waiting for the term
+/// of its former self, nobody reports usage for a term although nobody else can hold it.
+#[test]
+fn an_entry_that_starts_again_takes_its_former_lease_at_once() {
+    let (_, record) = holding("one@127.0.0.1:80", 0);
+    let mut again = Contender::of_bound_address("one@127.0.0.1:80".into(), 9, TERMS);
+    again.read(Seen { version: 5, record: Some(record.clone()) }, 700, 701);
+    let Step::Write(write) = again.step(701) else {
+        panic!("its former self has ended");
+    };
+    assert!(write.record.epoch > record.epoch, "what the former self sent is older");
+    let mut other = Contender::of_bound_address("two@127.0.0.2:80".into(), 9, TERMS);
+    other.read(Seen { version: 5, record: Some(record) }, 700, 701);
+    assert!(!matches!(other.step(701), Step::Write(_)), "another's term is waited for");
+}
--- a/tests/properties/lease.rs
+++ b/tests/properties/lease.rs
@@ -1,6 +1,6 @@
 //! Leases: two daemons never both believe they are in charge while either acts.
 
-use briarwinch::lease::{Contender, Epoch, MARGIN_MS, Record, Seen, Step, TERM_MS};
+use briarwinch::lease::{Contender, Epoch, Record, Seen, Step, TERMS};
 use briarwinch::orders::Fence;
 use proptest::prelude::*;
 
@@ -102,6 +102,16 @@
 }
 
 impl Daemon {
+    fn start(number: usize, boot: u64, clock_offset_ms: u64, at_ms: u64) -> Self {
+        let name = format!("entry-{number}").into();
+        Self {
+            contender: Contender::of_bound_address(name, boot, TERMS),
+            under_way: None,
+            wait_until_ms: at_ms,
+            clock_offset_ms,
+        }
+    }
+
     fn clock(&self, true_ms: u64) -> u64 {
         true_ms + self.clock_offset_ms
     }
@@ -164,31 +174,48 @@
 proptest! {
     #![proptest_config(crate::cases(300))]
 
-    /// Holders are frozen past their term, answers are lost after they took effect, reads are old,
-    /// the store is down, three rivals contend. An order from two of them at once would start or
+    /// Holders are frozen past their term, or killed and started again under the same name, answers
+    /// are lost after they took effect, reads are old, the store is down, three rivals contend. An order from two of them at once would start or
     /// stop the same endpoints twice.
     #[test]
     fn at_most_one_daemon_is_in_charge(
         calls in prop::collection::vec(call(), 20..120),
         offsets in prop::collection::vec(0..1_000_000_u64, 3),
+        restarts in prop::collection::vec((0..CALM_MS, 0..3_usize), 0..12),
     ) {
         let mut store = Store::default();
+        let mut left_behind: Vec<UnderWay> = Vec::new();
         // After the faults a calm, in which somebody must come to be in charge.
         let calm = Call {
             out_ms: 5, back_ms: 5, answer_lost: false, down: false, frozen_ms: 0, stale: false,
         };
         let mut faults = calls.iter().copied().cycle();
         let mut calms = std::iter::repeat(calm);
-        let mut daemons: Vec<Daemon> = offsets.iter().enumerate().map(|(number, offset)| Daemon {
-            contender: Contender::new(format!("entry-{number}").into(), number as u64),
-            under_way: None,
-            wait_until_ms: 0,
-            clock_offset_ms: *offset,
-        }).collect();
+        let mut daemons: Vec<Daemon> = offsets
+            .iter()
+            .enumerate()
+            .map(|(number, offset)| Daemon::start(number, number as u64, *offset, 0))
+            .collect();
         let mut fence = Fence::default();
         let mut newest = Epoch(0);
         let mut held_ms = 0_u64;
         for true_ms in (0..END_MS).step_by(50) {
+            for (at_ms, number) in &restarts {
+                if (true_ms..true_ms + 50).contains(at_ms) {
+                    let offset = offsets[*number];
+                    let next = Daemon::start(*number, 1_000 + at_ms, offset, true_ms + 300);
+                    let ended = std::mem::replace(&mut daemons[*number], next);
+                    // What it had sent still takes effect.
+                    left_behind.extend(ended.under_way.filter(|call| call.outcome.is_none()));
+                }
+            }
+            left_behind.retain(|call| {
+                let is_due = true_ms >= call.effect_at_ms;
+                if is_due {
+                    store.act(&call.effect, call.fate);
+                }
+                !is_due
+            });
             for daemon in &mut daemons {
                 if true_ms < CALM_MS {
                     daemon.advance(true_ms, &mut store, &mut faults);
@@ -236,25 +263,29 @@
 /// rival can have begun: the gap between both is twice the margin.
 #[test]
 fn woken_holder_knows_that_its_term_is_over() {
-    let mut holder = Contender::new("holder".into(), 1);
+    let mut holder = Contender::new("holder".into(), 1, TERMS);
     holder.read(Seen { version: 0, record: None }, 0, 0);
     assert!(matches!(holder.step(0), Step::Write(_)));
     holder.written(1, 700);
-    let last = (0..2 * TERM_MS).rev().find(|now| holder.epoch(*now).is_some());
-    assert_eq!(last, Some(TERM_MS - MARGIN_MS - 1), "counted from before the write was sent");
+    let last = (0..2 * TERMS.term_ms).rev().find(|now| holder.epoch(*now).is_some());
+    assert_eq!(
+        last,
+        Some(TERMS.term_ms - TERMS.margin_ms - 1),
+        "counted from before the write was sent"
+    );
 }
 
 /// A daemon stops as planned and gives its lease back, so that the next one need not wait.
 #[test]
 fn released_lease_is_taken_at_once() {
-    let mut holder = Contender::new("holder".into(), 1);
+    let mut holder = Contender::new("holder".into(), 1, TERMS);
     holder.read(Seen { version: 0, record: None }, 0, 0);
     let Step::Write(_) = holder.step(0) else { panic!("it takes the free lease") };
     holder.written(1, 10);
     holder.release();
     assert_eq!(holder.epoch(20), None, "it no longer acts");
     let Step::Write(write) = holder.step(20) else { panic!("it gives the lease back") };
-    let mut rival = Contender::new("rival".into(), 2);
+    let mut rival = Contender::new("rival".into(), 2, TERMS);
     rival.read(Seen { version: 2, record: Some(write.record) }, 30, 30);
     let Step::Write(taken) = rival.step(30) else { panic!("it need not wait") };
     assert_eq!(taken.record.epoch, Epoch(2));
