Holders tell rivals of their terms; entries that start pull what others remember; due windows are reported without pauses

Ruled out: ranks, the time that windows settle.

Digests now carry the holder's term (version, epoch, what is left, idle time), and that it is over for good once its holder stops; the write on that very version keeps two holders apart. The pause after a lease was given back is 1.6 s from the last act. An entry that starts pulls parts and counts from an older one.

--- a/src/gateway/billing.rs
+++ b/src/gateway/billing.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::control::{Control, Holder, Platform};
+use super::duty;
 use crate::lease;
 use crate::store::Condition;
 
@@ -60,47 +61,58 @@
 }
 
 impl Billing {
-    /// Seals and reports what is due, one call at a time.
+    /// Seals or reports the next window that is due.
     pub(super) async fn tick<P: Platform>(
         &mut self,
         control: &Control<P>,
         contender: &lease::Contender,
-    ) {
+    ) -> duty::Tick {
         let now_ms = control.now_ms();
         let Some(fence) = contender.epoch_for(now_ms, CALL_MS) else {
-            return;
+            return duty::Tick::Done;
         };
         if now_ms < self.retry_ms {
-            return;
+            return duty::Tick::Done;
         }
         let is_read = (self.saved.is_some() || self.load(control).await)
             && (self.seals.is_some() || self.read(control).await);
         if !is_read {
             self.retry_ms = now_ms + RETRY_MS;
-            return;
+            return duty::Tick::Done;
         }
         self.save(control).await;
         if let Some(sealed) = self.due(control) {
             self.seal(control, sealed).await;
-            return;
+            return duty::Tick::Again;
         }
         let Some((_, seals)) = &self.seals else {
-            return;
+            return duty::Tick::Done;
         };
         let next = seals.iter().find(|sealed| !self.reported.contains(&sealed.window)).cloned();
-        if let Some(sealed) = next {
-            let holder = Holder { id: control.shared.settings.id.clone(), fence };
-            match control.platform.report_usage(&holder, &sealed).await {
-                Ok(()) => {
-                    slog::info!(control.log, "usage reported"; "window" => sealed.window,
-                        "requests" => sealed.counts.values().sum::<u32>(), "fence" => fence.0);
-                    self.reported.insert(sealed.window);
-                }
-                Err(failure) => {
-                    self.retry_ms = control.now_ms() + RETRY_MS;
-                    slog::info!(control.log, "usage not reported"; "window" => sealed.window,
-                        "failure" => failure.to_string());
-                }
+        let Some(sealed) = next else {
+            return duty::Tick::Done;
+        };
+        let holder = Holder { id: control.shared.settings.id.clone(), fence };
+        self.report(control, &holder, &sealed).await;
+        duty::Tick::Again
+    }
+
+    async fn report<P: Platform>(
+        &mut self,
+        control: &Control<P>,
+        holder: &Holder,
+        sealed: &Sealed,
+    ) {
+        match control.platform.report_usage(holder, sealed).await {
+            Ok(()) => {
+                slog::info!(control.log, "usage reported"; "window" => sealed.window,
+                    "requests" => sealed.counts.values().sum::<u32>(), "fence" => holder.fence.0);
+                self.reported.insert(sealed.window);
+            }
+            Err(failure) => {
+                self.retry_ms = control.now_ms() + RETRY_MS;
+                slog::info!(control.log, "usage not reported"; "window" => sealed.window,
+                    "failure" => failure.to_string());
             }
         }
     }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -94,6 +94,14 @@
     pub(super) socket: UdpSocket,
     /// This entry holds the duties.
     pub(super) holds_duties: Cell<bool>,
+    /// What the others are told of a lease held here, as of a time.
+    pub(super) own_lease: Cell<Option<(lease::Told, u64)>>,
+    /// What a holder has told last, and when.
+    pub(super) told_lease: Cell<Option<(lease::Told, u64)>>,
+    /// The store answered the last read of the lease.
+    pub(super) reads_lease: Cell<bool>,
+    /// This entry has just started and has not been told what those before it knew.
+    pub(super) lacks_memory: Cell<bool>,
     lists_known: Cell<bool>,
     /// Topics whose last call the store failed.
     failing: RefCell<HashSet<Topic>>,
@@ -141,6 +149,10 @@
         directory: RefCell::default(),
         socket: UdpSocket::from_std(sockets.udp)?,
         holds_duties: Cell::new(false),
+        own_lease: Cell::new(None),
+        told_lease: Cell::new(None),
+        reads_lease: Cell::new(true),
+        lacks_memory: Cell::new(true),
         lists_known: Cell::new(false),
         failing: RefCell::default(),
         shared,
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -31,8 +31,16 @@
 /// Entries beside the holder that keep an eye on the lease.
 const STAND_BY: usize = 2;
 /// After a holder gave the lease back, its successor waits. Two holders that stop one after the
-/// other would otherwise act in turns within one term as the platform counts it (three seconds).
-const SUCCESSION_MS: u64 = 3_200;
+/// other would otherwise act in turns within one term as the platform counts it (three seconds): the
+/// first one's next act lies two such waits after its last.
+const SUCCESSION_MS: u64 = 1_600;
+
+/// Whether a duty was acted on, and more may be due at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Tick {
+    Again,
+    Done,
+}
 
 /// Contends for the duties and does them while they are held.
 pub(super) async fn contend<P: Platform>(control: Rc<Control<P>>) {
@@ -42,14 +50,20 @@
     let mut billing = billing::Billing::default();
     let mut scaling = scaling::Scaling::default();
     let mut vacant_since_ms = None;
+    // When another entry last acted, as far as it has told.
+    let mut other_acted_ms = None;
     let mut quiet_until_ms = 0;
     loop {
         let now_ms = control.now_ms();
         if control.shared.is_draining() {
             contender.release();
         }
+        if let Some((told, at_ms)) = control.told_lease.take() {
+            contender.told(told, at_ms);
+            other_acted_ms = Some(at_ms.saturating_sub(told.idle_ms));
+        }
         let held = contender.epoch(now_ms).is_some();
-        note_holding(&control, held);
+        note_holding(&control, &contender, held);
         if !contender.is_engaged() && !may_contend(&control, now_ms, &mut vacant_since_ms) {
             if stands_by(&control, now_ms) && contender.step_aside(now_ms) == lease::Step::Read {
                 read(&control, &mut contender).await;
@@ -71,17 +85,25 @@
             billing = billing::Billing::default();
             scaling = scaling::Scaling::default();
             let was_returned = before.is_some_and(|record| record.term_ms == 0);
-            quiet_until_ms = if was_returned { now_ms + SUCCESSION_MS } else { 0 };
-            note_holding(&control, true);
+            let last_act_ms = other_acted_ms.unwrap_or(now_ms);
+            quiet_until_ms = if was_returned { last_act_ms + SUCCESSION_MS } else { 0 };
+            note_holding(&control, &contender, true);
         }
         if now_ms >= quiet_until_ms {
-            billing.tick(&control, &contender).await;
-            scaling.tick(&control, &contender).await;
+            while billing.tick(&control, &contender).await == Tick::Again {
+                contender.acted(control.now_ms());
+            }
+            if scaling.tick(&control, &contender).await == Tick::Again {
+                contender.acted(control.now_ms());
+            }
         }
     }
 }
 
-fn note_holding<P>(control: &Control<P>, held: bool) {
+/// Notes what the other entries are told of the lease, and whether it is held here.
+fn note_holding<P>(control: &Control<P>, contender: &lease::Contender, held: bool) {
+    let now_ms = control.now_ms();
+    control.own_lease.set(contender.tells(now_ms).map(|told| (told, now_ms)));
     if control.holds_duties.replace(held) != held {
         slog::info!(control.log, "duties"; "held" => held);
     }
@@ -104,8 +126,11 @@
 }
 
 async fn read<P: Platform>(control: &Control<P>, contender: &mut lease::Contender) {
-    if let Err(failure) = contest::read(&control.platform, contender, LEASE_KEY).await {
-        slog::info!(control.log, "lease not read"; "failure" => failure.to_string());
+    let read = contest::read(&control.platform, contender, LEASE_KEY).await;
+    let is_read = read.is_ok();
+    if control.reads_lease.replace(is_read) != is_read {
+        slog::info!(control.log, "lease"; "readable" => is_read,
+            "failure" => read.err().map(|failure| failure.to_string()));
     }
 }
 
--- a/src/gateway/homes.rs
+++ b/src/gateway/homes.rs
@@ -86,6 +86,21 @@
         self.hold(placed.part.id(), held);
     }
 
+    /// The parts that were used last, at most this many, for an entry that has just started.
+    #[must_use]
+    pub fn latest(&self, most: usize) -> Vec<Placed> {
+        let mut all: Vec<(u64, Placed)> = Vec::new();
+        for (part, held) in &self.held {
+            let part = PartName::of(*part);
+            all.extend(
+                held.iter().map(|one| (one.used_ms, Placed { endpoint: one.endpoint, part })),
+            );
+        }
+        all.sort_unstable_by_key(|(used_ms, _)| std::cmp::Reverse(*used_ms));
+        all.truncate(most);
+        all.into_iter().map(|(_, placed)| placed).collect()
+    }
+
     fn told_ms(&self, endpoint: EndpointKey, part: u64) -> Option<u64> {
         self.held.get(&part)?.iter().find(|one| one.endpoint == endpoint).map(|one| one.told_ms)
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,7 +17,7 @@
 
 use super::control::{Control, Platform};
 use super::{gate, homes, load, measures, pulls, settings, tally};
-use crate::{clock, metric, seal};
+use crate::{clock, lease, metric, seal};
 
 /// Pause between digests while something changes, for each [`FEW_PEERS`] or part of them: what is
 /// under way at an endpoint is then known everywhere within a few steps of its engine, and the cost
@@ -59,7 +59,8 @@
     zone: CompactString,
     /// The store answered this entry's last calls, as far as it makes any.
     has_store: bool,
-    holds_duties: bool,
+    /// A lease of the duties that the sender holds, or has given up for good.
+    lease: Option<lease::Told>,
     is_stopping: bool,
     members: Vec<SocketAddr>,
     gate: gate::Ages,
@@ -249,7 +250,7 @@
         directory_revision: control.directory.borrow().revision(),
         zone: control.shared.settings.zone.clone(),
         has_store: control.has_store(),
-        holds_duties: control.holds_duties.get(),
+        lease: control.own_lease.get().map(|(told, at_ms)| told.after(now_ms - at_ms)),
         is_stopping: control.shared.is_draining(),
         members,
         gate: control.shared.gate.ages(now_ms),
@@ -297,6 +298,12 @@
     let shared = &control.shared;
     shared.book().take_digest(digest.boot, &digest.work, now_ms);
     shared.gate.take(digest.gate, now_ms);
+    if let Some(told) = digest.lease {
+        let newer = |(known, _): (lease::Told, u64)| known.version <= told.version;
+        if control.told_lease.get().is_none_or(newer) {
+            control.told_lease.set(Some((told, now_ms)));
+        }
+    }
     {
         let mut peers = control.peers.borrow_mut();
         let peer = Peer {
@@ -304,7 +311,7 @@
             heard_ms: now_ms,
             zone: digest.zone.clone(),
             has_store: digest.has_store,
-            holds_duties: digest.holds_duties,
+            holds_duties: digest.lease.is_some_and(|lease| lease.left_ms > 0 && !lease.is_over),
             is_stopping: digest.is_stopping,
         };
         let before = peers.heard.insert(digest.from, peer);
@@ -321,8 +328,9 @@
         from: digest.from,
         config_version: digest.config_version,
         directory_revision: digest.directory_revision,
+        memory: digest.age_ms > shared.time.age_ms(),
     };
-    if offered.is_newer(control) && control.peers.borrow_mut().begin_pull(digest.from) {
+    if offered.is_wanted(control) && control.peers.borrow_mut().begin_pull(digest.from) {
         task::spawn_local(pulls::pull(Rc::clone(control), offered));
     }
 }
--- a/src/gateway/pulls.rs
+++ b/src/gateway/pulls.rs
@@ -1,5 +1,6 @@
 //! Pulls: an entry that a digest shows to be behind asks the digest's sender for what is newer.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,29 +11,46 @@
 use tokio::{task, time};
 
 use super::control::{Control, Platform};
-use super::{directory, route};
+use super::{directory, homes, route, tally};
 use crate::seal;
 
 /// How long a peer may stay ahead before its state is pulled: the own watch is mostly as fast.
 const PULL_AFTER_MS: u64 = 60;
 const PULL_LIMIT: Duration = Duration::from_millis(1_500);
 const MAX_STATE_BYTES: u32 = 8 << 20;
+const MAX_WANTED_BYTES: u32 = 256;
 /// Pause after a connection could not be accepted: out of descriptors, mostly.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
 
+/// Prompt parts in a pull, the latest used first; 17 bytes each.
+const MAX_PLACED: usize = 20_000;
+
 /// What a pull brings: what its sender has that is newer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct State {
     config: Option<route::Parts>,
     directory: Option<directory::Directory>,
     lapsed: Vec<directory::Lapsed>,
+    memory: Option<Memory>,
 }
 
-/// What a pull says first: the sender's own versions.
-#[derive(Clone, Copy, Debug)]
-struct Known {
+/// What an entry that has just started cannot know by itself.
+///
+/// Without it, it would have engines read again what they have, until the other entries tell of each
+/// part anew; and as holder of the duties it would seal windows without the counts of entries that
+/// have ended.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Memory {
+    placed: Vec<homes::Placed>,
+    counts: BTreeMap<u64, tally::Counts>,
+}
+
+/// What a pull asks for: what is newer than the asker's own versions.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Wanted {
     config_version: u64,
     directory_revision: u64,
+    memory: bool,
 }
 
 /// What a digest says its sender has.
@@ -41,11 +59,18 @@
     pub(super) from: SocketAddr,
     pub(super) config_version: u64,
     pub(super) directory_revision: u64,
+    /// The sender has run for longer, and this entry has not been told yet what such ones remember.
+    pub(super) memory: bool,
 }
 
 impl Offered {
+    /// Whether a pull from the sender brings anything.
+    pub(super) fn is_wanted<P>(&self, control: &Control<P>) -> bool {
+        self.is_newer(control) || self.memory && control.lacks_memory.get()
+    }
+
     /// Whether any of it is newer than what is known here.
-    pub(super) fn is_newer<P>(&self, control: &Control<P>) -> bool {
+    fn is_newer<P>(&self, control: &Control<P>) -> bool {
         self.config_version > control.config_version()
             || self.directory_revision > control.directory.borrow().revision()
     }
@@ -54,9 +79,12 @@
 /// Pulls from a peer, if it is still ahead in a moment.
 pub(super) async fn pull<P: Platform>(control: Rc<Control<P>>, offered: Offered) {
     time::sleep(Duration::from_millis(PULL_AFTER_MS)).await;
-    if offered.is_newer(&control) {
-        match time::timeout(PULL_LIMIT, read_state(&control, offered.from)).await {
+    if offered.is_wanted(&control) {
+        match time::timeout(PULL_LIMIT, read_state(&control, offered)).await {
             Ok(Ok(state)) => {
+                if let Some(memory) = state.memory {
+                    remember(&control, memory, offered.from);
+                }
                 if let Some(parts) = state.config {
                     control.take_table(parts, "peer");
                 }
@@ -80,16 +108,36 @@
     control.peers.borrow_mut().end_pull(offered.from);
 }
 
-async fn read_state<P>(control: &Control<P>, addr: SocketAddr) -> anyhow::Result<State> {
-    let mut stream = TcpStream::connect(addr).await?;
-    let directory_revision = control.directory.borrow().revision();
-    stream.write_u64(control.config_version()).await?;
-    stream.write_u64(directory_revision).await?;
+fn remember<P>(control: &Control<P>, memory: Memory, from: SocketAddr) {
+    let now_ms = control.now_ms();
+    slog::info!(control.log, "memory pulled"; "peer" => from.to_string(),
+        "parts" => memory.placed.len(), "starts" => memory.counts.len());
+    let mut homes = control.shared.homes();
+    memory.placed.into_iter().for_each(|placed| homes.note(placed, now_ms));
+    control.shared.tally().take_saved(memory.counts);
+    control.lacks_memory.set(false);
+}
+
+async fn read_state<P>(control: &Control<P>, offered: Offered) -> anyhow::Result<State> {
+    let mut stream = TcpStream::connect(offered.from).await?;
+    let wanted = Wanted {
+        config_version: control.config_version(),
+        directory_revision: control.directory.borrow().revision(),
+        memory: offered.memory && control.lacks_memory.get(),
+    };
+    let request = seal::bytes(&control.secret, &wanted)?;
+    stream.write_u32(request.len() as u32).await?;
+    stream.write_all(&request).await?;
+    let bytes = read_bytes(&mut stream, MAX_STATE_BYTES).await?;
+    Ok(seal::open_bytes(&control.secret, &bytes)?)
+}
+
+async fn read_bytes(stream: &mut TcpStream, most: u32) -> anyhow::Result<Vec<u8>> {
     let length = stream.read_u32().await?;
-    anyhow::ensure!(length <= MAX_STATE_BYTES, "a state of {length} bytes");
+    anyhow::ensure!(length <= most, "a message of {length} bytes");
     let mut bytes = vec![0; length as usize];
     stream.read_exact(&mut bytes).await?;
-    Ok(seal::open_bytes(&control.secret, &bytes)?)
+    Ok(bytes)
 }
 
 /// Gives the whole state to peers that ask.
@@ -109,18 +157,23 @@
     }
 }
 
+fn memory<P>(control: &Control<P>) -> Memory {
+    let placed = control.shared.homes().latest(MAX_PLACED);
+    Memory { placed, counts: control.shared.tally().newest(tally::KEPT_WINDOWS as usize) }
+}
+
 async fn write_state<P>(control: &Control<P>, mut stream: TcpStream) -> anyhow::Result<()> {
-    let known = Known {
-        config_version: stream.read_u64().await?,
-        directory_revision: stream.read_u64().await?,
-    };
+    let request = read_bytes(&mut stream, MAX_WANTED_BYTES).await?;
+    let wanted: Wanted = seal::open_bytes(&control.secret, &request)?;
     let state = {
         let (table, directory) = (control.table.borrow(), control.directory.borrow());
-        let newer = table.as_ref().filter(|table| table.version() > known.config_version);
+        let newer = table.as_ref().filter(|table| table.version() > wanted.config_version);
         State {
             config: newer.map(|table| table.parts().clone()),
-            directory: (directory.revision() > known.directory_revision).then(|| directory.clone()),
+            directory: (directory.revision() > wanted.directory_revision)
+                .then(|| directory.clone()),
             lapsed: directory.lapsed(control.now_ms()),
+            memory: wanted.memory.then(|| memory(control)),
         }
     };
     let bytes = seal::bytes(&control.secret, &state)?;
--- a/src/gateway/scaling.rs
+++ b/src/gateway/scaling.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::control::{Control, Holder, Platform};
-use super::{directory, load, reading, route};
+use super::{directory, duty, load, reading, route};
 use crate::scaling::{Plan, Planner, Seen};
 use crate::store::Condition;
 use crate::{config, lease};
@@ -86,20 +86,20 @@
         &mut self,
         control: &Control<P>,
         contender: &lease::Contender,
-    ) {
+    ) -> duty::Tick {
         let now_ms = control.now_ms();
         let Some(table) = control.shared.snapshot.load().table.clone() else {
-            return;
+            return duty::Tick::Done;
         };
         if now_ms < self.next_ms || table.services().iter().all(|one| one.scaling.is_none()) {
-            return;
+            return duty::Tick::Done;
         }
         let Some(fence) = contender.epoch_for(now_ms, CALL_MS) else {
-            return;
+            return duty::Tick::Done;
         };
         self.next_ms = now_ms + PLAN_MS;
         if self.ordered.is_none() && !self.read(control).await {
-            return;
+            return duty::Tick::Done;
         }
         let open = self.ordered.as_ref().and_then(|ordered| {
             let subject = ordered.open.first()?;
@@ -109,8 +109,12 @@
             Some(order) => {
                 let holder = Holder { id: control.shared.settings.id.clone(), fence };
                 self.order(control, &holder, order).await;
+                duty::Tick::Again
+            }
+            None => {
+                self.plan(control, &table).await;
+                duty::Tick::Done
             }
-            None => self.plan(control, &table).await,
         }
     }
 
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -74,6 +74,34 @@
     pub record: Record,
 }
 
+/// What a holder tells its rivals of its term, beside the store.
+///
+/// A rival that knows when the term ends need not read the record to see how long it stands, and who
+/// stops gives its term back also while the store is away. What is told never makes two holders: a
+/// rival still replaces the very version that it was told of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The store's version of the record.
+    pub version: u64,
+    pub boot: u64,
+    pub epoch: Epoch,
+    /// How long the holder may still act.
+    pub left_ms: u64,
+    /// How long ago it acted last.
+    pub idle_ms: u64,
+    /// The holder will never act in this epoch again.
+    pub is_over: bool,
+}
+
+impl Told {
+    /// The same, said this much later.
+    #[must_use]
+    pub fn after(self, passed_ms: u64) -> Self {
+        let left_ms = self.left_ms.saturating_sub(passed_ms);
+        Self { left_ms, idle_ms: self.idle_ms.saturating_add(passed_ms), ..self }
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -96,7 +124,8 @@
 #[derive(Clone, Debug)]
 struct Standing {
     seen: Seen,
-    since_ms: u64,
+    /// When it may be replaced.
+    free_at_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -122,6 +151,12 @@
     may_write_again: bool,
     next_read_ms: u64,
     releasing: bool,
+    /// The last term held here, by version.
+    last_held: Option<(u64, Epoch)>,
+    /// When this daemon last acted under the lease.
+    acted_ms: Option<u64>,
+    /// A start that has said that it never acts in this epoch or an older one again.
+    over: Option<(u64, Epoch)>,
 }
 
 impl Contender {
@@ -140,6 +175,9 @@
             may_write_again: false,
             next_read_ms: 0,
             releasing: false,
+            last_held: None,
+            acted_ms: None,
+            over: None,
         }
     }
 
@@ -199,23 +237,80 @@
         let Some(standing) = self.standing.clone() else {
             return self.read_when_due(now_ms);
         };
-        let record = standing.seen.record.as_ref();
-        let free_at_ms = record.map_or(0, |record| self.free_at_ms(record, standing.since_ms));
-        if self.releasing || now_ms < free_at_ms {
+        if self.releasing || now_ms < standing.free_at_ms {
             return self.read_when_due(now_ms);
         }
-        let epoch = record.map_or(Epoch(1), |record| Epoch(record.epoch.0 + 1));
+        let epoch = standing.seen.record.map_or(Epoch(1), |record| Epoch(record.epoch.0 + 1));
         self.write(standing.seen.version, epoch, self.terms.term_ms, now_ms)
     }
 
-    /// When a record that has stood since a time may be replaced.
-    fn free_at_ms(&self, record: &Record, since_ms: u64) -> u64 {
+    /// When a record that was seen for the first time now may be replaced.
+    fn free_at_ms(&self, record: Option<&Record>, now_ms: u64) -> u64 {
+        let Some(record) = record else {
+            return now_ms;
+        };
         let is_given_back = record.term_ms == 0;
         let is_former_self = self.is_sole && record.holder == self.name && record.boot != self.boot;
-        if is_given_back || is_former_self {
-            return 0;
+        if is_given_back || is_former_self || self.is_over(record) {
+            return now_ms;
         }
-        since_ms + record.term_ms + self.terms.margin_ms
+        now_ms + record.term_ms + self.terms.margin_ms
+    }
+
+    fn is_over(&self, record: &Record) -> bool {
+        self.over.is_some_and(|(boot, epoch)| record.boot == boot && record.epoch <= epoch)
+    }
+
+    /// Notes an act under the lease.
+    pub fn acted(&mut self, now_ms: u64) {
+        self.acted_ms = Some(now_ms);
+    }
+
+    /// What to tell rivals of a term held here.
+    #[must_use]
+    pub fn tells(&self, now_ms: u64) -> Option<Told> {
+        let (version, epoch) = self.last_held?;
+        let left_ms =
+            self.holding.as_ref().map_or(0, |one| self.end_ms(one).saturating_sub(now_ms));
+        let is_over = self.releasing;
+        let is_telling = is_over || self.holding.is_some();
+        let idle_ms = self.acted_ms.map_or(u64::MAX, |acted_ms| now_ms.saturating_sub(acted_ms));
+        is_telling.then_some(Told { version, boot: self.boot, epoch, left_ms, idle_ms, is_over })
+    }
+
+    /// Takes what a holder has told of its term.
+    pub fn told(&mut self, told: Told, now_ms: u64) {
+        if told.boot == self.boot {
+            return;
+        }
+        if told.is_over {
+            self.over = Some((told.boot, told.epoch));
+        }
+        if self.is_engaged() {
+            return;
+        }
+        let record = Record {
+            holder: CompactString::default(),
+            boot: told.boot,
+            epoch: told.epoch,
+            term_ms: if told.is_over { 0 } else { told.left_ms },
+            nonce: 0,
+        };
+        let mut free_at_ms = now_ms + told.left_ms + self.terms.margin_ms;
+        if told.is_over {
+            free_at_ms = now_ms;
+        }
+        if let Some(standing) = &self.standing {
+            if told.version < standing.seen.version {
+                return;
+            }
+            if told.version == standing.seen.version {
+                free_at_ms = free_at_ms.min(standing.free_at_ms);
+            }
+        }
+        let seen = Seen { version: told.version, record: Some(record) };
+        self.standing = Some(Standing { seen, free_at_ms });
+        self.next_read_ms = now_ms + self.terms.read_ms;
     }
 
     /// The outcome of the last write is open: reading settles it, or another write on the same
@@ -281,7 +376,8 @@
         if !unchanged {
             // The standing of a version is counted from after it was seen: the holder may have
             // written it just before.
-            self.standing = Some(Standing { seen, since_ms: now_ms });
+            let free_at_ms = self.free_at_ms(seen.record.as_ref(), now_ms);
+            self.standing = Some(Standing { seen, free_at_ms });
         }
     }
 
@@ -339,8 +435,9 @@
         let is_term = record.term_ms > 0;
         self.holding =
             is_term.then_some(Holding { version, epoch: record.epoch, from_ms: pending.sent_ms });
-        let seen = Seen { version, record: Some(record) };
-        self.standing = Some(Standing { seen, since_ms: now_ms });
+        self.last_held = Some((version, record.epoch));
+        let free_at_ms = self.free_at_ms(Some(&record), now_ms);
+        self.standing = Some(Standing { seen: Seen { version, record: Some(record) }, free_at_ms });
     }
 
     fn read_when_due(&mut self, now_ms: u64) -> Step {
--- a/tests/gateway/succession.rs
+++ b/tests/gateway/succession.rs
@@ -1,6 +1,6 @@
 //! The lease of the duties passes on without a gap.
 
-use briarwinch::lease::{Contender, Record, Seen, Step, TERMS};
+use briarwinch::lease::{Contender, Record, Seen, Step, TERMS, Told};
 
 fn holding(name: &str, now_ms: u64) -> (Contender, Record) {
     let mut contender = Contender::new(name.into(), 1, TERMS);
@@ -104,3 +104,62 @@
     other.read(Seen { version: 5, record: Some(record) }, 700, 701);
     assert!(!matches!(other.step(701), Step::Write(_)), "another's term is waited for");
 }
+
+/// A holder stops while the store is away, so its lease cannot be given back there. Rivals that do
+/// not hear of it wait for its term although nobody is in charge.
+#[test]
+fn a_stopping_holder_tells_its_rivals_that_its_term_is_over() {
+    let (mut holder, _) = holding("one", 1_000);
+    let mut rival = Contender::new("two".into(), 2, TERMS);
+    let told = holder.tells(1_100).expect("it holds the lease");
+    assert!(!told.is_over && told.left_ms > 0);
+    rival.told(told, 1_150);
+    assert!(!matches!(rival.step(1_150), Step::Write(_)));
+    holder.release();
+    let told = holder.tells(1_200).expect("it has held the lease");
+    assert!(told.is_over);
+    rival.told(told, 1_250);
+    let Step::Write(write) = rival.step(1_250) else {
+        panic!("nobody is in charge");
+    };
+    assert_eq!(write.if_version, told.version);
+    assert!(write.record.epoch > told.epoch);
+}
+
+/// The holder dies. A rival that was told when its term ends takes over then, without having read the
+/// record before; one that begins to count when it first reads it comes a term later.
+#[test]
+fn a_rival_that_was_told_takes_over_when_the_term_ends() {
+    let (holder, _) = holding("one", 1_000);
+    let mut rival = Contender::new("two".into(), 2, TERMS);
+    rival.told(holder.tells(1_300).expect("it holds the lease"), 1_400);
+    let end_ms = 1_000 + TERMS.term_ms - TERMS.margin_ms;
+    let free_ms = end_ms + 100 + TERMS.margin_ms;
+    assert!(!matches!(rival.step(free_ms - 1), Step::Write(_)));
+    assert!(matches!(rival.step(free_ms), Step::Write(_)));
+}
+
+/// Messages come late and out of order. One about an older term must not make a newer one look over.
+#[test]
+fn what_is_told_of_an_older_term_changes_nothing() {
+    let told = Told {
+        version: 9,
+        boot: 1,
+        epoch: briarwinch::lease::Epoch(3),
+        left_ms: 2_000,
+        idle_ms: 0,
+        is_over: false,
+    };
+    let mut rival = Contender::new("two".into(), 2, TERMS);
+    rival.told(told, 100);
+    let older = Told {
+        version: 8,
+        boot: 4,
+        epoch: briarwinch::lease::Epoch(2),
+        left_ms: 0,
+        idle_ms: 0,
+        is_over: true,
+    };
+    rival.told(older, 200);
+    assert!(!matches!(rival.step(2_000), Step::Write(_)));
+}
--- a/tests/properties/lease.rs
+++ b/tests/properties/lease.rs
@@ -1,6 +1,6 @@
 //! Leases: two daemons never both believe they are in charge while either acts.
 
-use briarwinch::lease::{Contender, Epoch, Record, Seen, Step, TERMS};
+use briarwinch::lease::{Contender, Epoch, Record, Seen, Step, TERMS, Told};
 use briarwinch::orders::Fence;
 use proptest::prelude::*;
 
@@ -69,6 +69,17 @@
     clock_offset_ms: u64,
 }
 
+/// How often daemons tell each other of their leases.
+const TELL_MS: u64 = 500;
+
+/// What a holder told, on its way to all rivals.
+#[derive(Clone, Copy, Debug)]
+struct Message {
+    from: usize,
+    told: Told,
+    at_ms: u64,
+}
+
 #[derive(Default)]
 struct Store {
     history: Vec<Record>,
@@ -112,6 +123,12 @@
         }
     }
 
+    /// What it tells its rivals, unless it is frozen.
+    fn tells(&self, true_ms: u64) -> Option<Told> {
+        let is_frozen = self.under_way.as_ref().is_some_and(|call| call.fate.frozen_ms > 0);
+        if is_frozen { None } else { self.contender.tells(self.clock(true_ms)) }
+    }
+
     fn clock(&self, true_ms: u64) -> u64 {
         true_ms + self.clock_offset_ms
     }
@@ -182,9 +199,14 @@
         calls in prop::collection::vec(call(), 20..120),
         offsets in prop::collection::vec(0..1_000_000_u64, 3),
         restarts in prop::collection::vec((0..CALM_MS, 0..3_usize), 0..12),
+        delays in prop::collection::vec(
+            prop_oneof![6 => 0..300_u64, 2 => 300..8_000_u64, 2 => Just(u64::MAX)], 1..40,
+        ),
     ) {
         let mut store = Store::default();
         let mut left_behind: Vec<UnderWay> = Vec::new();
+        let mut messages: Vec<Message> = Vec::new();
+        let mut delays = delays.iter().copied().cycle();
         // After the faults a calm, in which somebody must come to be in charge.
         let calm = Call {
             out_ms: 5, back_ms: 5, answer_lost: false, down: false, frozen_ms: 0, stale: false,
@@ -216,6 +238,24 @@
                 }
                 !is_due
             });
+            if true_ms.is_multiple_of(TELL_MS) {
+                for (from, daemon) in daemons.iter().enumerate() {
+                    let told = daemon.tells(true_ms);
+                    messages.extend(told.into_iter().map(|told| {
+                        let at_ms = true_ms.saturating_add(delays.next().expect("endless"));
+                        Message { from, told, at_ms }
+                    }));
+                }
+            }
+            for message in messages.extract_if(.., |message| message.at_ms <= true_ms) {
+                for (to, daemon) in daemons.iter_mut().enumerate() {
+                    // A rival that waits for a call hears of it when it goes on.
+                    if to != message.from && daemon.under_way.is_none() {
+                        let clock = daemon.clock(true_ms);
+                        daemon.contender.told(message.told, clock);
+                    }
+                }
+            }
             for daemon in &mut daemons {
                 if true_ms < CALM_MS {
                     daemon.advance(true_ms, &mut store, &mut faults);
