Close before the end of a stop, so that no request begins while the process ends

Ruled out: the last call before the kill (it was 0.15 s away).

A stop now closes first (what comes is refused as not run, with a time to come back), and ends once nothing has been under way for 0.1 s after that. The decision is pure: drain::Stop. Test: a_request_between_the_decision_and_the_end_is_waited_for.

--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -20,46 +20,91 @@
 const SPARE_MS: u64 = 200;
 /// Before that end nothing new is begun for so long: callers on open connections are told that their
 /// request did not run. Without it the end would cut a request that had just been sent on.
-pub(super) const LAST_CALL_MS: u64 = 900;
+const LAST_CALL_MS: u64 = 900;
 /// How long no request has been under way before the end, once nothing new is begun: a refusal has
 /// left by then.
 const REFUSED_MS: u64 = 100;
 
 /// When a stop that began at this time ends at the latest, and when nothing new is begun any more.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Ends {
-    pub(super) last_call_ms: u64,
+struct Ends {
+    last_call_ms: u64,
     end_ms: u64,
 }
 
 impl Ends {
-    pub(super) fn of(since_ms: u64, stop_s: f64) -> Self {
+    fn of(since_ms: u64, stop_s: f64) -> Self {
         let end_ms = since_ms.saturating_add((stop_s * 1_000.0) as u64).saturating_sub(SPARE_MS);
         Self { last_call_ms: end_ms.saturating_sub(LAST_CALL_MS), end_ms }
     }
 }
 
+/// What a stopping entry does now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    Wait,
+    /// Begin nothing new, then go on asking.
+    Close,
+    End,
+}
+
+/// A stop under way. Pure.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    begin_ms: u64,
+    ends: Ends,
+    quiet_since_ms: u64,
+    is_closed: bool,
+}
+
+impl Stop {
+    /// A stop that was asked for now; the process is killed after `stop_s`.
+    #[must_use]
+    pub fn begin(now_ms: u64, stop_s: f64) -> Self {
+        let ends = Ends::of(now_ms, stop_s);
+        Self { begin_ms: now_ms, ends, quiet_since_ms: now_ms, is_closed: false }
+    }
+
+    /// What to do, with so many requests under way, the last one come at `last_request_ms`.
+    ///
+    /// The end is never decided while a request may still begin: one that came between the decision
+    /// and the process's end would be sent to an endpoint and cut.
+    pub fn step(&mut self, now_ms: u64, active: u32, last_request_ms: u64) -> Step {
+        if active > 0 {
+            self.quiet_since_ms = now_ms;
+        }
+        let quiet_ms = now_ms.saturating_sub(self.quiet_since_ms.max(last_request_ms));
+        if now_ms >= self.ends.end_ms {
+            return Step::End;
+        }
+        let is_quiet = quiet_ms >= QUIET_MS && now_ms - self.begin_ms >= TURN_AWAY_MS;
+        if !self.is_closed && (is_quiet || now_ms >= self.ends.last_call_ms) {
+            self.is_closed = true;
+            self.quiet_since_ms = now_ms;
+            return Step::Close;
+        }
+        if self.is_closed && quiet_ms >= REFUSED_MS { Step::End } else { Step::Wait }
+    }
+}
+
 /// Waits until the entry may end.
 pub async fn drain(shared: &shared::Shared, log: &slog::Logger) {
     let begin_ms = clock::boot_ms();
     shared.draining_since_ms.store(begin_ms, Ordering::Release);
     shared.is_draining.store(true, Ordering::Release);
-    let ends = Ends::of(begin_ms, shared.settings.stop_s);
-    slog::info!(log, "draining"; "limit_ms" => ends.end_ms - begin_ms);
-    let mut quiet_since_ms = begin_ms;
+    let mut stop = Stop::begin(begin_ms, shared.settings.stop_s);
+    slog::info!(log, "draining"; "limit_ms" => stop.ends.end_ms - begin_ms);
     loop {
         let now_ms = clock::boot_ms();
         let active = shared.active.load(Ordering::Acquire);
-        if active > 0 {
-            quiet_since_ms = now_ms;
-        }
         let last_request_ms = shared.last_request_ms.load(Ordering::Acquire);
-        let quiet_ms = now_ms - quiet_since_ms.max(last_request_ms).min(now_ms);
-        let is_quiet = quiet_ms >= QUIET_MS && now_ms - begin_ms >= TURN_AWAY_MS;
-        let is_refused = now_ms >= ends.last_call_ms + REFUSED_MS && quiet_ms >= REFUSED_MS;
-        if is_quiet || is_refused || now_ms >= ends.end_ms {
-            slog::info!(log, "drained"; "left" => active, "took_ms" => now_ms - begin_ms);
-            return;
+        match stop.step(now_ms, active, last_request_ms) {
+            Step::Wait => {}
+            Step::Close => shared.is_closed.store(true, Ordering::Release),
+            Step::End => {
+                slog::info!(log, "drained"; "left" => active, "took_ms" => now_ms - begin_ms);
+                return;
+            }
         }
         time::sleep(POLL).await;
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -29,6 +29,8 @@
     pub snapshot: ArcSwap<Snapshot>,
     pub is_ready: AtomicBool,
     pub is_draining: AtomicBool,
+    /// Set by a stop shortly before the process ends.
+    pub is_closed: AtomicBool,
     /// When the stop was asked for, on the boot clock.
     pub draining_since_ms: AtomicU64,
     /// Entries heard of lately, this one among them.
@@ -62,6 +64,7 @@
             snapshot: ArcSwap::default(),
             is_ready: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
             draining_since_ms: AtomicU64::new(u64::MAX),
             entries: AtomicUsize::new(1),
             last_request_ms: AtomicU64::new(0),
@@ -137,9 +140,8 @@
 
     /// Whether nothing new is begun any more: the process ends within a moment.
     #[must_use]
-    pub fn is_past_last_call(&self) -> bool {
-        let since_ms = self.draining_since_ms.load(Ordering::Acquire);
-        clock::boot_ms() >= drain::Ends::of(since_ms, self.settings.stop_s).last_call_ms
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Acquire)
     }
 
     #[must_use]
--- /dev/null
+++ b/tests/gateway/drain.rs
@@ -0,0 +1,46 @@
+//! A planned stop ends no request.
+
+use briarwinch::gateway::drain::{Step, Stop};
+
+const STOP_S: f64 = 8.0;
+
+/// Steps every 20 ms while nothing is under way; gives the first step that is not to wait.
+fn next_step(stop: &mut Stop, from_ms: u64, last_request_ms: u64) -> (u64, Step) {
+    let steps = (from_ms..20_000).step_by(20).map(|at| (at, stop.step(at, 0, last_request_ms)));
+    steps.into_iter().find(|(_, step)| *step != Step::Wait).expect("it ends")
+}
+
+/// A caller's connection is quiet for a moment, the entry decides to end, and the next request comes
+/// in the ten milliseconds until the process is gone: it was sent on, and its caller got nothing.
+#[test]
+fn a_request_between_the_decision_and_the_end_is_waited_for() {
+    let mut stop = Stop::begin(3_000, STOP_S);
+    let (closed_ms, step) = next_step(&mut stop, 3_000, 8_000);
+    assert_eq!(step, Step::Close, "first nothing new is begun");
+    assert_eq!(stop.step(closed_ms + 5, 1, closed_ms + 5), Step::Wait, "one had just begun");
+    assert_eq!(stop.step(closed_ms + 70, 1, closed_ms + 5), Step::Wait);
+    let (end_ms, step) = next_step(&mut stop, closed_ms + 90, closed_ms + 5);
+    assert_eq!(step, Step::End);
+    assert!(end_ms >= closed_ms + 170, "the refusals have left");
+}
+
+/// A request that never ends must not make the platform kill the process, which would cut others
+/// as well.
+#[test]
+fn a_stop_ends_before_the_kill() {
+    let mut stop = Stop::begin(3_000, STOP_S);
+    let steps: Vec<(u64, Step)> =
+        (3_000..11_000).step_by(20).map(|at| (at, stop.step(at, 1, 3_000))).collect();
+    let close = steps.iter().find(|(_, step)| *step == Step::Close).expect("it closes");
+    assert!(close.0 <= 10_000, "callers are told before the end");
+    let end = steps.iter().find(|(_, step)| *step == Step::End).expect("it ends");
+    assert!(end.0 > close.0 && end.0 < 11_000);
+}
+
+/// The balancer sends callers for a while after the stop was asked for, though none may come.
+#[test]
+fn an_idle_entry_waits_until_the_balancer_has_noticed() {
+    let mut stop = Stop::begin(3_000, STOP_S);
+    let (closed_ms, _) = next_step(&mut stop, 3_000, 0);
+    assert!(closed_ms >= 3_000 + 2_600);
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod connections;
 mod directory;
+mod drain;
 mod gate;
 mod outage;
 mod pulls;
