Say when a caller left, what a refusal was about, and the true time of each line

Refusals did not say the version, host and path that they went by; a stream whose caller left ended without a line; requests that could not be read left none. Lines carried the instance's clock as it was when they were written; now the process's own time of day, taken when the line is made, so that a story across entries is in order while clocks jump.

--- a/src/gateway/events_body.rs
+++ b/src/gateway/events_body.rs
@@ -82,7 +82,9 @@
         last_id,
         is_over: false,
     };
-    let first = source.first().await?;
+    let first = source.first().await;
+    source.is_over |= first.is_err();
+    let first = first?;
     // Headers and signature are those of the endpoint whose events go out first.
     let head = source
         .running
@@ -98,6 +100,18 @@
     Ok((head, EventsBody { events }))
 }
 
+impl Drop for Source {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let took_ms = self.gateway.now_ms() - self.job.arrived_ms;
+        measures::stream_ended(&self.job.service().name, "caller_left");
+        slog::info!(self.gateway.log, "caller left"; "request" => self.job.request.id.as_str(),
+            "event" => self.last_id, "took_ms" => took_ms);
+    }
+}
+
 impl Source {
     /// The first events; none when the stream ended without any.
     async fn first(&mut self) -> Result<Option<Bytes>, error::Refusal> {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -384,7 +384,7 @@
 /// middle of a jump of its instance's clock.
 fn correct_time<P>(control: &Control<P>, peers: &mut Peers, digest: &Digest) {
     const YOUNG_MS: u64 = 5_000;
-    let time = &control.shared.time;
+    let time = control.shared.time;
     if time.age_ms() > YOUNG_MS || digest.age_ms <= time.age_ms() {
         return;
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 //! What may run more than once goes on to another endpoint when the first fails, within the route's
 //! attempts and the retry budget; what may run once is sent once, and its outcome is told as it is.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -36,11 +37,54 @@
 /// another.
 const COME_BACK_MS: u32 = 50;
 
+/// What a request asked for, for the line that says why it was refused.
+struct Asked {
+    host: CompactString,
+    path: CompactString,
+}
+
+impl Asked {
+    fn of(request: &Request) -> Self {
+        Self { host: request.host.clone(), path: request.path().into() }
+    }
+}
+
+/// Says so when the caller leaves before it is answered: its request's future is dropped then.
+struct Caller<'a> {
+    gateway: &'a Gateway,
+    id: &'a str,
+    begin_ms: u64,
+    is_answered: Cell<bool>,
+}
+
+impl Drop for Caller<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered.get() {
+            let took_ms = self.gateway.now_ms() - self.begin_ms;
+            slog::info!(self.gateway.log, "caller left"; "request" => self.id, "took_ms" => took_ms);
+        }
+    }
+}
+
 impl Gateway {
+    /// Version of the configuration in force; zero: none.
+    fn config_version(&self) -> u64 {
+        self.shared.snapshot.load().table.as_ref().map_or(0, |table| table.version())
+    }
+
+    /// Notes a request that could not be read, and was refused before it had a route.
+    pub fn refused_unread(&self, refusal: &error::Refusal) {
+        measures::refused(refusal.kind.answer().code);
+        slog::info!(self.log, "refused unread"; "status" => refusal.kind.answer().status,
+            "kind" => refusal.kind.answer().code, "detail" => refusal.detail.as_str());
+    }
+
     /// Serves a request of a caller.
     pub async fn serve(self: &Rc<Self>, request: Request) -> Answer {
         let id = request.id.clone();
         let begin_ms = self.now_ms();
+        let caller = Caller { gateway: self, id: &id, begin_ms, is_answered: Cell::new(false) };
+        let asked = Asked::of(&request);
         let (answer, service) = match self.admit(request) {
             Ok(job) => {
                 let service = job.service().name.clone();
@@ -51,6 +95,7 @@
                 (Answer::Refused(refusal), CompactString::default())
             }
         };
+        caller.is_answered.set(true);
         let took_ms = self.now_ms() - begin_ms;
         if !service.is_empty() {
             measures::answered(&service, answer.outcome(), took_ms);
@@ -60,6 +105,8 @@
                 slog::info!(self.log, "refused"; "request" => id.as_str(), "took_ms" => took_ms,
                     "status" => refusal.kind.answer().status,
                     "kind" => refusal.kind.answer().code, "ran" => refusal.ran.to_string(),
+                    "retry_after_ms" => refusal.retry_after_ms, "host" => asked.host.as_str(),
+                    "path" => asked.path.as_str(), "version" => self.config_version(),
                     "detail" => refusal.detail.as_str());
             }
             Answer::Whole { head, .. } | Answer::Stream { head, .. } => {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -25,7 +25,7 @@
     pub settings: settings::Gateway,
     /// Tells this start of the entry from others.
     pub boot: u64,
-    pub time: clock::TimeOfDay,
+    pub time: &'static clock::TimeOfDay,
     pub snapshot: ArcSwap<Snapshot>,
     pub is_ready: AtomicBool,
     pub is_draining: AtomicBool,
@@ -60,7 +60,7 @@
             retries: Mutex::new(settings.retries),
             settings,
             boot,
-            time: clock::TimeOfDay::open(),
+            time: clock::time_of_day(),
             snapshot: ArcSwap::default(),
             is_ready: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -24,8 +24,11 @@
         Output::Stderr => Box::new(io::stderr()),
         Output::Stdout => Box::new(io::stdout()),
     };
-    let lines =
-        slog_json::Json::new(writer).add_default_keys().set_newlines(true).set_flush(true).build();
+    let lines = slog_json::Json::new(writer)
+        .add_key_value(keys())
+        .set_newlines(true)
+        .set_flush(true)
+        .build();
     // When whoever reads the log is gone, lines are lost and there is nobody to tell; requests go on.
     let (drain, guard) = slog_async::Async::new(Mutex::new(lines).ignore_res())
         .chan_size(WAITING_LINES)
@@ -35,6 +38,25 @@
     (slog::Logger::root(bounded.fuse(), slog::o!("daemon" => daemon.to_owned())), guard)
 }
 
+/// What each line has beside its own fields and its time.
+fn keys() -> slog::OwnedKV<impl slog::SendSyncRefUnwindSafeKV + 'static> {
+    slog::o!(
+        "level" => slog::FnValue(|record: &slog::Record<'_>| record.level().as_short_str()),
+        "msg" => slog::PushFnValue(|record: &slog::Record<'_>, out| out.emit(record.msg())),
+    )
+}
+
+/// The process's time of day as a line shows it: RFC 3339 with microseconds, so that lines sort as
+/// text.
+fn stamp() -> String {
+    const LAYOUT: &[time::format_description::BorrowedFormatItem<'_>] = time::macros::format_description!(
+        "[year]-[month]-[day]T[hour]:[minute]:[second].[subsecond digits:6]Z"
+    );
+    let unix_us = i128::from(clock::time_of_day().unix_us());
+    let at = time::OffsetDateTime::from_unix_timestamp_nanos(unix_us * 1_000);
+    at.ok().and_then(|at| at.format(LAYOUT).ok()).unwrap_or_default()
+}
+
 /// Lines a second of requests that end well. An entry at its processor's limit serves about 150
 /// requests a second with two such lines each.
 const WELL_PER_S: u64 = 400;
@@ -140,7 +162,18 @@
                 values,
             )?;
         }
-        if admitted { self.inner.log(record, values) } else { Ok(()) }
+        if !admitted {
+            return Ok(());
+        }
+        // Taken here, on the thread that logs: a writer that is behind would give its own time.
+        let stamped = (slog::SingleKV("ts", stamp()), record.kv());
+        let origin = slog::RecordStatic {
+            location: record.location(),
+            tag: record.tag(),
+            level: record.level(),
+        };
+        self.inner
+            .log(&slog::Record::new(&origin, record.msg(), slog::BorrowedKV(&stamped)), values)
     }
 }
 
