Split leases, digests and the lines about a request into modules of one job each

No change of behaviour: lease has the types and lease/contender the contest, peers the list of other entries and digests what they tell each other, relay the way of a request and lines its log.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -13,7 +13,7 @@
 use tokio::task;
 
 use super::{
-    billing, directory, duty, members, peers, pulls, route, scaling, shared, tally, watch,
+    billing, digests, directory, duty, members, peers, pulls, route, scaling, shared, tally, watch,
 };
 use crate::{bound, clock, lease, seal, store};
 
@@ -161,10 +161,10 @@
     task::spawn_local(watch::follow(Rc::clone(&control), Topic::Config));
     task::spawn_local(watch::follow(Rc::clone(&control), Topic::Endpoints));
     task::spawn_local(pulls::serve(Rc::clone(&control), listener));
-    task::spawn_local(peers::receive(Rc::clone(&control)));
+    task::spawn_local(digests::receive(Rc::clone(&control)));
     task::spawn_local(members::enrol(Rc::clone(&control)));
     task::spawn_local(duty::contend(Rc::clone(&control)));
-    peers::tell(control).await;
+    digests::tell(control).await;
     Ok(())
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,7 +3,6 @@
 //! What may run more than once goes on to another endpoint when the first fails, within the route's
 //! attempts and the retry budget; what may run once is sent once, and its outcome is told as it is.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,7 +14,7 @@
 use super::attempt::{Failure, Running};
 use super::job::{Active, Job};
 use super::request::{Answer, Request};
-use super::{Gateway, choose, events_body, http1, measures, shared};
+use super::{Gateway, choose, events_body, http1, lines, measures, shared};
 use crate::error;
 
 /// Longest answer that is gathered before it is sent, in bytes.
@@ -37,54 +36,13 @@
 /// another.
 const COME_BACK_MS: u32 = 50;
 
-/// What a request asked for, for the line that says why it was refused.
-struct Asked {
-    host: CompactString,
-    path: CompactString,
-}
-
-impl Asked {
-    fn of(request: &Request) -> Self {
-        Self { host: request.host.clone(), path: request.path().into() }
-    }
-}
-
-/// Says so when the caller leaves before it is answered: its request's future is dropped then.
-struct Caller<'a> {
-    gateway: &'a Gateway,
-    id: &'a str,
-    begin_ms: u64,
-    is_answered: Cell<bool>,
-}
-
-impl Drop for Caller<'_> {
-    fn drop(&mut self) {
-        if !self.is_answered.get() {
-            let took_ms = self.gateway.now_ms() - self.begin_ms;
-            slog::info!(self.gateway.log, "caller left"; "request" => self.id, "took_ms" => took_ms);
-        }
-    }
-}
-
 impl Gateway {
-    /// Version of the configuration in force; zero: none.
-    fn config_version(&self) -> u64 {
-        self.shared.snapshot.load().table.as_ref().map_or(0, |table| table.version())
-    }
-
-    /// Notes a request that could not be read, and was refused before it had a route.
-    pub fn refused_unread(&self, refusal: &error::Refusal) {
-        measures::refused(refusal.kind.answer().code);
-        slog::info!(self.log, "refused unread"; "status" => refusal.kind.answer().status,
-            "kind" => refusal.kind.answer().code, "detail" => refusal.detail.as_str());
-    }
-
     /// Serves a request of a caller.
     pub async fn serve(self: &Rc<Self>, request: Request) -> Answer {
         let id = request.id.clone();
         let begin_ms = self.now_ms();
-        let caller = Caller { gateway: self, id: &id, begin_ms, is_answered: Cell::new(false) };
-        let asked = Asked::of(&request);
+        let caller = lines::Caller::wait(self, &id, begin_ms);
+        let asked = lines::Asked::of(&request);
         let (answer, service) = match self.admit(request) {
             Ok(job) => {
                 let service = job.service().name.clone();
@@ -95,25 +53,12 @@
                 (Answer::Refused(refusal), CompactString::default())
             }
         };
-        caller.is_answered.set(true);
+        caller.is_answered();
         let took_ms = self.now_ms() - begin_ms;
         if !service.is_empty() {
             measures::answered(&service, answer.outcome(), took_ms);
         }
-        match &answer {
-            Answer::Refused(refusal) => {
-                slog::info!(self.log, "refused"; "request" => id.as_str(), "took_ms" => took_ms,
-                    "status" => refusal.kind.answer().status,
-                    "kind" => refusal.kind.answer().code, "ran" => refusal.ran.to_string(),
-                    "retry_after_ms" => refusal.retry_after_ms, "host" => asked.host.as_str(),
-                    "path" => asked.path.as_str(), "version" => self.config_version(),
-                    "detail" => refusal.detail.as_str());
-            }
-            Answer::Whole { head, .. } | Answer::Stream { head, .. } => {
-                slog::debug!(self.log, "answered"; "request" => id.as_str(),
-                    "took_ms" => took_ms, "status" => head.status);
-            }
-        }
+        self.log_answer(&id, &asked, &answer, took_ms);
         answer
     }
 
@@ -384,36 +329,4 @@
         };
         error::Refusal::not_run(kind).retry_after_ms(wait_ms as u32)
     }
-
-    fn log_turned_away(&self, job: &Job, choice: &choose::Choice<'_>) {
-        slog::info!(self.log, "turned away"; "request" => job.request.id.as_str(),
-            "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
-            "version" => job.table.version(), "priority" => job.priority,
-            "free_share" => choice.free_share, "first_ms" => choice.first_ms as u64,
-            "load_age_ms" => self.shared.book().age_ms(self.now_ms()));
-    }
-
-    fn log_choice(&self, job: &Job, choice: &choose::Choice<'_>) {
-        slog::debug!(self.log, "sent"; "request" => job.request.id.as_str(),
-            "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
-            "version" => job.table.version(), "endpoint" => choice.endpoint.id.as_str(),
-            "attempt" => job.attempts, "cost_ms" => choice.cost_ms as u64,
-            "first_ms" => choice.first_ms as u64, "unread_tokens" => choice.unread_tokens,
-            "ahead_tokens" => choice.work.unread_tokens, "running" => choice.work.requests,
-            "load_age_ms" => self.shared.book().age_ms(self.now_ms()),
-            "left_ms" => job.left_ms(self.now_ms()));
-    }
-
-    fn log_failure(&self, job: &Job, choice: &choose::Choice<'_>, failure: &Failure) {
-        let (what, detail) = match failure {
-            Failure::NotSent(error) => ("not_sent", error.to_string()),
-            Failure::NotRun { status } => ("not_run", status.to_string()),
-            Failure::WrongEndpoint => ("wrong_endpoint", String::new()),
-            Failure::Unknown(error) => ("unknown", error.to_string()),
-        };
-        measures::sent(&job.service().name, what);
-        slog::info!(self.log, "send failed"; "request" => job.request.id.as_str(),
-            "endpoint" => choice.endpoint.id.as_str(), "outcome" => what, "detail" => detail,
-            "attempt" => job.attempts, "waited_ms" => self.now_ms() - job.arrived_ms);
-    }
 }
