--- a/src/contest.rs
+++ b/src/contest.rs
@@ -1,9 +1,10 @@
 //! The contest for a lease at the store: carries out what a [`lease::Contender`] asks for.
 //!
-//! The contender decides and knows no store; whoever contends calls these for its steps.
+//! The contender decides and knows no store; whoever contends calls these for its steps, with the
+//! clock by which it steps.
 
+use crate::lease;
 use crate::store::{Condition, Failure, ObjectStore};
-use crate::{clock, lease};
 
 /// Reads the record of a lease for a contender.
 ///
@@ -13,8 +14,9 @@
     store: &impl ObjectStore,
     contender: &mut lease::Contender,
     key: &str,
+    now_ms: impl Fn() -> u64,
 ) -> Result<(), Failure> {
-    let sent_ms = clock::boot_ms();
+    let sent_ms = now_ms();
     let seen = match store.get(key).await? {
         None => lease::Seen { version: 0, record: None },
         Some(object) => {
@@ -23,7 +25,7 @@
             lease::Seen { version: object.version, record }
         }
     };
-    contender.read(seen, sent_ms, clock::boot_ms());
+    contender.read(seen, sent_ms, now_ms());
     Ok(())
 }
 
@@ -36,6 +38,7 @@
     contender: &mut lease::Contender,
     key: &str,
     write: &lease::Write,
+    now_ms: impl Fn() -> u64,
 ) -> Result<(), Failure> {
     let condition = match write.if_version {
         0 => Condition::Absent,
@@ -43,7 +46,7 @@
     };
     let value = serde_json::to_string(&write.record).unwrap_or_default();
     let written = store.put(key, value, condition).await;
-    let now_ms = clock::boot_ms();
+    let now_ms = now_ms();
     match written {
         Ok(version) => contender.written(version, now_ms),
         Err(Failure::Conflict) => contender.refused(now_ms),
--- a/src/duties.rs
+++ b/src/duties.rs
@@ -150,6 +150,7 @@
     let mut contender =
         lease::Contender::new(control.settings.id.clone(), control.boot, lease::TERMS);
     let mut work = Work::of(&duty);
+    let clock = || control.hub.now_ms();
     loop {
         if control.hub.draining.load(Ordering::Acquire) {
             contender.release();
@@ -165,11 +166,12 @@
         }
         match contender.step(control.hub.now_ms()) {
             lease::Step::Read => {
-                let read = contest::read(&control.platform, &mut contender, &key).await;
+                let read = contest::read(&control.platform, &mut contender, &key, clock).await;
                 control.store_answered(&read);
             }
             lease::Step::Write(write) => {
-                let written = contest::write(&control.platform, &mut contender, &key, &write).await;
+                let written =
+                    contest::write(&control.platform, &mut contender, &key, &write, clock).await;
                 control.store_answered(&written);
             }
             lease::Step::WaitUntil(at_ms) => {
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -8,7 +8,7 @@
 
 use super::control::{Control, Platform};
 use super::{billing, peers, scaling};
-use crate::{contest, lease};
+use crate::{clock, contest, lease};
 
 const LEASE_KEY: &str = "briarwinch-leases/duties";
 /// Terms of the duties. A usage report is due ten seconds after its window, a holder's death in
@@ -126,7 +126,7 @@
 }
 
 async fn read<P: Platform>(control: &Control<P>, contender: &mut lease::Contender) {
-    let read = contest::read(&control.platform, contender, LEASE_KEY).await;
+    let read = contest::read(&control.platform, contender, LEASE_KEY, clock::boot_ms).await;
     let is_read = read.is_ok();
     if control.reads_lease.replace(is_read) != is_read {
         slog::info!(control.log, "lease"; "readable" => is_read,
@@ -139,7 +139,9 @@
     contender: &mut lease::Contender,
     write: lease::Write,
 ) {
-    if let Err(failure) = contest::write(&control.platform, contender, LEASE_KEY, &write).await {
+    if let Err(failure) =
+        contest::write(&control.platform, contender, LEASE_KEY, &write, clock::boot_ms).await
+    {
         slog::info!(control.log, "lease not written"; "epoch" => write.record.epoch.0,
             "term_ms" => write.record.term_ms, "failure" => failure.to_string());
     }
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -24,6 +24,8 @@
     pub duties: Mutex<Vec<duties::Status>>,
     pub bytes_out: AtomicU64,
     pub store_calls: AtomicU64,
+    /// On the boot clock.
+    started_ms: u64,
 }
 
 impl Default for Hub {
@@ -39,16 +41,17 @@
             duties: Mutex::default(),
             bytes_out: AtomicU64::new(0),
             store_calls: AtomicU64::new(0),
+            started_ms: clock::boot_ms(),
         }
     }
 }
 
 impl Hub {
-    /// Time on this instance's boot clock. A clock that stood still while the instance was suspended
-    /// would let a holder act on a lease that has run out meanwhile.
+    /// Time since this daemon's start, on the boot clock. A clock that stood still while the instance
+    /// was suspended would let a holder act on a lease that has run out meanwhile.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
-        clock::boot_ms()
+        clock::boot_ms() - self.started_ms
     }
 
     /// Counts usage into the billing window of this moment.
--- a/tests/properties/main.rs
+++ b/tests/properties/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod bytes;
 mod claims;
+mod clock;
 mod fake_store;
 mod lease;
 mod queue;
