Leave out old changes of the list that a peer's newer list has told already

Ruled out: late pulls (all entries knew within 90 ms), the short grace time itself.

Changes up to the revision that is known already bring no endpoint back. Test seen failing without it: old_changes_after_an_outage_do_not_bring_back_what_peers_know_to_be_gone.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -30,7 +30,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Item {
     Config(Box<route::Parts>),
-    Endpoint(directory::Change),
+    Endpoint(directory::Event),
 }
 
 /// What a list or a watch brought.
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -44,6 +44,13 @@
     Gone(CompactString),
 }
 
+/// A change with the store's revision at which it was made, where the store tells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    pub change: Change,
+    pub revision: u64,
+}
+
 /// An entry that has vanished around the store's return and is kept for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lapsed {
@@ -109,6 +116,27 @@
         self.set(endpoints, revision)
     }
 
+    /// Takes what a watch brought, up to the store's revision. Gives whether anything changed.
+    ///
+    /// A watch that goes on after an outage brings old changes first. What a peer's newer list has
+    /// told already is left out: an endpoint that is known to be gone would come back by its last
+    /// beat, and its removal behind that would look like a lapse.
+    pub fn follow(
+        &mut self,
+        events: impl Iterator<Item = Event>,
+        revision: u64,
+        keep_until_ms: Option<u64>,
+    ) -> bool {
+        let known = self.revision;
+        let is_old =
+            |event: &Event| matches!(event.change, Change::Present(_)) && event.revision <= known;
+        let mut is_changed = false;
+        for event in events.filter(|event| !is_old(event)) {
+            is_changed |= self.apply(event.change, revision.max(known), keep_until_ms);
+        }
+        is_changed
+    }
+
     /// Takes one change of the store. Gives whether anything changed.
     pub fn apply(&mut self, change: Change, revision: u64, keep_until_ms: Option<u64>) -> bool {
         let mut endpoints = self.endpoints.clone();
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -80,22 +80,19 @@
             }
         }
         Topic::Endpoints => control.change_directory("store", |directory| {
-            let changes = batch.items.into_iter().filter_map(|item| match item {
-                Item::Endpoint(change) => Some(change),
+            let events = batch.items.into_iter().filter_map(|item| match item {
+                Item::Endpoint(event) => Some(event),
                 Item::Config(_) => None,
             });
-            let mut is_changed = false;
-            if is_list {
-                let listed = changes.filter_map(|change| match change {
+            let is_changed = if is_list {
+                let listed = events.filter_map(|event| match event.change {
                     directory::Change::Present(endpoint) => Some(endpoint),
                     directory::Change::Gone(_) => None,
                 });
-                is_changed |= directory.replace(listed.collect(), revision, keep_until_ms);
+                directory.replace(listed.collect(), revision, keep_until_ms)
             } else {
-                for change in changes {
-                    is_changed |= directory.apply(change, revision, keep_until_ms);
-                }
-            }
+                directory.follow(events, revision, keep_until_ms)
+            };
             is_changed | directory.expire(control.now_ms())
         }),
     }
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -1,7 +1,7 @@
 //! The list of endpoints: what leaves goes at once, what lapsed with the store's outage is kept for
 //! a while, what is old never replaces what is newer.
 
-use briarwinch::gateway::directory::{Change, Directory, Endpoint, EndpointKey};
+use briarwinch::gateway::directory::{Change, Directory, Endpoint, EndpointKey, Event};
 
 fn endpoint(id: &str) -> Endpoint {
     Endpoint {
@@ -92,3 +92,21 @@
     assert!(pulling.expire(71_000));
     assert_eq!(taking(&pulling), ["three", "two"]);
 }
+
+/// The store turned an entry away for a while; from its peers it knows that an endpoint has left. Its
+/// watch goes on from before the outage and brings the endpoint's last beat and its removal. Taken as
+/// they come, the endpoint is back, its removal looks like a lapse, all peers are told so, and users'
+/// requests go to an endpoint that has left seconds ago.
+#[test]
+fn old_changes_after_an_outage_do_not_bring_back_what_peers_know_to_be_gone() {
+    let mut directory = listed();
+    let mut newer = listed();
+    newer.apply(Change::Gone("one".into()), 187, None);
+    assert!(directory.adopt(newer, &[], 0));
+    let beat = Event { change: Change::Present(endpoint("one")), revision: 150 };
+    let removal = Event { change: Change::Gone("one".into()), revision: 187 };
+    let came = Event { change: Change::Present(endpoint("three")), revision: 200 };
+    assert!(directory.follow([beat, removal, came].into_iter(), 212, Some(9_000)));
+    assert_eq!(taking(&directory), ["three", "two"]);
+    assert!(directory.lapsed(0).is_empty());
+}
