Give each fleet of a test a secret of its own

All fleets of all tests had one secret, so a daemon that was given a port left by another fleet's took part in that fleet, and its newer versions were taken there. Whether it was the whole cause is measured next.

--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -1,5 +1,6 @@
 //! Starts a fleet of real processes for a test, and ends it.
 
+use std::cell::RefCell;
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -32,6 +33,23 @@
     }
 }
 
+/// Longest wait for one answer of a daemon that is only asked what it knows.
+const CALL: Duration = Duration::from_secs(5);
+
+/// Shows what an entry answered last and knows, when a test fails while it waits.
+struct Shown<'a> {
+    last: &'a RefCell<String>,
+    entry: &'a Daemon,
+}
+
+impl Drop for Shown<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            println!("last answer: {}; status: {}", self.last.borrow(), self.entry.status());
+        }
+    }
+}
+
 /// A process of this test; ended when dropped.
 pub struct Process {
     child: Child,
@@ -217,6 +235,9 @@
     pub entries: Vec<Daemon>,
     pub shape: Shape,
     seeds: Vec<String>,
+    /// Of this fleet alone. A daemon of another test may be given a port that one of this fleet has
+    /// left; with one secret for all, its newer versions would be taken here.
+    secret: String,
 }
 
 impl Fleet {
@@ -236,6 +257,7 @@
             entries: Vec::new(),
             shape,
             seeds: Vec::new(),
+            secret: format!("a secret of the tests, {:x}", rand::random::<u64>()),
         };
         for number in 0..fleet.shape.entries {
             let entry = fleet.spawn_entry(&format!("entry-{number}"));
@@ -276,7 +298,7 @@
         json!({
             "id": id, "region": "jawa", "zone": "jkt",
             "peer_addr": "127.0.0.1:0", "admin_addr": "127.0.0.1:0",
-            "platform_url": self.platform.url, "fleet_secret": "a secret of the tests",
+            "platform_url": self.platform.url, "fleet_secret": self.secret,
             "seeds": self.seeds, "drain_ms": self.shape.drain_ms,
         })
     }
@@ -339,9 +361,16 @@
         let (code, key) = self.operate(&["keys", "grant", account]);
         assert_eq!(code, 0, "{key}");
         for entry in &self.entries {
+            let last = RefCell::new(String::new());
+            let _shown = Shown { last: &last, entry };
             wait_for("an entry knows the key", || {
                 let models = ureq::get(&format!("{}/v1/models", entry.url()));
-                models.set("authorization", &format!("Bearer {key}")).call().is_ok().then_some(())
+                // A call that hangs would look like a key that never comes.
+                let models = models.timeout(CALL).set("authorization", &format!("Bearer {key}"));
+                let answer = models.call();
+                *last.borrow_mut() =
+                    answer.as_ref().map_or_else(ToString::to_string, |_| String::new());
+                answer.is_ok().then_some(())
             });
         }
         key
