Count a successor's pause from the last act of the very holder that it follows

Read as a newcomer: the time told by one former holder was also used after another that had given the lease back without being heard.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -50,8 +50,8 @@
     let mut billing = billing::Billing::default();
     let mut scaling = scaling::Scaling::default();
     let mut vacant_since_ms = None;
-    // When another entry last acted, as far as it has told.
-    let mut other_acted_ms = None;
+    // The start of another entry that has told of its term, and when it last acted.
+    let mut other_acted: Option<(u64, u64)> = None;
     let mut quiet_until_ms = 0;
     loop {
         let now_ms = control.now_ms();
@@ -60,7 +60,7 @@
         }
         if let Some((told, at_ms)) = control.told_lease.take() {
             contender.told(told, at_ms);
-            other_acted_ms = Some(at_ms.saturating_sub(told.idle_ms));
+            other_acted = Some((told.boot, at_ms.saturating_sub(told.idle_ms)));
         }
         let held = contender.epoch(now_ms).is_some();
         note_holding(&control, &contender, held);
@@ -84,9 +84,8 @@
         if contender.epoch(now_ms).is_some() && !held {
             billing = billing::Billing::default();
             scaling = scaling::Scaling::default();
-            let was_returned = before.is_some_and(|record| record.term_ms == 0);
-            let last_act_ms = other_acted_ms.unwrap_or(now_ms);
-            quiet_until_ms = if was_returned { last_act_ms + SUCCESSION_MS } else { 0 };
+            quiet_until_ms =
+                before.map_or(0, |record| quiet_until_ms_after(&record, other_acted, now_ms));
             note_holding(&control, &contender, true);
         }
         if now_ms >= quiet_until_ms {
@@ -100,6 +99,20 @@
     }
 }
 
+/// Until when a new holder does nothing, after the record that it replaced.
+fn quiet_until_ms_after(
+    replaced: &lease::Record,
+    other_acted: Option<(u64, u64)>,
+    now_ms: u64,
+) -> u64 {
+    if replaced.term_ms > 0 {
+        return 0;
+    }
+    // One that has not told may have acted just now.
+    let told = other_acted.filter(|(boot, _)| *boot == replaced.boot);
+    told.map_or(now_ms, |(_, acted_ms)| acted_ms) + SUCCESSION_MS
+}
+
 /// Notes what the other entries are told of the lease, and whether it is held here.
 fn note_holding<P>(control: &Control<P>, contender: &lease::Contender, held: bool) {
     let now_ms = control.now_ms();
