--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -171,7 +171,8 @@
 }
 
 pub fn get_json(url: &str) -> Value {
-    let answer = ureq::get(url).call().unwrap_or_else(|error| panic!("{url}: {error}"));
+    let answer =
+        ureq::get(url).timeout(CALL).call().unwrap_or_else(|error| panic!("{url}: {error}"));
     answer.into_json().expect("JSON")
 }
 
