--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -90,6 +90,17 @@
     Unknown(http1::Error),
 }
 
+impl Failure {
+    /// Whether some endpoint has seen the request, so that another send repeats it there.
+    #[must_use]
+    pub fn arrived(&self) -> bool {
+        match self {
+            Self::NotSent(_) => false,
+            Self::NotRun { .. } | Self::WrongEndpoint | Self::Unknown(_) => true,
+        }
+    }
+}
+
 /// How long to wait for the head of an answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -137,10 +148,10 @@
         };
         match answered {
             Ok((head, facts)) => {
-                self.heard(endpoint.key, &facts);
                 if facts.is_other_endpoint {
                     return Err(Failure::WrongEndpoint);
                 }
+                self.heard(endpoint.key, &facts);
                 if facts.not_run {
                     let status = head.status;
                     self.keep_when_read(&endpoint, connection).await;
@@ -219,6 +230,12 @@
         self.health.borrow_mut().unreachable(endpoint.key, self.now_ms());
     }
 
+    /// Another endpoint answered at this one's address.
+    pub(super) fn misdirected(&self, endpoint: &directory::Endpoint) {
+        self.pool.borrow_mut().forget(endpoint.addr);
+        self.health.borrow_mut().misdirected(endpoint.key, self.now_ms());
+    }
+
     /// Reads the rest of a short answer, if it is there already, and keeps the connection.
     async fn keep_when_read(
         &self,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -12,8 +12,9 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task;
 
-use super::duties::{billing, duty, scaling, tally};
-use super::fleet::{digests, members, peers, pulls, recall};
+use super::duties::{billing, delivery, duty, scaling, tally};
+use super::fleet::{datagrams, exchange, members, peers, pulls, recall};
+use super::policy::budget;
 use super::{directory, request, route, shared, watch};
 use crate::{bound, clock, lease, seal, store};
 
@@ -96,12 +97,19 @@
     pub(super) secret: seal::Secret,
     pub(super) table: RefCell<Option<Arc<route::Table>>>,
     pub(super) directory: RefCell<directory::Directory>,
-    pub(super) peers: RefCell<peers::Peers>,
+    pub(super) exchange: RefCell<exchange::Exchange>,
+    /// This entry's counts on their way to those who bill.
+    pub(super) outbox: RefCell<delivery::Outbox>,
+    /// Up to when the other entries have counted.
+    pub(super) settled: RefCell<delivery::Settled>,
+    pub(super) sharers: Cell<budget::Sharers>,
     pub(super) socket: UdpSocket,
     /// This entry holds the duties.
     pub(super) holds_duties: Cell<bool>,
     /// What the others are told of a lease held here, as of a time.
     pub(super) own_lease: Cell<Option<(lease::Told, u64)>>,
+    /// The newest that is known of another's lease, and since when, to be passed on.
+    pub(super) passed_lease: Cell<Option<(lease::Told, u64)>>,
     /// What a holder has told last, and when.
     pub(super) told_lease: Cell<Option<(lease::Told, u64)>>,
     /// The store answered the last read of the lease.
@@ -149,13 +157,17 @@
     let listener = TcpListener::from_std(sockets.tcp)?;
     let control = Rc::new(Control {
         secret: seal::Secret::fleet(&shared.settings.fleet_secret),
-        peers: RefCell::new(peers::Peers::new(&shared.settings)),
+        exchange: RefCell::new(open_exchange(&shared)),
+        outbox: RefCell::new(delivery::Outbox::new(shared.boot, shared.window_ms())),
+        settled: RefCell::default(),
+        sharers: Cell::default(),
         platform: platform(),
         table: RefCell::default(),
         directory: RefCell::default(),
         socket: UdpSocket::from_std(sockets.udp)?,
         holds_duties: Cell::new(false),
         own_lease: Cell::new(None),
+        passed_lease: Cell::new(None),
         told_lease: Cell::new(None),
         reads_lease: Cell::new(true),
         remembered: RefCell::default(),
@@ -168,13 +180,25 @@
     task::spawn_local(watch::follow(Rc::clone(&control), Topic::Endpoints));
     task::spawn_local(recall::ask_engines(Rc::clone(&control)));
     task::spawn_local(pulls::serve(Rc::clone(&control), listener));
-    task::spawn_local(digests::receive(Rc::clone(&control)));
+    task::spawn_local(datagrams::receive(Rc::clone(&control)));
     task::spawn_local(members::enrol(Rc::clone(&control)));
     task::spawn_local(duty::contend(Rc::clone(&control)));
-    digests::tell(control).await;
+    datagrams::tell(control).await;
     Ok(())
 }
 
+fn open_exchange(shared: &shared::Shared) -> exchange::Exchange {
+    let settings = &shared.settings;
+    let own = exchange::Own {
+        addr: settings.peer_addr(),
+        boot: shared.boot,
+        zone: settings.zone.clone(),
+        strength: settings.strength(),
+    };
+    let now_ms = clock::boot_ms();
+    exchange::Exchange::new(own, peers::Peers::new(settings, now_ms), now_ms)
+}
+
 impl<P> Control<P> {
     pub(super) fn now_ms(&self) -> u64 {
         clock::boot_ms()
@@ -198,8 +222,7 @@
     /// Whether this entry reads the store for its zone. The others learn from digests, so that the
     /// calls to the store grow with the zones and hardly with the fleet.
     pub(super) fn reads_store(&self) -> bool {
-        let zone = &self.shared.settings.zone;
-        self.peers.borrow().readers_before(zone, self.now_ms()) < READERS_PER_ZONE
+        self.exchange.borrow().peers.readers_before(self.now_ms()) < READERS_PER_ZONE
     }
 
     /// Takes a configuration, if it is newer than the one in force.
@@ -265,7 +288,8 @@
         }
     }
 
-    pub(super) fn counts(&self, windows: usize) -> tally::Counts {
-        self.shared.tally().newest_of(self.shared.boot, windows)
+    /// What this start of the entry has counted.
+    pub(super) fn counts(&self) -> tally::Counts {
+        self.shared.tally().newest_of(self.shared.boot, tally::KEPT_WINDOWS as usize)
     }
 }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -20,6 +20,12 @@
     pub fn of(id: &str) -> Self {
         Self(xxh3::xxh3_64(id.as_bytes()).to_le_bytes())
     }
+
+    /// Which of so many parts of a table the endpoint belongs to.
+    #[must_use]
+    pub fn part_of(self, parts: u8) -> u8 {
+        self.0[0] % parts.max(1)
+    }
 }
 
 /// One endpoint.
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -130,6 +130,13 @@
     }
 }
 
+/// Waits until another entry has this one's counts: they would be on nobody's bill.
+async fn deliver_counts(shared: &shared::Shared, end_ms: u64) {
+    while !shared.counts_delivered.load(Ordering::Acquire) && clock::boot_ms() < end_ms {
+        time::sleep(POLL).await;
+    }
+}
+
 /// Waits until the entry may end.
 pub async fn drain(shared: &shared::Shared, log: &slog::Logger) {
     let begin_ms = clock::boot_ms();
@@ -147,6 +154,7 @@
             Step::Wait => {}
             Step::Close => shared.is_closed.store(true, Ordering::Release),
             Step::End => {
+                deliver_counts(shared, stop.ends.end_ms).await;
                 slog::info!(log, "drained"; "left" => active, "took_ms" => now_ms - begin_ms);
                 return;
             }
--- a/src/gateway/duties/billing.rs
+++ b/src/gateway/duties/billing.rs
@@ -13,8 +13,6 @@
 use crate::store::Condition;
 
 const SEALS_KEY: &str = "briarwinch-usage/sealed";
-/// How long after a window's end it is sealed: all entries' digests have come by then.
-const SETTLE_MS: u64 = 900;
 /// A call under a duty takes at most this; so much of the term has to be left.
 const CALL_MS: u64 = 1_300;
 /// Seals kept in the store; a report is due two windows after a window's end.
@@ -35,10 +33,8 @@
 /// twentieth.
 const SAVE_MS: u64 = 200;
 /// Bytes a second that these writes may come to; with many entries they come less often.
-const SAVE_BYTES_PER_S: u64 = 20_000;
+const SAVE_BYTES_PER_S: u64 = 150_000;
 const OPEN_KEY: &str = "briarwinch-usage/open";
-/// Windows whose counts are saved.
-const SAVED_WINDOWS: usize = 3;
 
 /// Counts that outlast the death of all entries.
 #[derive(Debug, Default)]
@@ -58,6 +54,8 @@
     /// What the store holds, once read, with its version.
     seals: Option<(u64, Vec<Sealed>)>,
     reported: BTreeSet<u64>,
+    /// When this holder began to bill.
+    since_ms: Option<u64>,
 }
 
 impl Billing {
@@ -71,6 +69,7 @@
         let Some(fence) = contender.epoch_for(now_ms, CALL_MS) else {
             return duty::Tick::Done;
         };
+        self.since_ms.get_or_insert(now_ms);
         if now_ms < self.retry_ms {
             return duty::Tick::Done;
         }
@@ -138,17 +137,24 @@
     /// The next window that is over and not sealed.
     fn due<P>(&self, control: &Control<P>) -> Option<Sealed> {
         let (_, seals) = self.seals.as_ref()?;
-        let window_ms = control.shared.settings.billing_window_s.max(1) * 1_000;
-        let settled_ms = control.shared.time.unix_ms().checked_sub(SETTLE_MS)?;
-        let last = (settled_ms / window_ms).checked_sub(1)?;
-        let first = last.saturating_sub(KEPT_SEALS as u64 / 2);
-        let sealed = seals.iter().map(|sealed| sealed.window).max();
+        let window_ms = control.shared.window_ms();
+        let (now_ms, unix_ms) = (control.now_ms(), control.shared.time.unix_ms());
+        let last = (unix_ms / window_ms).checked_sub(1)?;
         let tally = control.shared.tally();
         // What was counted later for a window that is sealed is not added: a report never changes.
-        (first.max(sealed.map_or(0, |window| window + 1))..=last).find_map(|window| {
-            let counts = tally.sum(window);
-            (!counts.is_empty()).then_some(Sealed { window, counts })
-        })
+        let window = (first_unsealed(seals).max(last.saturating_sub(KEPT_SEALS as u64 / 2))..=last)
+            .find(|window| !tally.sum(*window).is_empty())?;
+        let end_ms = (window + 1) * window_ms;
+        let is_settled_here = control.shared.settled_ms() >= end_ms;
+        let exchange = control.exchange.borrow();
+        let is_due = control.settled.borrow().may_seal(
+            end_ms,
+            unix_ms,
+            now_ms.saturating_sub(self.since_ms.unwrap_or(now_ms)),
+            is_settled_here,
+            exchange.peers.live_boots(now_ms),
+        );
+        is_due.then(|| Sealed { window, counts: tally.sum(window) })
     }
 
     async fn seal<P: Platform>(&mut self, control: &Control<P>, sealed: Sealed) {
@@ -177,7 +183,7 @@
             Ok(None) => self.saved = Some(Saved::default()),
             Ok(Some(object)) => {
                 match serde_json::from_str(&object.value) {
-                    Ok(counts) => control.shared.tally().take_saved(counts),
+                    Ok(saved) => control.shared.tally().load(&saved),
                     Err(error) => {
                         slog::error!(control.log, "saved counts not readable";
                             "error" => error.to_string());
@@ -193,13 +199,14 @@
         true
     }
 
-    /// Saves the counts of the newest windows, if they have changed.
+    /// Saves the counts of the windows that are not sealed, if they have changed.
     async fn save<P: Platform>(&mut self, control: &Control<P>) {
         let now_ms = control.now_ms();
         let Some(saved) = self.saved.as_mut().filter(|saved| now_ms >= saved.next_ms) else {
             return;
         };
-        let counts = control.shared.tally().newest(SAVED_WINDOWS);
+        let first = self.seals.as_ref().map_or(0, |(_, seals)| first_unsealed(seals));
+        let counts = control.shared.tally().save(first);
         let text = serde_json::to_string(&counts).unwrap_or_default();
         if text == saved.text {
             return;
@@ -218,3 +225,8 @@
         }
     }
 }
+
+/// The first window after those that are sealed.
+fn first_unsealed(seals: &[Sealed]) -> u64 {
+    seals.iter().map(|sealed| sealed.window + 1).max().unwrap_or(0)
+}
--- /dev/null
+++ b/src/gateway/duties/delivery.rs
@@ -0,0 +1,196 @@
+//! How each entry's counts come to those who bill, and when a window's counts are complete. Pure.
+//!
+//! The pattern it answers: hundreds of entries count requests, one of them seals a window for all, and any
+//! of them may end, freeze or lose datagrams meanwhile. Counts that come after the seal are on nobody's
+//! bill, so a window waits for the word of every live entry that it has counted all of it, and only for so
+//! long that a report can still be in time. Counts only grow, so that what comes twice changes nothing.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::duties::tally;
+
+/// Counts in a parcel, at most.
+pub const MAX_COUNTED: usize = 55;
+/// Bytes of a parcel's counts, at most; with what goes with them they fit a datagram.
+const MAX_BYTES: usize = 1_100;
+/// Windows whose counts are delivered.
+const DELIVERED_WINDOWS: usize = 4;
+/// Parcels without a receipt that are remembered.
+const MAX_OPEN: usize = 16;
+/// A window is not sealed sooner: clocks differ a little.
+const LEAST_MS: u64 = 100;
+/// A window waits no longer for counts. Its report is due ten seconds after its end, and a holder's death
+/// in between takes nearly six.
+const LATEST_MS: u64 = 4_000;
+/// Who has just begun to bill waits for so long at least: the others send it their counts now.
+const BEGIN_MS: u64 = 1_000;
+
+/// Counts on their way to one who keeps them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Parcel {
+    /// The start of the entry that has counted.
+    pub boot: u64,
+    pub number: u32,
+    /// The start of the keeper that has taken all former counts, if one has.
+    pub keeper: Option<u64>,
+    pub counts: tally::Counts,
+    /// With these counts and the former ones, everything that ran before this time of day is counted.
+    pub settled_ms: Option<u64>,
+}
+
+/// A parcel has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Receipt {
+    /// The start of the entry that sent it.
+    pub boot: u64,
+    pub number: u32,
+}
+
+/// What one keeper has taken.
+#[derive(Clone, Debug, Default)]
+struct Keeper {
+    start: Option<u64>,
+    taken: tally::Counts,
+    settled_ms: u64,
+    open: VecDeque<Parcel>,
+}
+
+/// An entry's counts on their way.
+#[derive(Clone, Debug)]
+pub struct Outbox {
+    boot: u64,
+    window_ms: u64,
+    number: u32,
+    keepers: HashMap<SocketAddr, Keeper>,
+}
+
+impl Outbox {
+    #[must_use]
+    pub fn new(boot: u64, window_ms: u64) -> Self {
+        Self { boot, window_ms: window_ms.max(1), number: 0, keepers: HashMap::new() }
+    }
+
+    /// What to send to each keeper now. `settled_ms`: everything that ran before is in `own`.
+    pub fn parcels(
+        &mut self,
+        keepers: &[SocketAddr],
+        own: &tally::Counts,
+        settled_ms: u64,
+    ) -> Vec<(SocketAddr, Parcel)> {
+        self.keepers.retain(|addr, _| keepers.contains(addr));
+        let own = own.newest(DELIVERED_WINDOWS);
+        let mut parcels = Vec::new();
+        for addr in keepers {
+            let keeper = self.keepers.entry(*addr).or_default();
+            let left = own.beyond(&keeper.taken);
+            let is_next_window = settled_ms / self.window_ms > keeper.settled_ms / self.window_ms;
+            if left.is_empty() && !is_next_window {
+                continue;
+            }
+            let mut pieces = left.split(MAX_COUNTED.min(MAX_BYTES / left.longest_bytes().max(1)));
+            if pieces.is_empty() {
+                pieces.push(tally::Counts::default());
+            }
+            let is_all = pieces.len() == 1;
+            for counts in pieces {
+                self.number = self.number.wrapping_add(1);
+                let parcel = Parcel {
+                    boot: self.boot,
+                    number: self.number,
+                    keeper: keeper.start,
+                    counts,
+                    settled_ms: is_all.then_some(settled_ms),
+                };
+                if keeper.open.len() >= MAX_OPEN {
+                    keeper.open.pop_front();
+                }
+                keeper.open.push_back(parcel.clone());
+                parcels.push((*addr, parcel));
+            }
+        }
+        parcels
+    }
+
+    /// A keeper has taken a parcel.
+    pub fn take(&mut self, from: SocketAddr, start: u64, receipt: Receipt) {
+        let Some(keeper) = self.keepers.get_mut(&from).filter(|_| receipt.boot == self.boot) else {
+            return;
+        };
+        if keeper.start != Some(start) {
+            // Another start of it has nothing of what the former one had.
+            *keeper = Keeper { start: Some(start), ..Keeper::default() };
+            return;
+        }
+        let at = keeper.open.iter().position(|parcel| parcel.number == receipt.number);
+        let Some(parcel) = at.and_then(|at| keeper.open.remove(at)) else {
+            return;
+        };
+        if parcel.keeper == Some(start) {
+            keeper.taken.merge(&parcel.counts);
+            keeper.settled_ms = keeper.settled_ms.max(parcel.settled_ms.unwrap_or(0));
+        }
+    }
+
+    /// Whether some keeper has all of these counts, or there is none.
+    #[must_use]
+    pub fn is_delivered(&self, own: &tally::Counts) -> bool {
+        let own = own.newest(DELIVERED_WINDOWS);
+        let mut keepers = self.keepers.values();
+        self.keepers.is_empty() || keepers.any(|keeper| own.beyond(&keeper.taken).is_empty())
+    }
+}
+
+/// Up to when each start of an entry has counted everything, as a keeper knows.
+#[derive(Clone, Debug, Default)]
+pub struct Settled {
+    until_ms: HashMap<u64, u64>,
+}
+
+impl Settled {
+    /// Takes a parcel that has come to this start of the keeper, and gives its receipt.
+    pub fn take(&mut self, parcel: &Parcel, own_boot: u64) -> Receipt {
+        if let Some(settled_ms) = parcel.settled_ms.filter(|_| parcel.keeper == Some(own_boot)) {
+            let until_ms = self.until_ms.entry(parcel.boot).or_default();
+            *until_ms = settled_ms.max(*until_ms);
+        }
+        Receipt { boot: parcel.boot, number: parcel.number }
+    }
+
+    /// Whether a window that ended then may be sealed now by one who has billed for `held_ms`, while these
+    /// starts of entries live.
+    #[must_use]
+    pub fn may_seal(
+        &self,
+        end_ms: u64,
+        now_unix_ms: u64,
+        held_ms: u64,
+        is_settled_here: bool,
+        mut live_boots: impl Iterator<Item = u64>,
+    ) -> bool {
+        let passed_ms = now_unix_ms.saturating_sub(end_ms);
+        let is_settled =
+            |boot: u64| self.until_ms.get(&boot).is_some_and(|until_ms| *until_ms >= end_ms);
+        (passed_ms >= LATEST_MS && held_ms >= BEGIN_MS)
+            || (passed_ms >= LEAST_MS && is_settled_here && live_boots.all(is_settled))
+    }
+
+    /// Forgets entries that have not settled anything since this time of day.
+    pub fn forget_before(&mut self, unix_ms: u64) {
+        self.until_ms.retain(|_, until_ms| *until_ms >= unix_ms);
+    }
+}
+
+/// What one start of an entry has counted in a window, by index of the account.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SavedStart(pub u64, pub u64, pub Vec<(u32, u32)>);
+
+/// Counts of several starts of entries, as they are saved: accounts are named once.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Saved {
+    pub accounts: Vec<CompactString>,
+    pub starts: Vec<SavedStart>,
+}
--- a/src/gateway/duties/mod.rs
+++ b/src/gateway/duties/mod.rs
@@ -1,6 +1,7 @@
 //! What one entry does for the whole fleet while it holds the lease: billing and the number of endpoints.
 
 pub mod billing;
+pub mod delivery;
 pub mod duty;
 pub mod scaling;
 pub mod tally;
--- a/src/gateway/duties/tally.rs
+++ b/src/gateway/duties/tally.rs
@@ -1,13 +1,19 @@
 //! How many requests of each client account began to run, by billing window.
 //!
-//! Each entry counts its own and tells the others with its digests, so that the counts of an entry
-//! that dies are known elsewhere up to its last digest.
+//! Each entry counts its own and sends them to those who bill, so that the counts of an entry that dies
+//! are known elsewhere up to a moment before.
 
 use std::collections::{BTreeMap, HashMap};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::duties::delivery;
+
+/// Bytes of a count with an account's name of usual length in a message.
+pub const MAX_COUNT_BYTES: usize = 20;
+/// Bytes of a count beside the account's name in a message, at most.
+const COUNT_BYTES: usize = 6;
 /// Windows that are told and kept; a report is due two windows after a window's end.
 pub(in crate::gateway) const KEPT_WINDOWS: u64 = 6;
 
@@ -40,6 +46,34 @@
         Self { windows: newest.map(|(window, counts)| (*window, counts.clone())).collect() }
     }
 
+    /// What stands here beyond what stands in another copy of the same counts.
+    #[must_use]
+    pub fn beyond(&self, other: &Self) -> Self {
+        let mut beyond = Self::default();
+        for (window, counts) in &self.windows {
+            let known = other.windows.get(window);
+            let is_beyond = |(account, count): &(&CompactString, &u32)| {
+                known.and_then(|known| known.get(*account)).is_none_or(|known| known < *count)
+            };
+            let counts: BTreeMap<CompactString, u32> = counts
+                .iter()
+                .filter(is_beyond)
+                .map(|(name, count)| (name.clone(), *count))
+                .collect();
+            if !counts.is_empty() {
+                beyond.windows.insert(*window, counts);
+            }
+        }
+        beyond
+    }
+
+    /// Bytes of the longest line in a message.
+    #[must_use]
+    pub fn longest_bytes(&self) -> usize {
+        let names = self.windows.values().flat_map(BTreeMap::keys);
+        names.map(|name| name.len() + COUNT_BYTES).max().unwrap_or(0)
+    }
+
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.windows.is_empty()
@@ -60,7 +94,7 @@
     }
 
     /// Takes over what another copy of the same counts says; counts only grow.
-    fn merge(&mut self, other: &Self) {
+    pub fn merge(&mut self, other: &Self) {
         for (window, counts) in &other.windows {
             let mine = self.windows.entry(*window).or_default();
             for (account, count) in counts {
@@ -108,6 +142,38 @@
         newest.filter(|(_, counts)| !counts.is_empty()).collect()
     }
 
+    /// All entries' counts of a window and all later ones, to be saved.
+    #[must_use]
+    pub fn save(&self, first: u64) -> delivery::Saved {
+        let mut indices: HashMap<&CompactString, u32> = HashMap::new();
+        let mut saved = delivery::Saved::default();
+        for (boot, counts) in &self.by_boot {
+            for (window, counts) in counts.windows.range(first..) {
+                let mut row = Vec::with_capacity(counts.len());
+                for (account, count) in counts {
+                    let index = *indices.entry(account).or_insert_with(|| {
+                        saved.accounts.push(account.clone());
+                        saved.accounts.len() as u32 - 1
+                    });
+                    row.push((index, *count));
+                }
+                saved.starts.push(delivery::SavedStart(*boot, *window, row));
+            }
+        }
+        saved
+    }
+
+    /// Takes over counts that were saved.
+    pub fn load(&mut self, saved: &delivery::Saved) {
+        for delivery::SavedStart(boot, window, row) in &saved.starts {
+            let named = row.iter().filter_map(|(index, count)| {
+                Some((saved.accounts.get(*index as usize)?.clone(), *count))
+            });
+            let counts = Counts { windows: BTreeMap::from([(*window, named.collect())]) };
+            self.take(*boot, &counts);
+        }
+    }
+
     /// Takes over counts by start of an entry, as [`Tally::newest`] gave them.
     pub fn take_saved(&mut self, saved: BTreeMap<u64, Counts>) {
         for (boot, counts) in saved {
--- a/src/gateway/fleet/members.rs
+++ b/src/gateway/fleet/members.rs
@@ -12,29 +12,36 @@
 
 /// Entries note themselves in the store under this prefix, for those whose seeds are out of date.
 const MEMBERS_PREFIX: &str = "briarwinch-members/";
-/// How often an entry that knows few others reads that list.
-const ENROL_MS: u64 = 5_000;
+/// How often an entry that hears of no other reads that list.
+const LIST_MS: u64 = 5_000;
+/// How often it is looked whether there is something to do. Seeds that live are heard of sooner.
+const LOOK: Duration = Duration::from_millis(1_000);
 
-/// Notes this entry in the store, and reads who else is there while few others are known.
+/// Notes this entry in the store if it reads the store for its zone, and reads who else is there while no
+/// other is heard of. So a start of all entries costs a few calls for each zone.
 pub(in crate::gateway) async fn enrol<P: Platform>(control: Rc<Control<P>>) {
     let own = control.shared.settings.peer_addr();
     let key = format!("{MEMBERS_PREFIX}{}", control.shared.settings.id);
     let mut is_enrolled = false;
+    let mut next_list_ms = 0;
     loop {
-        if !is_enrolled {
+        time::sleep(LOOK).await;
+        if !is_enrolled && control.reads_store() {
             is_enrolled = enrol_once(&control, &key, own).await;
         }
-        if control.peers.borrow().live(control.now_ms()) == 0
-            && let Ok(listing) = control.platform.list(MEMBERS_PREFIX).await
-        {
+        let now_ms = control.now_ms();
+        if now_ms < next_list_ms || control.exchange.borrow().peers.live(now_ms) > 0 {
+            continue;
+        }
+        next_list_ms = now_ms + LIST_MS;
+        if let Ok(listing) = control.platform.list(MEMBERS_PREFIX).await {
             let addrs = listing.objects.iter().filter_map(|one| {
                 let text: CompactString = serde_json::from_str(&one.value).ok()?;
                 text.parse().ok()
             });
-            let mut peers = control.peers.borrow_mut();
+            let peers = &mut control.exchange.borrow_mut().peers;
             addrs.for_each(|addr| peers.name(addr));
         }
-        time::sleep(Duration::from_millis(ENROL_MS)).await;
     }
 }
 
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -1,7 +1,9 @@
 //! What entries tell each other, and how one that is behind or has just started catches up.
 
-pub mod digests;
-pub mod members;
+pub(super) mod datagrams;
+pub mod exchange;
+pub(super) mod members;
+pub mod message;
 pub mod peers;
 pub mod pulls;
 pub(super) mod recall;
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -1,108 +1,501 @@
 //! The other entries, as far as this one has heard or been told of them. Pure but for its lots.
+//!
+//! Whoever hears an entry itself tells others when it did, so that one view holds everywhere without
+//! each entry telling each other. What is newer wins, by the time at which anybody heard the entry.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
 use rand::seq::IteratorRandom;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
 
 use crate::gateway::settings;
 
-/// Peers told each time, at most; of a larger fleet a part by lot.
-pub(in crate::gateway) const FAN_OUT: usize = 64;
-/// A peer that was not heard of for this long counts as gone for duties and shares.
-pub(in crate::gateway) const GONE_MS: u64 = 2_000;
+/// Entries that one without an aggregator tells each time, at most; of a larger fleet a part by lot.
+const FAN_OUT: usize = 64;
+/// A peer that nobody heard of for this long counts as gone for duties and shares.
+pub(in crate::gateway) const GONE_MS: u64 = 1_700;
+/// A peer that nobody heard of for this long is not sent what an aggregator is sent.
+const ABSENT_MS: u64 = 1_200;
 /// A peer that is gone for this long is forgotten and no longer told anything.
 const FORGET_MS: u64 = 30_000;
-/// Addresses of other entries in a digest.
-const MAX_MEMBERS: usize = 8;
+/// Peers heard of within the longest retry window share the budget.
+const SHARES_MS: u64 = 10_000;
+/// Time in which an entry that starts hears of all others.
+const SETTLE_MS: u64 = 2_000;
+/// Aggregators of an availability zone: the one that acts and the one that stands by.
+pub(in crate::gateway) const AGGREGATORS: usize = 2;
+/// A zone whose peers were all heard within this is told of as a whole; another zone's are heard of later.
+const FRESH_MS: u64 = 500;
+const FRESH_ELSEWHERE_MS: u64 = 900;
+/// A change is told in full for this long, beside the turn in which all peers are.
+const CHANGED_MS: u64 = 1_500;
+/// Unit of ages in messages.
+const AGE_STEP_MS: u64 = 20;
 
 /// What is known of another entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    pub boot: u64,
+    /// When somebody heard it last, on this entry's clock.
+    pub heard_ms: u64,
+    pub zone: CompactString,
+    /// What its instance can carry, in thousandths of a core.
+    pub strength: u16,
+    pub has_store: bool,
+    pub holds_duties: bool,
+    pub is_stopping: bool,
+}
+
+impl Peer {
+    fn is_live(&self, now_ms: u64) -> bool {
+        now_ms < self.heard_ms + GONE_MS
+    }
+
+    fn same_but_heard(&self, other: &Self) -> bool {
+        Self { heard_ms: other.heard_ms, ..self.clone() } == *other
+    }
+
+    /// Names this state of the peer in messages.
+    fn tag(&self, addr: SocketAddr) -> u32 {
+        let flags = [self.has_store, self.holds_duties, self.is_stopping];
+        let text = format!("{addr} {} {} {} {flags:?}", self.boot, self.zone, self.strength);
+        xxh3::xxh3_64(text.as_bytes()) as u32
+    }
+}
+
+/// A peer's whole line in a roster.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    addr: SocketAddr,
+    boot: u64,
+    zone: CompactString,
+    strength: u16,
+    has_store: bool,
+    holds_duties: bool,
+    is_stopping: bool,
+    age: u8,
+}
+
+/// A zone all of whose live peers were heard just now: who knows the same ones need no line of each.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Whole {
+    zone: CompactString,
+    /// The tags of all, combined.
+    tags: u32,
+    /// How long ago the one was heard that was heard first.
+    age: u8,
+}
+
+/// Who lives: whole lines of some peers, and of others, whose line has been told before, the tag and
+/// how long ago they were heard; of a zone in which all are well, all in one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    pub rows: Vec<Row>,
+    pub tags: Vec<(u32, u8)>,
+    pub whole: Vec<Whole>,
+}
+
+impl Roster {
+    /// The same in pieces that fit a datagram.
+    #[must_use]
+    pub fn split(self) -> Vec<Self> {
+        /// About 30 bytes each.
+        const MAX_ROWS: usize = 36;
+        /// Six bytes each.
+        const MAX_TAGS: usize = 200;
+        let rows = self.rows.chunks(MAX_ROWS);
+        let rows = rows.map(|rows| Self { rows: rows.to_vec(), ..Self::default() });
+        let tags = self.tags.chunks(MAX_TAGS);
+        let tags = tags.map(|tags| Self { tags: tags.to_vec(), ..Self::default() });
+        let mut pieces: Vec<Self> = rows.chain(tags).collect();
+        if !self.whole.is_empty() {
+            // Last, so that the lines of new peers are known by then.
+            pieces.push(Self { whole: self.whole, ..Self::default() });
+        }
+        pieces
+    }
+}
+
+/// Whose lines a roster holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope<'a> {
+    Zone(&'a str),
+    All,
+}
+
 #[derive(Clone, Debug)]
-pub(in crate::gateway) struct Peer {
-    pub(in crate::gateway) boot: u64,
-    pub(in crate::gateway) heard_ms: u64,
-    pub(in crate::gateway) zone: CompactString,
-    pub(in crate::gateway) has_store: bool,
-    pub(in crate::gateway) holds_duties: bool,
-    pub(in crate::gateway) is_stopping: bool,
+struct Known {
+    peer: Peer,
+    tag: u32,
+    changed_ms: u64,
+}
+
+impl Known {
+    /// Somebody heard the peer then. One that had been gone has changed.
+    fn heard(&mut self, heard_ms: u64, now_ms: u64) {
+        if !self.peer.is_live(now_ms) {
+            self.changed_ms = now_ms;
+        }
+        self.peer.heard_ms = self.peer.heard_ms.max(heard_ms);
+    }
 }
 
 /// The other entries.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Peers {
     own: SocketAddr,
-    pub(in crate::gateway) seeds: Vec<SocketAddr>,
-    pub(in crate::gateway) heard: HashMap<SocketAddr, Peer>,
+    /// Names this entry's own state in messages.
+    own_tag: u32,
+    zone: CompactString,
+    strength: u16,
+    started_ms: u64,
+    seeds: Vec<SocketAddr>,
+    heard: HashMap<SocketAddr, Known>,
+    by_tag: HashMap<u32, SocketAddr>,
     /// Told of by others, not heard themselves.
-    pub(in crate::gateway) named: HashSet<SocketAddr>,
+    named: HashSet<SocketAddr>,
     pulling: HashSet<SocketAddr>,
     /// By how far older peers' time of day lies beyond this one's.
     pub(in crate::gateway) beyond_ms: HashMap<SocketAddr, i64>,
+    /// Rosters told so far, for the turn in which each peer is told in full.
+    turn: usize,
 }
 
 impl Peers {
     #[must_use]
-    pub(in crate::gateway) fn new(settings: &settings::Gateway) -> Self {
+    pub fn new(settings: &settings::Gateway, now_ms: u64) -> Self {
         let port = settings.internal_ports[0];
         let own = settings.peer_addr();
         let seeds = settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
         Self {
             own,
+            own_tag: 0,
+            zone: settings.zone.clone(),
+            strength: settings.strength(),
+            started_ms: now_ms,
             seeds: seeds.filter(|addr| *addr != own).collect(),
             heard: HashMap::new(),
+            by_tag: HashMap::new(),
             named: HashSet::new(),
             pulling: HashSet::new(),
             beyond_ms: HashMap::new(),
+            turn: 0,
         }
     }
 
+    /// Notes what the others are told of this entry itself.
+    pub fn note_own(&mut self, own: &Peer) {
+        self.own_tag = own.tag(self.own);
+    }
+
+    /// Begins the next turn of rosters.
+    pub fn next_turn(&mut self) {
+        self.turn += 1;
+    }
+
+    /// Takes what is known of a peer, if it is newer. Gives whether this start of it is new.
+    pub fn note(&mut self, addr: SocketAddr, peer: Peer, now_ms: u64) -> bool {
+        if addr == self.own {
+            return false;
+        }
+        self.named.remove(&addr);
+        let before = self.heard.get_mut(&addr);
+        if let Some(known) = &before
+            && known.peer.heard_ms > peer.heard_ms
+        {
+            return false;
+        }
+        if let Some(known) = before
+            && known.peer.same_but_heard(&peer)
+        {
+            known.heard(peer.heard_ms, now_ms);
+            return false;
+        }
+        let tag = peer.tag(addr);
+        let boot = peer.boot;
+        let known = Known { peer, tag, changed_ms: now_ms };
+        let before = self.heard.insert(addr, known);
+        if let Some(before) = &before {
+            self.by_tag.remove(&before.tag);
+        }
+        self.by_tag.insert(tag, addr);
+        before.is_none_or(|before| before.peer.boot != boot)
+    }
+
+    /// Takes what another entry has told. Gives the peers whose start is new.
+    pub fn take(&mut self, roster: &Roster, now_ms: u64) -> Vec<SocketAddr> {
+        // The way here counts as well: without it, what goes round would stay young.
+        let heard_ms = |age: u8| now_ms.saturating_sub((u64::from(age) + 1) * AGE_STEP_MS);
+        for (tag, age) in &roster.tags {
+            let addr = self.by_tag.get(tag);
+            if let Some(known) = addr.and_then(|addr| self.heard.get_mut(addr)) {
+                known.heard(heard_ms(*age), now_ms);
+            }
+        }
+        let mut new = Vec::new();
+        for row in &roster.rows {
+            let peer = Peer {
+                boot: row.boot,
+                heard_ms: heard_ms(row.age),
+                zone: row.zone.clone(),
+                strength: row.strength,
+                has_store: row.has_store,
+                holds_duties: row.holds_duties,
+                is_stopping: row.is_stopping,
+            };
+            if self.note(row.addr, peer, now_ms) {
+                new.push(row.addr);
+            }
+        }
+        for whole in &roster.whole {
+            self.take_whole(whole, heard_ms(whole.age), now_ms);
+        }
+        new
+    }
+
+    fn take_whole(&mut self, whole: &Whole, heard_ms: u64, now_ms: u64) {
+        let own_tag = if whole.zone == self.zone { self.own_tag } else { 0 };
+        let live = self.live_of(Scope::Zone(&whole.zone), now_ms);
+        if live.fold(own_tag, |tags, (_, known)| tags ^ known.tag) != whole.tags {
+            return;
+        }
+        let peers = self.heard.values_mut().map(|known| &mut known.peer);
+        for peer in peers.filter(|peer| peer.zone == whole.zone && peer.is_live(now_ms)) {
+            peer.heard_ms = peer.heard_ms.max(heard_ms);
+        }
+    }
+
+    /// What to tell of the live peers: those that have changed, and in turn all others, in full.
+    pub fn roster(&self, scope: Scope<'_>, now_ms: u64) -> Roster {
+        /// So many rosters tell of each peer in full once.
+        const FULL_TURNS: usize = 24;
+        /// So many rosters tell once of each peer that is well by its tag.
+        const TAG_TURNS: usize = 4;
+        let turn = self.turn;
+        let mut zones: HashMap<&CompactString, Whole> = HashMap::new();
+        let own = Whole { zone: self.zone.clone(), tags: self.own_tag, age: 0 };
+        zones.insert(&self.zone, own);
+        for (_, known) in self.live_of(scope, now_ms) {
+            let zone = &known.peer.zone;
+            let none = || Whole { zone: zone.clone(), tags: 0, age: 0 };
+            let whole = zones.entry(zone).or_insert_with(none);
+            whole.tags ^= known.tag;
+            whole.age = whole.age.max(age(&known.peer, now_ms));
+        }
+        zones.retain(|zone, whole| {
+            let fresh_ms = if **zone == self.zone { FRESH_MS } else { FRESH_ELSEWHERE_MS };
+            u64::from(whole.age) * AGE_STEP_MS < fresh_ms
+        });
+        let mut roster = Roster::default();
+        for (addr, known) in self.live_of(scope, now_ms) {
+            let is_its_turn = known.tag as usize % FULL_TURNS == turn % FULL_TURNS;
+            if is_its_turn || now_ms < known.changed_ms + CHANGED_MS {
+                roster.rows.push(row(*addr, &known.peer, now_ms));
+            } else if turn.is_multiple_of(TAG_TURNS) || !zones.contains_key(&known.peer.zone) {
+                roster.tags.push((known.tag, age(&known.peer, now_ms)));
+            }
+        }
+        roster.whole = zones.into_values().collect();
+        roster
+    }
+
+    /// All live peers in full, for an entry that has just started.
+    #[must_use]
+    pub fn whole_roster(&self, now_ms: u64) -> Roster {
+        let rows = self.live_of(Scope::All, now_ms);
+        let rows = rows.map(|(addr, known)| row(*addr, &known.peer, now_ms)).collect();
+        Roster { rows, ..Roster::default() }
+    }
+
+    /// The aggregators of all zones, for an entry that has just started elsewhere.
+    #[must_use]
+    pub fn introduction(&self, now_ms: u64) -> Roster {
+        let mut zones = self.other_zones(now_ms);
+        zones.insert(self.zone.clone());
+        let addrs = zones.iter().flat_map(|zone| self.aggregators(zone, now_ms));
+        let rows = addrs
+            .filter_map(|addr| self.heard.get(&addr).map(|known| row(addr, &known.peer, now_ms)));
+        Roster { rows: rows.collect(), ..Roster::default() }
+    }
+
+    /// Whether a peer has changed since this time.
+    #[must_use]
+    pub fn has_changed_since(&self, since_ms: u64) -> bool {
+        self.heard.values().any(|known| known.changed_ms > since_ms)
+    }
+
+    fn live_of(
+        &self,
+        scope: Scope<'_>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&SocketAddr, &Known)> {
+        let live = self.heard.iter().filter(move |(_, known)| known.peer.is_live(now_ms));
+        live.filter(move |(_, known)| match scope {
+            Scope::Zone(zone) => known.peer.zone == zone,
+            Scope::All => true,
+        })
+    }
+
+    fn live_peers(&self, now_ms: u64) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        self.live_of(Scope::All, now_ms).map(|(addr, known)| (addr, &known.peer))
+    }
+
     /// Peers heard of within this time.
-    pub(in crate::gateway) fn live(&self, now_ms: u64) -> usize {
-        self.heard.values().filter(|peer| now_ms < peer.heard_ms + GONE_MS).count()
+    #[must_use]
+    pub fn live(&self, now_ms: u64) -> usize {
+        self.live_peers(now_ms).count()
+    }
+
+    /// Starts of live peers.
+    pub fn live_boots(&self, now_ms: u64) -> impl Iterator<Item = u64> {
+        self.live_peers(now_ms).map(|(_, peer)| peer.boot)
     }
 
     /// Live peers that are not stopping.
-    pub(in crate::gateway) fn serving(&self, now_ms: u64) -> usize {
-        let live = self.heard.values().filter(|peer| now_ms < peer.heard_ms + GONE_MS);
-        live.filter(|peer| !peer.is_stopping).count()
+    #[must_use]
+    pub fn serving(&self, now_ms: u64) -> usize {
+        self.live_peers(now_ms).filter(|(_, peer)| !peer.is_stopping).count()
     }
 
-    /// Whether a live peer says that it holds the duties.
-    pub(in crate::gateway) fn holds_duties(&self, now_ms: u64) -> bool {
-        let mut live = self.heard.values().filter(|peer| now_ms < peer.heard_ms + GONE_MS);
-        live.any(|peer| peer.holds_duties && !peer.is_stopping)
+    /// The live peer that says that it holds the duties.
+    #[must_use]
+    pub fn holder(&self, now_ms: u64) -> Option<SocketAddr> {
+        let mut holders =
+            self.live_peers(now_ms).filter(|(_, peer)| peer.holds_duties && !peer.is_stopping);
+        holders.next().map(|(addr, _)| *addr)
     }
 
-    /// Live peers whose address goes before this one's: they contend first.
-    pub(in crate::gateway) fn rank(&self, now_ms: u64) -> usize {
-        let live = self.heard.iter().filter(|(_, peer)| now_ms < peer.heard_ms + GONE_MS);
-        live.filter(|(addr, peer)| **addr < self.own && !peer.is_stopping).count()
+    /// Live peers that contend for the duties before this entry does: the strongest first.
+    #[must_use]
+    pub fn rank(&self, now_ms: u64) -> usize {
+        let before = self
+            .live_peers(now_ms)
+            .filter(|(addr, peer)| !peer.is_stopping && self.goes_before(peer.strength, **addr));
+        before.count()
     }
 
-    /// Live peers of a zone that read the store before this entry does.
-    pub(in crate::gateway) fn readers_before(&self, zone: &str, now_ms: u64) -> usize {
-        let live = self.heard.iter().filter(|(_, peer)| now_ms < peer.heard_ms + GONE_MS);
-        let before = live.filter(|(addr, peer)| {
-            **addr < self.own && peer.zone == zone && peer.has_store && !peer.is_stopping
+    /// The peers that are next in line for the duties.
+    #[must_use]
+    pub fn next_in_line(&self, most: usize, now_ms: u64) -> Vec<SocketAddr> {
+        first(self.live_peers(now_ms).filter(|(_, peer)| !peer.is_stopping), most)
+    }
+
+    /// Live peers of this zone that read the store before this entry does.
+    #[must_use]
+    pub fn readers_before(&self, now_ms: u64) -> usize {
+        let before = self.live_peers(now_ms).filter(|(addr, peer)| {
+            **addr < self.own && peer.zone == self.zone && peer.has_store && !peer.is_stopping
         });
         before.count()
     }
 
-    pub(in crate::gateway) fn targets(&self) -> Vec<SocketAddr> {
-        let mut all: HashSet<SocketAddr> = self.heard.keys().copied().collect();
-        all.extend(self.named.iter().chain(&self.seeds).filter(|addr| **addr != self.own));
-        all.into_iter().choose_multiple(&mut rand::rng(), FAN_OUT)
+    fn goes_before(&self, strength: u16, addr: SocketAddr) -> bool {
+        (Reverse(strength), addr) < (Reverse(self.strength), self.own)
+    }
+
+    /// Peers of this zone that aggregate before this entry does.
+    #[must_use]
+    pub fn aggregators_before(&self, now_ms: u64) -> usize {
+        let candidates = self.candidates(&self.zone, now_ms);
+        candidates.filter(|(addr, peer)| self.goes_before(peer.strength, **addr)).count()
+    }
+
+    /// Whether that peer aggregates before this entry does.
+    #[must_use]
+    pub fn is_before(&self, addr: SocketAddr) -> bool {
+        self.heard.get(&addr).is_some_and(|known| self.goes_before(known.peer.strength, addr))
     }
 
-    pub(in crate::gateway) fn members(&self, now_ms: u64) -> Vec<SocketAddr> {
-        let live = self.heard.iter().filter(|(_, peer)| now_ms < peer.heard_ms + GONE_MS);
-        live.map(|(addr, _)| *addr).choose_multiple(&mut rand::rng(), MAX_MEMBERS)
+    fn candidates<'a>(
+        &'a self,
+        zone: &'a str,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&'a SocketAddr, &'a Peer)> {
+        let present =
+            self.live_peers(now_ms).filter(move |(_, peer)| now_ms < peer.heard_ms + ABSENT_MS);
+        present.filter(move |(_, peer)| peer.zone == zone && !peer.is_stopping)
+    }
+
+    /// The first peers of a zone to aggregate its work: the strongest.
+    #[must_use]
+    pub fn aggregators(&self, zone: &str, now_ms: u64) -> Vec<SocketAddr> {
+        first(self.candidates(zone, now_ms), AGGREGATORS)
+    }
+
+    /// Live peers of this zone, with their starts.
+    #[must_use]
+    pub fn members(&self, now_ms: u64) -> Vec<(SocketAddr, u64)> {
+        let live = self.live_of(Scope::Zone(&self.zone), now_ms);
+        live.map(|(addr, known)| (*addr, known.peer.boot)).collect()
+    }
+
+    /// The other zones in which peers live.
+    #[must_use]
+    pub fn other_zones(&self, now_ms: u64) -> HashSet<CompactString> {
+        let zones = self.live_peers(now_ms).map(|(_, peer)| &peer.zone);
+        zones.filter(|zone| **zone != self.zone).cloned().collect()
+    }
+
+    /// Entries by lot, for one that has no aggregator to pass on what it has to tell.
+    #[must_use]
+    pub fn by_lot(&self) -> Vec<SocketAddr> {
+        self.heard.keys().copied().choose_multiple(&mut rand::rng(), FAN_OUT)
+    }
+
+    /// Whom an entry tells of itself that has no aggregator: its seeds, and by lot those that it was told
+    /// of, its own zone and all others.
+    #[must_use]
+    pub fn to_join(&self) -> Vec<SocketAddr> {
+        /// Of those told of and of the own zone.
+        const SOME: usize = 16;
+        /// Of all others.
+        const FEW: usize = 4;
+        let mut random = rand::rng();
+        let own_zone = self.heard.iter().filter(|(_, known)| known.peer.zone == self.zone);
+        let own_zone = own_zone.map(|(addr, _)| addr).choose_multiple(&mut random, SOME);
+        let named = self.named.iter().choose_multiple(&mut random, SOME);
+        let others = self.heard.keys().choose_multiple(&mut random, FEW);
+        let all = self.seeds.iter().chain(own_zone).chain(named).chain(others);
+        let all: HashSet<SocketAddr> = all.copied().collect();
+        all.into_iter().collect()
+    }
+
+    /// Seeds, and some former peers by lot, that are not heard of: behind a cut there may be another part of
+    /// the fleet.
+    #[must_use]
+    pub fn silent(&self, now_ms: u64) -> Vec<SocketAddr> {
+        const FEW: usize = 4;
+        let is_live = |addr: &SocketAddr| {
+            self.heard.get(addr).is_some_and(|known| known.peer.is_live(now_ms))
+        };
+        let former = self.heard.keys().copied().filter(|addr| !is_live(addr));
+        let mut silent = former.choose_multiple(&mut rand::rng(), FEW);
+        silent.extend(self.seeds.iter().copied().filter(|addr| !is_live(addr)));
+        silent
+    }
+
+    /// Entries that share the retry budget, this one among them.
+    #[must_use]
+    pub fn sharing(&self, now_ms: u64) -> usize {
+        let recent = |known: &&Known| now_ms < known.peer.heard_ms + SHARES_MS;
+        1 + self.heard.values().filter(recent).count().max(self.seeds.len())
+    }
+
+    /// Whether there was time to hear of all others.
+    #[must_use]
+    pub fn is_settled(&self, now_ms: u64) -> bool {
+        self.seeds.is_empty() || now_ms >= self.started_ms + SETTLE_MS
     }
 
     /// Forgets peers that have been gone for long.
-    pub(in crate::gateway) fn forget(&mut self, now_ms: u64) {
-        self.heard.retain(|_, peer| now_ms < peer.heard_ms + FORGET_MS);
+    pub fn forget(&mut self, now_ms: u64) {
+        self.heard.retain(|_, known| now_ms < known.peer.heard_ms + FORGET_MS);
+        let heard = &self.heard;
+        self.by_tag.retain(|_, addr| heard.contains_key(addr));
     }
 
     /// Notes that a pull from this peer is under way; false if one is already.
@@ -114,7 +507,8 @@
         self.pulling.remove(&addr);
     }
 
-    pub(in crate::gateway) fn name(&mut self, addr: SocketAddr) {
+    /// Notes where an entry may be.
+    pub fn name(&mut self, addr: SocketAddr) {
         /// More than the entries of the largest fleet.
         const MAX_NAMED: usize = 1_000;
         if addr != self.own && !self.heard.contains_key(&addr) && self.named.len() < MAX_NAMED {
@@ -122,3 +516,39 @@
         }
     }
 }
+
+/// The strongest peers, at most this many.
+fn first<'a>(
+    peers: impl Iterator<Item = (&'a SocketAddr, &'a Peer)>,
+    most: usize,
+) -> Vec<SocketAddr> {
+    let mut first: Vec<(Reverse<u16>, SocketAddr)> = Vec::with_capacity(most + 1);
+    for (addr, peer) in peers {
+        let key = (Reverse(peer.strength), *addr);
+        let at = first.partition_point(|other| *other < key);
+        if at < most {
+            first.insert(at, key);
+            first.truncate(most);
+        }
+    }
+    first.into_iter().map(|(_, addr)| addr).collect()
+}
+
+fn row(addr: SocketAddr, peer: &Peer, now_ms: u64) -> Row {
+    Row {
+        addr,
+        boot: peer.boot,
+        zone: peer.zone.clone(),
+        strength: peer.strength,
+        has_store: peer.has_store,
+        holds_duties: peer.holds_duties,
+        is_stopping: peer.is_stopping,
+        age: age(peer, now_ms),
+    }
+}
+
+fn age(peer: &Peer, now_ms: u64) -> u8 {
+    // Rounded up: what goes to and fro between entries would otherwise never age.
+    let steps = now_ms.saturating_sub(peer.heard_ms).div_ceil(AGE_STEP_MS);
+    u8::try_from(steps).unwrap_or(u8::MAX)
+}
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -96,7 +96,7 @@
             Err(error) => note_failed(&control, offered.from, &error),
         }
     }
-    control.peers.borrow_mut().end_pull(offered.from);
+    control.exchange.borrow_mut().peers.end_pull(offered.from);
 }
 
 fn note_failed<P>(control: &Control<P>, from: SocketAddr, error: &anyhow::Error) {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -35,10 +35,14 @@
     /// Endpoints that have, or may have, seen it.
     pub tried: Vec<EndpointKey>,
     pub attempts: u32,
+    /// Some endpoint has seen it, even if it did not run it: each further send is a retry.
+    pub has_arrived: bool,
     /// Some endpoint may have run it.
     pub may_have_run: bool,
     /// It stands on its account's bill.
     pub(super) is_counted: bool,
+    /// Held while a send may still turn out to have run.
+    pub(super) uncounted: Option<shared::Uncounted>,
     pub(super) _active: Active,
 }
 
--- a/src/gateway/measures.rs
+++ b/src/gateway/measures.rs
@@ -42,9 +42,18 @@
     .increment(1);
 }
 
-/// A call to the store was answered or not.
-pub fn store_call(outcome: &'static str) {
-    metrics::counter!("briarwinch_gateway_store_calls_total", "outcome" => outcome).increment(1);
+/// A call to the store, by what it does and to which kind of object, was answered or not.
+pub fn store_call(call: &'static str, kind: String, outcome: &'static str) {
+    metrics::counter!("briarwinch_gateway_store_calls_total",
+        "call" => call, "kind" => kind, "outcome" => outcome)
+    .increment(1);
+}
+
+/// Other entries were sent a message of this kind.
+pub fn told(kind: &'static str, messages: u64, bytes: u64) {
+    metrics::counter!("briarwinch_gateway_messages_total", "kind" => kind).increment(messages);
+    metrics::counter!("briarwinch_gateway_message_bytes_total", "kind" => kind)
+        .increment(messages * bytes);
 }
 
 /// What the control thread knows.
--- a/src/gateway/policy/budget.rs
+++ b/src/gateway/policy/budget.rs
@@ -25,6 +25,30 @@
     pub window_ms: u64,
 }
 
+/// Entries of the largest fleet planned for.
+const LARGEST_FLEET: usize = 340;
+
+/// Among how many entries the fixed number is divided.
+///
+/// An entry that hears of fewer others than before may be cut off from the rest, who spend their parts
+/// all the same, so its own part never grows. One that has just started does not know how many there
+/// are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sharers {
+    most: usize,
+}
+
+impl Sharers {
+    /// So many entries are known now; `is_settled`: there was time to hear of all.
+    pub fn seen(&mut self, entries: usize, is_settled: bool) -> usize {
+        if !is_settled {
+            return entries.max(LARGEST_FLEET);
+        }
+        self.most = self.most.max(entries);
+        self.most
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Step {
     number: u64,
--- a/src/gateway/policy/gate.rs
+++ b/src/gateway/policy/gate.rs
@@ -103,7 +103,8 @@
     pub fn ages(&self, now_ms: u64) -> Ages {
         let ranks = self.ranks.lock().unwrap_or_else(PoisonError::into_inner);
         let age = |at_ms: u64| {
-            let steps = now_ms.saturating_sub(at_ms) / AGE_STEP_MS;
+            // Rounded up: what goes to and fro between entries would otherwise never age.
+            let steps = now_ms.saturating_sub(at_ms).div_ceil(AGE_STEP_MS);
             u8::try_from(steps).unwrap_or(LONG_AGO)
         };
         Ages {
--- a/src/gateway/policy/health.rs
+++ b/src/gateway/policy/health.rs
@@ -45,6 +45,14 @@
         seen.avoid_until_ms = now_ms + seen.avoid_ms;
     }
 
+    /// Another endpoint has the address now. That stays so until the list says otherwise, so this one
+    /// is avoided for the longest time at once.
+    pub fn misdirected(&mut self, endpoint: EndpointKey, now_ms: u64) {
+        let seen = self.seen.entry(endpoint).or_default();
+        seen.avoid_ms = LONGEST_AVOID_MS;
+        seen.avoid_until_ms = now_ms + LONGEST_AVOID_MS;
+    }
+
     /// Bytes of an answer have come.
     pub fn heard(&mut self, endpoint: EndpointKey, now_ms: u64) {
         let seen = self.seen.entry(endpoint).or_default();
--- a/src/gateway/policy/load.rs
+++ b/src/gateway/policy/load.rs
@@ -1,5 +1,5 @@
-//! What is under way at each endpoint: this entry's own requests exactly, the other entries' from
-//! their digests.
+//! What is under way at each endpoint: this entry's own requests exactly, the other entries' as they
+//! tell.
 //!
 //! Endpoints' own reports are some hundred milliseconds old when they arrive, and all entries that
 //! read the same report choose the same endpoint. What an entry has sent itself it knows at once.
@@ -11,8 +11,8 @@
 
 use crate::gateway::directory::EndpointKey;
 
-/// A digest older than this says nothing: its entry is gone or cut off. Twenty digests' time.
-const DIGEST_OLD_MS: u64 = 2_000;
+/// A table older than this says nothing: who told of it is gone or cut off.
+const TABLE_OLD_MS: u64 = 2_000;
 /// How long what an endpoint says of its load is believed.
 const REPORT_OLD_MS: u64 = 300;
 
@@ -51,23 +51,80 @@
     }
 }
 
-/// One endpoint's line in a digest.
+/// One endpoint's line in a table of work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     pub endpoint: EndpointKey,
     pub work: Work,
 }
 
-#[derive(Clone, Debug)]
-struct Digest {
+/// Whose work a table holds.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Source {
+    /// One start of an entry.
+    Entry(u64),
+    /// All entries of an availability zone, summed.
+    Zone(CompactString),
+    /// All entries but the one that is told, summed.
+    Others,
+}
+
+/// How many entries' work a table sums, and how old it is on average.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    pub entries: u32,
+    pub age_ms: u32,
+}
+
+/// Part of a table, as one message carries it: the endpoints whose key falls into this one of so many
+/// parts. A table that is told in no parts is an update: it says nothing of the endpoints it lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rows {
+    pub part: u8,
+    pub parts: u8,
+    pub rows: Vec<Row>,
+}
+
+impl Rows {
+    /// A whole table in parts of about this many rows; an empty one is one part.
+    #[must_use]
+    pub fn split(rows: &[Row], most: usize) -> Vec<Self> {
+        let parts = rows.len().div_ceil(most.max(1)).clamp(1, usize::from(u8::MAX)) as u8;
+        let mut split: Vec<Self> =
+            (0..parts).map(|part| Self { part, parts, rows: Vec::new() }).collect();
+        for row in rows {
+            split[usize::from(row.endpoint.part_of(parts))].rows.push(*row);
+        }
+        split
+    }
+
+    /// An update of some rows.
+    #[must_use]
+    pub fn update(rows: Vec<Row>) -> Self {
+        Self { part: 0, parts: 0, rows }
+    }
+
+    fn replaces(&self, endpoint: EndpointKey) -> bool {
+        self.parts > 0 && endpoint.part_of(self.parts) == self.part
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Table {
     rows: HashMap<EndpointKey, Work>,
     at_ms: u64,
+    origin: Origin,
 }
 
-impl Digest {
-    /// Its age while it still says something.
-    fn age_ms(&self, now_ms: u64) -> Option<u64> {
-        (now_ms < self.at_ms + DIGEST_OLD_MS).then(|| now_ms.saturating_sub(self.at_ms))
+impl Table {
+    fn is_old(&self, now_ms: u64) -> bool {
+        now_ms >= self.at_ms + TABLE_OLD_MS
+    }
+
+    /// Its age, summed over the entries whose work it holds.
+    fn ages_ms(&self, now_ms: u64) -> u64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms) + u64::from(self.origin.age_ms);
+        u64::from(self.origin.entries) * age_ms
     }
 }
 
@@ -115,7 +172,13 @@
     latest: HashMap<EndpointKey, VecDeque<u64>>,
     /// Endpoints that have got work from here since the other entries were told last.
     untold: BTreeSet<EndpointKey>,
-    peers: HashMap<u64, Digest>,
+    tables: HashMap<Source, Table>,
+    /// What the other entries have under way: the sum of the tables that count.
+    others: HashMap<EndpointKey, Work>,
+    /// When a table that counts was told last.
+    others_ms: u64,
+    /// An aggregator tells this entry of all others; else it goes by the tables of each.
+    is_told: bool,
     reports: HashMap<EndpointKey, Report>,
 }
 
@@ -143,7 +206,7 @@
     /// This entry's part, for the other entries.
     #[must_use]
     pub fn rows(&self) -> Vec<Row> {
-        self.own.iter().map(|(endpoint, work)| Row { endpoint: *endpoint, work: *work }).collect()
+        rows_of(&self.own)
     }
 
     /// The rows of endpoints that have got work since the last call, at most this many.
@@ -156,18 +219,122 @@
         rows.take(most).collect()
     }
 
-    /// Takes some rows of another entry ahead of its next digest.
-    pub fn take_rows(&mut self, peer: u64, rows: &[Row]) {
-        if let Some(digest) = self.peers.get_mut(&peer) {
-            digest.rows.extend(rows.iter().map(|row| (row.endpoint, row.work)));
+    /// Takes a whole table of another entry; `peer` names one start of it.
+    pub fn take_digest(&mut self, peer: u64, rows: &[Row], now_ms: u64) {
+        let rows = Rows { part: 0, parts: 1, rows: rows.to_vec() };
+        self.take(Source::Entry(peer), Origin { entries: 1, age_ms: 0 }, &rows, now_ms);
+    }
+
+    /// Takes part of a table.
+    pub fn take(&mut self, source: Source, origin: Origin, told: &Rows, now_ms: u64) {
+        let counts = self.counts(&source);
+        if counts {
+            self.others_ms = now_ms;
+        }
+        let table = self.tables.entry(source).or_default();
+        table.at_ms = now_ms;
+        table.origin = origin;
+        let others = &mut self.others;
+        let mut change = |before: Work, after: Work, endpoint: EndpointKey| {
+            if counts {
+                let sum = others.entry(endpoint).or_default();
+                *sum = sum.less(before) + after;
+            }
+        };
+        table.rows.retain(|endpoint, work| {
+            let is_replaced = told.replaces(*endpoint);
+            if is_replaced {
+                change(*work, Work::default(), *endpoint);
+            }
+            !is_replaced
+        });
+        for row in &told.rows {
+            let before = table.rows.insert(row.endpoint, row.work).unwrap_or_default();
+            change(before, row.work, row.endpoint);
+        }
+    }
+
+    /// Goes by what an aggregator tells of all others, or by the tables of each.
+    pub fn set_told(&mut self, is_told: bool) {
+        if self.is_told != is_told {
+            self.is_told = is_told;
+            self.sum_others();
         }
     }
 
-    /// Takes another entry's digest; `peer` names one start of it.
-    pub fn take_digest(&mut self, peer: u64, rows: &[Row], now_ms: u64) {
-        let rows = rows.iter().map(|row| (row.endpoint, row.work)).collect();
-        self.peers.insert(peer, Digest { rows, at_ms: now_ms });
-        self.peers.retain(|_, digest| now_ms < digest.at_ms + DIGEST_OLD_MS);
+    fn counts(&self, source: &Source) -> bool {
+        self.is_told == (*source == Source::Others)
+    }
+
+    fn counted(&self) -> impl Iterator<Item = &Table> {
+        let counted = self.tables.iter().filter(|(source, _)| self.counts(source));
+        counted.map(|(_, table)| table)
+    }
+
+    fn sum_others(&mut self) {
+        let mut others: HashMap<EndpointKey, Work> = HashMap::new();
+        for table in self.counted() {
+            for (endpoint, work) in &table.rows {
+                *others.entry(*endpoint).or_default() += *work;
+            }
+        }
+        self.others_ms = self.counted().map(|table| table.at_ms).max().unwrap_or(0);
+        self.others = others;
+    }
+
+    /// Drops tables of sources that are gone, and sends of which no rate is taken any more.
+    pub fn sweep(&mut self, now_ms: u64) {
+        let before = self.tables.len();
+        self.tables.retain(|_, table| !table.is_old(now_ms));
+        if self.tables.len() != before {
+            self.sum_others();
+        }
+        self.latest.retain(|_, latest| {
+            latest.retain(|sent_ms| now_ms < sent_ms + RATE_MS);
+            !latest.is_empty()
+        });
+    }
+
+    /// The work of this entry and of those that have told it of theirs, for other zones.
+    #[must_use]
+    pub fn zone_table(&self, now_ms: u64) -> (Origin, Vec<Row>) {
+        let mut sum = self.own.clone();
+        let (mut entries, mut ages_ms) = (1, 0);
+        for (source, table) in &self.tables {
+            if matches!(source, Source::Entry(_)) {
+                entries += 1;
+                ages_ms += table.ages_ms(now_ms);
+                for (endpoint, work) in &table.rows {
+                    *sum.entry(*endpoint).or_default() += *work;
+                }
+            }
+        }
+        (Origin::of(entries, ages_ms), rows_of(&sum))
+    }
+
+    /// The work of all entries but one, as far as this entry goes by the tables of each.
+    #[must_use]
+    pub fn table_for(&self, peer: u64, now_ms: u64) -> (Origin, Vec<Row>) {
+        let own_table = self.tables.get(&Source::Entry(peer));
+        let (mut entries, mut ages_ms) = (1, 0);
+        for table in self.counted() {
+            entries += table.origin.entries;
+            ages_ms += table.ages_ms(now_ms);
+        }
+        if let Some(table) = own_table {
+            entries -= table.origin.entries.min(entries);
+            ages_ms -= table.ages_ms(now_ms).min(ages_ms);
+        }
+        let mut sum = self.own.clone();
+        for (endpoint, work) in &self.others {
+            *sum.entry(*endpoint).or_default() += *work;
+        }
+        for (endpoint, work) in own_table.into_iter().flat_map(|table| &table.rows) {
+            if let Some(sum) = sum.get_mut(endpoint) {
+                *sum = sum.less(*work);
+            }
+        }
+        (Origin::of(entries, ages_ms), rows_of(&sum))
     }
 
     /// Takes what an endpoint said of its running and waiting requests.
@@ -179,10 +346,8 @@
     #[must_use]
     pub fn at(&self, endpoint: EndpointKey, now_ms: u64) -> Work {
         let own = self.own.get(&endpoint).copied().unwrap_or_default();
-        let digests = self.peers.values().filter(|one| one.age_ms(now_ms).is_some());
-        let mut work = digests
-            .filter_map(|digest| digest.rows.get(&endpoint).copied())
-            .fold(own, |sum, work| sum + work);
+        let others = self.others.get(&endpoint).filter(|_| now_ms < self.others_ms + TABLE_OLD_MS);
+        let mut work = own + others.copied().unwrap_or_default();
         if let Some(report) = self.reports.get(&endpoint)
             && now_ms < report.at_ms + REPORT_OLD_MS
         {
@@ -192,7 +357,7 @@
     }
 
     /// Requests that the other entries are expected to have sent to an endpoint and not told yet: each
-    /// at this entry's own rate since its digest.
+    /// at this entry's own rate since it was told of.
     ///
     /// A document that becomes popular at once is sent to its home by all entries, each of which sees
     /// free places there; without this they overfill it together, and what is less urgent is stopped.
@@ -203,21 +368,31 @@
         };
         let recent = latest.iter().rev().take_while(|sent_ms| now_ms < **sent_ms + RATE_MS);
         let per_ms = recent.count() as f64 / RATE_MS as f64;
-        let ages_ms: u64 = self.peers.values().filter_map(|digest| digest.age_ms(now_ms)).sum();
+        let fresh = self.counted().filter(|table| !table.is_old(now_ms));
+        let ages_ms: u64 = fresh.map(|table| table.ages_ms(now_ms)).sum();
         (per_ms * ages_ms as f64).round() as u32
     }
 
-    /// Forgets sends that no rate is taken of any more.
-    pub fn sweep(&mut self, now_ms: u64) {
-        self.latest.retain(|_, latest| {
-            latest.retain(|sent_ms| now_ms < sent_ms + RATE_MS);
-            !latest.is_empty()
-        });
-    }
-
-    /// Age of the oldest digest that counts; zero where there are no other entries.
+    /// Age of the oldest table that counts; zero where there are no other entries.
     #[must_use]
     pub fn age_ms(&self, now_ms: u64) -> u64 {
-        self.peers.values().filter_map(|digest| digest.age_ms(now_ms)).max().unwrap_or(0)
+        let age_ms =
+            |table: &Table| now_ms.saturating_sub(table.at_ms) + u64::from(table.origin.age_ms);
+        self.counted().map(age_ms).max().unwrap_or(0)
+    }
+}
+
+impl Origin {
+    fn of(entries: u32, ages_ms: u64) -> Self {
+        let age_ms = ages_ms / u64::from(entries.max(1));
+        Self { entries, age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX) }
     }
 }
+
+fn rows_of(work: &HashMap<EndpointKey, Work>) -> Vec<Row> {
+    let under_way = work.iter().filter(|(_, work)| **work != Work::default());
+    let mut rows: Vec<Row> =
+        under_way.map(|(endpoint, work)| Row { endpoint: *endpoint, work: *work }).collect();
+    rows.sort_unstable_by_key(|row| row.endpoint);
+    rows
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -116,8 +116,10 @@
             end_ms: arrived_ms + u64::from(wait_ms),
             tried: Vec::new(),
             attempts: 0,
+            has_arrived: false,
             may_have_run: false,
             is_counted: false,
+            uncounted: None,
             _active: Active::begin(&self.shared),
             table,
         })
@@ -161,7 +163,7 @@
                 time::sleep(LOOK_AGAIN).await;
                 continue;
             };
-            let is_first = job.attempts == 0 && unsent == 0;
+            let is_first = !job.has_arrived && unsent == 0;
             if is_first
                 && job.request.prompt.is_some()
                 && !self.shared.gate.passes(
@@ -175,23 +177,29 @@
                 self.shared.turned_away().note(&job.service().name, now_ms);
                 return Err(self.given_up(job, error::Kind::TooLate));
             }
-            if job.attempts > 0 && !self.may_retry(job) {
+            if job.has_arrived && !self.may_retry(job) {
                 return Err(self.given_up(job, error::Kind::EndpointFailed));
             }
             job.tried.push(choice.endpoint.key);
             job.attempts += 1;
             let patience = job.patience(choice.first_ms, now_ms);
             self.log_choice(job, &choice);
+            if !job.kind.is_stream() && job.account.is_some() && !job.is_counted {
+                job.uncounted = Some(self.shared.begin_uncounted());
+            }
             let failure = match self.attempt(job, &choice, patience).await {
                 Ok(running) => {
+                    job.has_arrived = true;
                     measures::sent(&job.service().name, "answered");
                     return Ok(running);
                 }
                 Err(failure) => failure,
             };
+            job.has_arrived |= failure.arrived();
             self.log_failure(job, &choice, &failure);
             match failure {
                 Failure::NotSent(_) => {
+                    job.uncounted = None;
                     job.attempts -= 1;
                     unsent += 1;
                     if unsent > MAX_UNSENT {
@@ -199,11 +207,12 @@
                     }
                 }
                 Failure::WrongEndpoint => {
+                    // It ran nowhere, so it does not count against the route's attempts.
                     job.attempts -= 1;
-                    unsent += 1;
-                    self.unreachable(choice.endpoint);
+                    job.uncounted = None;
+                    self.misdirected(choice.endpoint);
                 }
-                Failure::NotRun { .. } => {}
+                Failure::NotRun { .. } => job.uncounted = None,
                 Failure::Unknown(_) => {
                     job.may_have_run = true;
                     self.count(job, now_ms);
@@ -223,9 +232,9 @@
     /// Takes a retry out of the route's attempts and the shared budget.
     fn may_retry(&self, job: &Job) -> bool {
         let now_ms = self.now_ms();
-        let entries = self.shared.entries.load(Ordering::Relaxed);
+        let sharers = self.shared.sharers.load(Ordering::Relaxed);
         job.has_attempt_left(now_ms)
-            && self.budgets.borrow_mut().spend(&job.service().name, entries, now_ms)
+            && self.budgets.borrow_mut().spend(&job.service().name, sharers, now_ms)
     }
 
     fn choose<'a>(&self, snapshot: &'a shared::Snapshot, job: &Job) -> Option<choose::Choice<'a>> {
@@ -306,10 +315,10 @@
     /// failure that an endpoint gave is the caller's answer.
     fn can_retry(&self, job: &Job) -> bool {
         let now_ms = self.now_ms();
-        let entries = self.shared.entries.load(Ordering::Relaxed);
+        let sharers = self.shared.sharers.load(Ordering::Relaxed);
         let snapshot = self.shared.snapshot.load();
         job.has_attempt_left(now_ms)
-            && self.budgets.borrow_mut().has_room(&job.service().name, entries, now_ms)
+            && self.budgets.borrow_mut().has_room(&job.service().name, sharers, now_ms)
             && self.choose(&snapshot, job).is_some()
     }
 
@@ -319,6 +328,7 @@
             self.shared.count(account, self.now_ms().saturating_sub(began_ms));
             job.is_counted = true;
         }
+        job.uncounted = None;
     }
 
     /// The final answer of a request that is given up.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -62,6 +62,13 @@
     pub leave_ms: u64,
     /// From the request to stop until the process is killed.
     pub stop_s: f64,
+    /// What the instance gives this process, in cores.
+    #[serde(default = "one_core")]
+    pub cores: f64,
+}
+
+fn one_core() -> f64 {
+    1.0
 }
 
 impl Gateway {
@@ -71,6 +78,12 @@
         SocketAddr::new(self.ip, self.internal_ports[0])
     }
 
+    /// What the instance can carry, in thousandths of a core.
+    #[must_use]
+    pub fn strength(&self) -> u16 {
+        (self.cores * 1_000.0) as u16
+    }
+
     /// Where metrics are served.
     #[must_use]
     pub fn metrics_addr(&self) -> SocketAddr {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -39,6 +39,10 @@
     pub draining_since_ms: AtomicU64,
     /// Entries heard of lately, this one among them.
     pub entries: AtomicUsize,
+    /// By how many entries the fixed part of the retry budget is divided.
+    pub sharers: AtomicUsize,
+    /// Another entry has all that was counted here.
+    pub counts_delivered: AtomicBool,
     /// Other entries heard of just now that are not stopping.
     pub serving_others: AtomicUsize,
     /// When a caller's last request came, on the boot clock.
@@ -55,6 +59,8 @@
     turned_away: Mutex<load::TurnedAway>,
     homes: Mutex<homes::Homes>,
     tally: Mutex<tally::Tally>,
+    /// When sends began whose requests may still be counted, on the boot clock.
+    uncounted: Mutex<slab::Slab<u64>>,
     /// How fast the engines of each service read.
     readings: Mutex<HashMap<CompactString, reading::Reading>>,
 }
@@ -75,6 +81,8 @@
             is_closed: AtomicBool::new(false),
             draining_since_ms: AtomicU64::new(u64::MAX),
             entries: AtomicUsize::new(1),
+            sharers: AtomicUsize::new(1),
+            counts_delivered: AtomicBool::new(true),
             serving_others: AtomicUsize::new(0),
             last_request_ms: AtomicU64::new(0),
             active: AtomicU32::new(0),
@@ -83,6 +91,7 @@
             turned_away: Mutex::default(),
             homes: Mutex::default(),
             tally: Mutex::default(),
+            uncounted: Mutex::default(),
             readings: Mutex::default(),
         }
     }
@@ -128,10 +137,29 @@
         lock(&self.readings).entry(service.clone()).or_default().learn_run(output_tokens, ran_ms);
     }
 
+    /// Length of a billing window.
+    #[must_use]
+    pub fn window_ms(&self) -> u64 {
+        self.settings.billing_window_s.max(1) * 1_000
+    }
+
     /// The billing window of this long ago.
     fn window(&self, ago_ms: u64) -> u64 {
-        let window_ms = self.settings.billing_window_s.max(1) * 1_000;
-        self.time.unix_ms().saturating_sub(ago_ms) / window_ms
+        self.time.unix_ms().saturating_sub(ago_ms) / self.window_ms()
+    }
+
+    /// Notes a send whose request will be counted as begun now, if it is.
+    pub fn begin_uncounted(self: &Arc<Self>) -> Uncounted {
+        Uncounted { key: lock(&self.uncounted).insert(clock::boot_ms()), shared: Arc::clone(self) }
+    }
+
+    /// The time of day before which everything that ran here is counted.
+    #[must_use]
+    pub fn settled_ms(&self) -> u64 {
+        let uncounted = lock(&self.uncounted);
+        let (now_ms, unix_ms) = (clock::boot_ms(), self.time.unix_ms());
+        let oldest_ms = uncounted.iter().map(|(_, began_ms)| *began_ms).min().unwrap_or(now_ms);
+        unix_ms.saturating_sub(now_ms.saturating_sub(oldest_ms))
     }
 
     /// Counts a request that began to run this long ago.
@@ -170,6 +198,19 @@
     }
 }
 
+/// A send whose request is not counted yet; dropped once it is, or did not run.
+#[derive(Debug)]
+pub struct Uncounted {
+    shared: Arc<Shared>,
+    key: usize,
+}
+
+impl Drop for Uncounted {
+    fn drop(&mut self) {
+        lock(&self.shared.uncounted).remove(self.key);
+    }
+}
+
 /// A panic while a lock was held has ended its thread and with it the process, so what a lock
 /// guards is never half changed.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,12 +6,15 @@
 use tokio::time;
 
 use super::control::{Batch, Control, Item, Platform, Topic, WatchFailure};
+use super::directory;
 use super::policy::outage;
-use super::{directory, measures};
 use crate::store;
 
 /// How often an entry that leaves reading to others looks whether they still do.
 const ASIDE: Duration = Duration::from_millis(400);
+/// An entry that has just started knows only after this time whether others read the store.
+const MEET_MS: u64 = 600;
+
 /// Follows a topic for as long as the process lives.
 pub(super) async fn follow<P: Platform>(control: Rc<Control<P>>, topic: Topic) {
     let mut from = None;
@@ -19,7 +22,8 @@
     let mut outage = outage::Outage::new(leave_ms);
     loop {
         // Each entry reads once for itself: what peers tell at the start may be old.
-        if from.is_some() && !control.reads_store() {
+        let is_young = control.shared.time.age_ms() < MEET_MS;
+        if from.is_some() && (is_young || !control.reads_store()) {
             control.store_answered(topic, true);
             // An outage of long ago says nothing about what vanishes when this entry reads again.
             outage = outage::Outage::new(leave_ms);
@@ -34,7 +38,6 @@
         let now_ms = control.now_ms();
         let is_good = !matches!(brought, Err(WatchFailure::Failed(_)));
         control.store_answered(topic, is_good);
-        measures::store_call(if is_good { "answered" } else { "failed" });
         match brought {
             Ok(batch) => {
                 if let Some(away_ms) = outage.answered(now_ms) {
--- a/tests/gateway/billing.rs
+++ b/tests/gateway/billing.rs
@@ -2,6 +2,7 @@
 //! counted twice.
 
 use briarwinch::clock;
+use briarwinch::gateway::duties::delivery::{Outbox, Settled};
 use briarwinch::gateway::duties::tally::Tally;
 
 fn count(tally: &Tally, window: u64, account: &str) -> u32 {
@@ -40,6 +41,56 @@
     assert_eq!(count(&after, 99, "press"), 1);
 }
 
+/// The same in the compact form that is kept in the store.
+#[test]
+fn counts_in_the_store_are_taken_up_once() {
+    let mut before = Tally::default();
+    before.add(1, 100, "court");
+    before.add(2, 100, "court");
+    before.add(2, 101, "press");
+    before.add(2, 90, "press");
+    let saved = serde_json::to_string(&before.save(100)).expect("text");
+    let saved = serde_json::from_str(&saved).expect("counts");
+    let mut after = Tally::default();
+    after.take(2, &before.newest_of(2, 2));
+    after.load(&saved);
+    after.load(&saved);
+    assert_eq!((count(&after, 100, "court"), count(&after, 101, "press")), (2, 1));
+    assert_eq!(count(&after, 90, "press"), 0, "what is sealed is not kept");
+}
+
+/// Who keeps the counts starts again and has none of what it had taken. It must not take an entry for
+/// settled that sends it only what is new, and seal the window without the rest.
+#[test]
+fn a_keeper_that_starts_again_gets_everything_before_an_entry_counts_as_settled() {
+    const KEEPER: ([u8; 4], u16) = ([127, 0, 0, 1], 7_340);
+    const WINDOW_MS: u64 = 5_000;
+    let keeper = KEEPER.into();
+    let end_ms = 101 * WINDOW_MS;
+    let mut own = Tally::default();
+    let mut outbox = Outbox::new(1, WINDOW_MS);
+    let mut deliver = |own: &Tally, kept: &mut Tally, settled: &mut Settled, start: u64| {
+        for (_, parcel) in outbox.parcels(&[keeper], &own.newest_of(1, 6), end_ms + 1) {
+            kept.take(parcel.boot, &parcel.counts);
+            let receipt = settled.take(&parcel, start);
+            outbox.take(keeper, start, receipt);
+        }
+    };
+    let may_seal =
+        |settled: &Settled| settled.may_seal(end_ms, end_ms + 200, 5_000, true, [1].into_iter());
+    own.add(1, 100, "court");
+    let (mut kept, mut settled) = (Tally::default(), Settled::default());
+    (0..3).for_each(|_| deliver(&own, &mut kept, &mut settled, 7));
+    assert!(may_seal(&settled));
+    own.add(1, 100, "press");
+    let (mut kept, mut settled) = (Tally::default(), Settled::default());
+    deliver(&own, &mut kept, &mut settled, 8);
+    assert!(!may_seal(&settled), "only what is new has come");
+    (0..3).for_each(|_| deliver(&own, &mut kept, &mut settled, 8));
+    assert!(may_seal(&settled));
+    assert_eq!((count(&kept, 100, "court"), count(&kept, 100, "press")), (1, 1));
+}
+
 #[test]
 fn counts_travel_in_pieces_without_loss() {
     let mut here = Tally::default();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod directory;
 mod drain;
+mod fleet;
 mod gate;
 mod outage;
 mod pulls;
--- a/tests/gateway/retries.rs
+++ b/tests/gateway/retries.rs
@@ -1,8 +1,10 @@
 //! The shared retry budget: entries that know nothing of each other never spend too much in sum, and
 //! spend most of it when there is need.
 
-use briarwinch::gateway::policy::budget::{Allowed, Budgets};
+use briarwinch::gateway::policy::budget::{Allowed, Budgets, Sharers};
 use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 const ALLOWED: Allowed = Allowed { ratio: 0.2, extra: 54.0, window_ms: 10_000 };
 
@@ -77,3 +79,45 @@
     assert!(!budgets.spend("engine", 1, 60_000));
     assert!(budgets.spend("engine", 1, 75_000), "a window later there is room again");
 }
+
+/// Entries of a large fleet with unequal traffic lose sight of each other while a service fails. Each would
+/// take a larger part of the fixed number, and the service would see more retries than operators allow.
+#[test]
+fn a_fleet_whose_views_disagree_stays_within_the_budget() {
+    const SEED: u64 = 7;
+    let allowed = Allowed { ratio: 0.2, extra: 176.0, window_ms: 10_000 };
+    for (entries, failing) in [(5, 0.14), (5, 0.5), (68, 0.14), (68, 0.5), (340, 0.5)] {
+        let mut random = StdRng::seed_from_u64(SEED);
+        let mut fleet = vec![(Budgets::new(allowed), Sharers::default()); entries];
+        let (mut spent_ms, mut requests_ms) = (Vec::new(), Vec::new());
+        for now_ms in 50_000..75_000_u64 {
+            for _ in 0..random.random_range(0..2) {
+                // A few entries get most of the requests.
+                let index = (random.random::<f64>().powi(3) * entries as f64) as usize;
+                let is_cut_off = now_ms > 55_000 && random.random_bool(0.5);
+                let view = if is_cut_off { random.random_range(1..=entries) } else { entries };
+                let is_restarted = random.random_bool(0.0002);
+                if is_restarted {
+                    fleet[index] = (Budgets::new(allowed), Sharers::default());
+                }
+                let (budgets, sharers) = &mut fleet[index];
+                let sharing = sharers.seen(view, !is_restarted);
+                sharers.seen(entries, true);
+                budgets.request("ledger", now_ms);
+                requests_ms.push(now_ms);
+                while random.random_bool(failing) && budgets.spend("ledger", sharing, now_ms) {
+                    spent_ms.push(now_ms);
+                }
+            }
+        }
+        let most = |at_ms: &[u64]| {
+            let within =
+                |from: u64| at_ms.iter().filter(move |at| (from..from + 10_000).contains(*at));
+            (50_000..75_000).step_by(500).map(|from| within(from).count()).max().unwrap_or(0) as f64
+        };
+        let (spent, requests) = (most(&spent_ms), most(&requests_ms));
+        let limit = allowed.ratio * requests + allowed.extra;
+        assert!(spent <= limit, "seed {SEED}, {entries} entries: {spent} of {limit}");
+        assert!(spent >= 0.5 * (allowed.ratio * requests).min(failing * requests), "{spent}");
+    }
+}
