--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -121,8 +121,8 @@
     failing: RefCell<HashSet<Topic>>,
 }
 
-/// Entries of a zone that read the store. With two, the loss of one delays nothing.
-const READERS_PER_ZONE: usize = 2;
+/// Zones from which on one reader each is enough: while it is gone, the others' readers tell its zone.
+const MANY_ZONES: usize = 3;
 /// Exit code of an entry whose control thread has ended.
 const EXIT_CONTROL: i32 = 70;
 
@@ -219,10 +219,14 @@
         self.failing.borrow().is_empty()
     }
 
-    /// Whether this entry reads the store for its zone. The others learn from digests, so that the
+    /// Whether this entry reads the store for its zone, so that the loss of one reader delays nothing. The others learn from digests, so that the
     /// calls to the store grow with the zones and hardly with the fleet.
     pub(super) fn reads_store(&self) -> bool {
-        self.exchange.borrow().peers.readers_before(self.now_ms()) < READERS_PER_ZONE
+        let now_ms = self.now_ms();
+        let peers = &self.exchange.borrow().peers;
+        let zones = 1 + peers.other_zones(now_ms).len();
+        let readers = if zones >= MANY_ZONES { 1 } else { 2 };
+        peers.readers_before(now_ms) < readers
     }
 
     /// Takes a configuration, if it is newer than the one in force.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -12,6 +12,9 @@
 
 /// How often an entry that leaves reading to others looks whether they still do.
 const ASIDE: Duration = Duration::from_millis(400);
+/// Changes of endpoints are gathered for this time, so that many at once cost one call. They serve on for
+/// seconds after they say that they leave.
+const GATHER: Duration = Duration::from_millis(300);
 /// An entry that has just started knows only after this time whether others read the store.
 const MEET_MS: u64 = 600;
 
@@ -46,7 +49,11 @@
                 }
                 let is_list = from.is_none();
                 from = Some(batch.revision);
+                let has_changes = !is_list && !batch.items.is_empty();
                 take(&control, topic, batch, is_list, outage.keep_until_ms(now_ms));
+                if topic == Topic::Endpoints && has_changes {
+                    time::sleep(GATHER).await;
+                }
             }
             Err(WatchFailure::HistoryGone) => {
                 slog::info!(control.log, "history gone, listing again"; "topic" => format!("{topic:?}"));
