--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
 /// would take the same last slots.
 const NEWS_FILLED_PART: f64 = 0.75;
 
-/// Whether the other entries have to know of a send before the next digest.
+/// Whether the other entries have to know of a send at once.
 fn is_news(choice: &choose::Choice<'_>) -> bool {
     let filled_part = f64::from(choice.work.requests) / f64::from(choice.endpoint.slots.max(1));
     choice.unread_tokens >= NEWS_TOKENS || filled_part >= NEWS_FILLED_PART
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,4 +1,4 @@
-//! The control thread of a forwarding entry: follows the store, exchanges digests with the other
+//! The control thread of a forwarding entry: follows the store, exchanges state with the other
 //! entries, contends for the duties, and hands snapshots to the traffic thread. Nothing on a
 //! request's path waits for it.
 
@@ -219,8 +219,8 @@
         self.failing.borrow().is_empty()
     }
 
-    /// Whether this entry reads the store for its zone, so that the loss of one reader delays nothing. The others learn from digests, so that the
-    /// calls to the store grow with the zones and hardly with the fleet.
+    /// Whether this entry reads the store for its zone. The others learn from their aggregator, so that the
+    /// calls to the store grow with the zones and not with the fleet.
     pub(super) fn reads_store(&self) -> bool {
         let now_ms = self.now_ms();
         let peers = &self.exchange.borrow().peers;
--- a/src/gateway/duties/delivery.rs
+++ b/src/gateway/duties/delivery.rs
@@ -19,6 +19,8 @@
 const MAX_BYTES: usize = 1_100;
 /// Windows whose counts are delivered.
 const DELIVERED_WINDOWS: usize = 4;
+/// Starts of entries that are remembered before old ones are dropped.
+const MAX_STARTS: usize = 4_096;
 /// Parcels without a receipt that are remembered.
 const MAX_OPEN: usize = 16;
 /// A window is not sealed sooner: clocks differ a little.
@@ -154,6 +156,9 @@
     /// Takes a parcel that has come to this start of the keeper, and gives its receipt.
     pub fn take(&mut self, parcel: &Parcel, own_boot: u64) -> Receipt {
         if let Some(settled_ms) = parcel.settled_ms.filter(|_| parcel.keeper == Some(own_boot)) {
+            if self.until_ms.len() >= MAX_STARTS {
+                self.until_ms.retain(|_, until_ms| *until_ms + LATEST_MS >= settled_ms);
+            }
             let until_ms = self.until_ms.entry(parcel.boot).or_default();
             *until_ms = settled_ms.max(*until_ms);
         }
@@ -177,11 +182,6 @@
         (passed_ms >= LATEST_MS && held_ms >= BEGIN_MS)
             || (passed_ms >= LEAST_MS && is_settled_here && live_boots.all(is_settled))
     }
-
-    /// Forgets entries that have not settled anything since this time of day.
-    pub fn forget_before(&mut self, unix_ms: u64) {
-        self.until_ms.retain(|_, until_ms| *until_ms >= unix_ms);
-    }
 }
 
 /// What one start of an entry has counted in a window, by index of the account.
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::duties::{delivery, tally};
-use crate::gateway::fleet::peers;
+use crate::gateway::fleet::peers::{self, roster};
 use crate::gateway::policy::{gate, homes, load};
 use crate::lease;
 
@@ -83,7 +83,7 @@
 pub enum Message {
     State(State),
     Work(Work),
-    Roster(peers::Roster),
+    Roster(roster::Roster),
     Placed(Placed),
     /// What one start of an entry has counted.
     Counts {
--- /dev/null
+++ b/src/gateway/fleet/peers/roster.rs
@@ -0,0 +1,188 @@
+//! What entries tell each other of who lives: lines of peers that are new or have changed, tags of others,
+//! and one combined tag for a zone in which all are well.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use super::{Peer, Peers, Scope};
+
+/// A zone whose peers were all heard within this is told of as a whole; another zone's are heard of later.
+const FRESH_MS: u64 = 500;
+const FRESH_ELSEWHERE_MS: u64 = 900;
+/// A change is told in full for this long, beside the turn in which all peers are.
+const CHANGED_MS: u64 = 1_500;
+/// Unit of ages in messages.
+const AGE_STEP_MS: u64 = 20;
+
+/// A peer's whole line in a roster.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    addr: SocketAddr,
+    boot: u64,
+    zone: CompactString,
+    strength: u16,
+    has_store: bool,
+    holds_duties: bool,
+    is_stopping: bool,
+    age: u8,
+}
+
+/// A zone all of whose live peers were heard just now: who knows the same ones need no line of each.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Whole {
+    zone: CompactString,
+    /// The tags of all, combined.
+    tags: u32,
+    /// How long ago the one was heard that was heard first.
+    age: u8,
+}
+
+/// Who lives: whole lines of some peers, and of others, whose line has been told before, the tag and
+/// how long ago they were heard; of a zone in which all are well, all in one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    pub rows: Vec<Row>,
+    pub tags: Vec<(u32, u8)>,
+    pub whole: Vec<Whole>,
+}
+
+impl Roster {
+    /// The same in pieces that fit a datagram.
+    #[must_use]
+    pub fn split(self) -> Vec<Self> {
+        /// About 30 bytes each.
+        const MAX_ROWS: usize = 36;
+        /// Six bytes each.
+        const MAX_TAGS: usize = 200;
+        let rows = self.rows.chunks(MAX_ROWS);
+        let rows = rows.map(|rows| Self { rows: rows.to_vec(), ..Self::default() });
+        let tags = self.tags.chunks(MAX_TAGS);
+        let tags = tags.map(|tags| Self { tags: tags.to_vec(), ..Self::default() });
+        let mut pieces: Vec<Self> = rows.chain(tags).collect();
+        if !self.whole.is_empty() {
+            // Last, so that the lines of new peers are known by then.
+            pieces.push(Self { whole: self.whole, ..Self::default() });
+        }
+        pieces
+    }
+}
+
+impl Peers {
+    /// Takes what another entry has told. Gives the peers whose start is new.
+    pub fn take(&mut self, roster: &Roster, now_ms: u64) -> Vec<SocketAddr> {
+        // The way here counts as well: without it, what goes round would stay young.
+        let heard_ms = |age: u8| now_ms.saturating_sub((u64::from(age) + 1) * AGE_STEP_MS);
+        for (tag, age) in &roster.tags {
+            let addr = self.by_tag.get(tag);
+            if let Some(known) = addr.and_then(|addr| self.heard.get_mut(addr)) {
+                known.heard(heard_ms(*age), now_ms);
+            }
+        }
+        let mut new = Vec::new();
+        for row in &roster.rows {
+            let peer = Peer {
+                boot: row.boot,
+                heard_ms: heard_ms(row.age),
+                zone: row.zone.clone(),
+                strength: row.strength,
+                has_store: row.has_store,
+                holds_duties: row.holds_duties,
+                is_stopping: row.is_stopping,
+            };
+            if self.note(row.addr, peer, now_ms) {
+                new.push(row.addr);
+            }
+        }
+        for whole in &roster.whole {
+            self.take_whole(whole, heard_ms(whole.age), now_ms);
+        }
+        new
+    }
+
+    fn take_whole(&mut self, whole: &Whole, heard_ms: u64, now_ms: u64) {
+        let own_tag = if whole.zone == self.zone { self.own_tag } else { 0 };
+        let live = self.live_of(Scope::Zone(&whole.zone), now_ms);
+        if live.fold(own_tag, |tags, (_, known)| tags ^ known.tag) != whole.tags {
+            return;
+        }
+        let peers = self.heard.values_mut().map(|known| &mut known.peer);
+        for peer in peers.filter(|peer| peer.zone == whole.zone && peer.is_live(now_ms)) {
+            peer.heard_ms = peer.heard_ms.max(heard_ms);
+        }
+    }
+
+    /// What to tell of the live peers: those that have changed, and in turn all others, in full.
+    pub fn roster(&self, scope: Scope<'_>, now_ms: u64) -> Roster {
+        /// So many rosters tell of each peer in full once.
+        const FULL_TURNS: usize = 24;
+        /// So many rosters tell once of each peer that is well by its tag.
+        const TAG_TURNS: usize = 4;
+        let turn = self.turn;
+        let mut zones: HashMap<&CompactString, Whole> = HashMap::new();
+        let own = Whole { zone: self.zone.clone(), tags: self.own_tag, age: 0 };
+        zones.insert(&self.zone, own);
+        for (_, known) in self.live_of(scope, now_ms) {
+            let zone = &known.peer.zone;
+            let none = || Whole { zone: zone.clone(), tags: 0, age: 0 };
+            let whole = zones.entry(zone).or_insert_with(none);
+            whole.tags ^= known.tag;
+            whole.age = whole.age.max(age(&known.peer, now_ms));
+        }
+        zones.retain(|zone, whole| {
+            let fresh_ms = if **zone == self.zone { FRESH_MS } else { FRESH_ELSEWHERE_MS };
+            u64::from(whole.age) * AGE_STEP_MS < fresh_ms
+        });
+        let mut roster = Roster::default();
+        for (addr, known) in self.live_of(scope, now_ms) {
+            let is_its_turn = known.tag as usize % FULL_TURNS == turn % FULL_TURNS;
+            if is_its_turn || now_ms < known.changed_ms + CHANGED_MS {
+                roster.rows.push(row(*addr, &known.peer, now_ms));
+            } else if turn.is_multiple_of(TAG_TURNS) || !zones.contains_key(&known.peer.zone) {
+                roster.tags.push((known.tag, age(&known.peer, now_ms)));
+            }
+        }
+        roster.whole = zones.into_values().collect();
+        roster
+    }
+
+    /// All live peers in full, for an entry that has just started.
+    #[must_use]
+    pub fn whole_roster(&self, now_ms: u64) -> Roster {
+        let rows = self.live_of(Scope::All, now_ms);
+        let rows = rows.map(|(addr, known)| row(*addr, &known.peer, now_ms)).collect();
+        Roster { rows, ..Roster::default() }
+    }
+
+    /// The aggregators of all zones, for an entry that has just started elsewhere.
+    #[must_use]
+    pub fn introduction(&self, now_ms: u64) -> Roster {
+        let mut zones = self.other_zones(now_ms);
+        zones.insert(self.zone.clone());
+        let addrs = zones.iter().flat_map(|zone| self.aggregators(zone, now_ms));
+        let rows = addrs
+            .filter_map(|addr| self.heard.get(&addr).map(|known| row(addr, &known.peer, now_ms)));
+        Roster { rows: rows.collect(), ..Roster::default() }
+    }
+}
+
+fn row(addr: SocketAddr, peer: &Peer, now_ms: u64) -> Row {
+    Row {
+        addr,
+        boot: peer.boot,
+        zone: peer.zone.clone(),
+        strength: peer.strength,
+        has_store: peer.has_store,
+        holds_duties: peer.holds_duties,
+        is_stopping: peer.is_stopping,
+        age: age(peer, now_ms),
+    }
+}
+
+fn age(peer: &Peer, now_ms: u64) -> u8 {
+    // Rounded up: what goes to and fro between entries would otherwise never age.
+    let steps = now_ms.saturating_sub(peer.heard_ms).div_ceil(AGE_STEP_MS);
+    u8::try_from(steps).unwrap_or(u8::MAX)
+}
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -1,4 +1,4 @@
-//! Pulls: an entry that a digest shows to be behind asks the digest's sender for what is newer.
+//! Pulls: an entry that hears of a newer version than its own asks whoever told it for what is newer.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -56,7 +56,7 @@
     memory: bool,
 }
 
-/// What a digest says its sender has.
+/// What another entry says it has.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::gateway) struct Offered {
     pub(in crate::gateway) from: SocketAddr,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! For platforms on which each endpoint queues and batches by itself: the entry finds the route, the
 //! client account and the endpoint, sends the request over HTTP/1.1 and streams the answer back. A
-//! control thread follows the platform's store, exchanges digests with the other entries and
+//! control thread follows the platform's store, exchanges state with the other entries and
 //! contends for the duties. What speaks a platform's own form is an adapter behind the ports
 //! [`request::EndpointForm`] and [`control::Platform`].
 
--- a/src/gateway/policy/load.rs
+++ b/src/gateway/policy/load.rs
@@ -219,12 +219,6 @@
         rows.take(most).collect()
     }
 
-    /// Takes a whole table of another entry; `peer` names one start of it.
-    pub fn take_digest(&mut self, peer: u64, rows: &[Row], now_ms: u64) {
-        let rows = Rows { part: 0, parts: 1, rows: rows.to_vec() };
-        self.take(Source::Entry(peer), Origin { entries: 1, age_ms: 0 }, &rows, now_ms);
-    }
-
     /// Takes part of a table.
     pub fn take(&mut self, source: Source, origin: Origin, told: &Rows, now_ms: u64) {
         let counts = self.counts(&source);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -72,7 +72,7 @@
 }
 
 impl Gateway {
-    /// Where this instance exchanges digests with the others.
+    /// Where this instance exchanges datagrams with the others.
     #[must_use]
     pub fn peer_addr(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.internal_ports[0])
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -84,6 +84,13 @@
     }
 }
 
+/// One start of another entry tells of all its work.
+fn tell(book: &mut load::Book, peer: u64, rows: Vec<load::Row>, now_ms: u64) {
+    let origin = load::Origin { entries: 1, age_ms: 0 };
+    let rows = load::Rows { part: 0, parts: 1, rows };
+    book.take(load::Source::Entry(peer), origin, &rows, now_ms);
+}
+
 fn work(unread_tokens: u64) -> load::Work {
     load::Work { requests: 1, unread_tokens }
 }
@@ -237,7 +244,7 @@
                 },
             };
             let rows: Vec<load::Row> = endpoints.iter().map(tells).collect();
-            entry.book.take_digest(peer, &rows, NOW_MS - 200);
+            tell(&mut entry.book, peer, rows, NOW_MS - 200);
         }
         for sent in 0..EACH {
             let key = entry.choose(&endpoints, &guide(number * EACH + sent + 1), &mut random);
@@ -295,7 +302,7 @@
     let mut random = StdRng::seed_from_u64(3);
     let mut entry = Entry::default();
     let row = load::Row { endpoint: endpoints[0].key, work: work(50_000) };
-    entry.book.take_digest(77, &[row], NOW_MS);
+    tell(&mut entry.book, 77, vec![row], NOW_MS);
     assert_eq!(entry.choose(&endpoints, &question(1), &mut random), endpoints[1].key);
     assert_eq!(entry.book.at(endpoints[0].key, NOW_MS + 60_000), load::Work::default());
 }
