Pulls are served in turn; windows wait for entries that may only be cut off

Cause of the first: at 300 entries nobody served within 30 s after all had been killed. All pulled the list of 3,000 endpoints from the same seeds and aggregators, whose links were shared by so many that none was served in its 1.5 s, and all asked again. Now four are served at a time, an entry has one pull under way, and none before it has listed at the store itself.

Cause of the second: an entry that nobody heard for 1.7 s was not waited for, though it may have served on behind a cut. Whoever was heard since the window began is waited for now, four seconds at most (windows_wait_for_entries_that_may_only_be_cut_off).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -27,6 +27,8 @@
     Endpoints,
 }
 
+const TOPICS: [Topic; 2] = [Topic::Config, Topic::Endpoints];
+
 /// Something that the store holds, decoded.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Item {
@@ -117,6 +119,8 @@
     /// What this entry has of what those before it knew.
     pub(super) remembered: RefCell<pulls::Remembered>,
     lists_known: Cell<bool>,
+    /// Topics that this start of the entry has not listed at the store yet.
+    pub(super) topics_to_list: Cell<usize>,
     /// Topics whose last call the store failed.
     failing: RefCell<HashSet<Topic>>,
 }
@@ -172,12 +176,14 @@
         reads_lease: Cell::new(true),
         remembered: RefCell::default(),
         lists_known: Cell::new(false),
+        topics_to_list: Cell::new(TOPICS.len()),
         failing: RefCell::default(),
         shared,
         log,
     });
-    task::spawn_local(watch::follow(Rc::clone(&control), Topic::Config));
-    task::spawn_local(watch::follow(Rc::clone(&control), Topic::Endpoints));
+    for topic in TOPICS {
+        task::spawn_local(watch::follow(Rc::clone(&control), topic));
+    }
     task::spawn_local(recall::ask_engines(Rc::clone(&control)));
     task::spawn_local(pulls::serve(Rc::clone(&control), listener));
     task::spawn_local(datagrams::receive(Rc::clone(&control)));
--- a/src/gateway/duties/billing.rs
+++ b/src/gateway/duties/billing.rs
@@ -145,6 +145,8 @@
         let window = (first_unsealed(seals).max(last.saturating_sub(KEPT_SEALS as u64 / 2))..=last)
             .find(|window| !tally.sum(*window).is_empty())?;
         let end_ms = (window + 1) * window_ms;
+        // Those that vanished since the window began may only be cut off, and are waited for as well.
+        let since_ms = now_ms.saturating_sub(unix_ms.saturating_sub(window * window_ms));
         let is_settled_here = control.shared.settled_ms() >= end_ms;
         let exchange = control.exchange.borrow();
         let is_due = control.settled.borrow().may_seal(
@@ -152,7 +154,7 @@
             unix_ms,
             now_ms.saturating_sub(self.since_ms.unwrap_or(now_ms)),
             is_settled_here,
-            exchange.peers.live_boots(now_ms),
+            exchange.peers.boots_since(since_ms),
         );
         is_due.then(|| Sealed { window, counts: tally.sum(window) })
     }
--- a/src/gateway/duties/delivery.rs
+++ b/src/gateway/duties/delivery.rs
@@ -165,8 +165,8 @@
         Receipt { boot: parcel.boot, number: parcel.number }
     }
 
-    /// Whether a window that ended then may be sealed now by one who has billed for `held_ms`, while these
-    /// starts of entries live.
+    /// Whether a window that ended then may be sealed now by one who has billed for `held_ms`, after these
+    /// starts of entries ran in it.
     #[must_use]
     pub fn may_seal(
         &self,
@@ -174,13 +174,13 @@
         now_unix_ms: u64,
         held_ms: u64,
         is_settled_here: bool,
-        mut live_boots: impl Iterator<Item = u64>,
+        mut boots: impl Iterator<Item = u64>,
     ) -> bool {
         let passed_ms = now_unix_ms.saturating_sub(end_ms);
         let is_settled =
             |boot: u64| self.until_ms.get(&boot).is_some_and(|until_ms| *until_ms >= end_ms);
         (passed_ms >= LATEST_MS && held_ms >= BEGIN_MS)
-            || (passed_ms >= LEAST_MS && is_settled_here && live_boots.all(is_settled))
+            || (passed_ms >= LEAST_MS && is_settled_here && boots.all(is_settled))
     }
 }
 
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -216,7 +216,10 @@
     if is_older && control.remembered.borrow_mut().ask() {
         task::spawn_local(pulls::pull_memory(Rc::clone(control), state.from));
     }
-    if offered.is_newer(control) && control.exchange.borrow_mut().peers.begin_pull(state.from) {
+    // One that has just started lists all at the store itself, and would only get the same twice.
+    let is_listing = control.topics_to_list.get() > 0 && control.has_store();
+    if !is_listing && offered.is_newer(control) && control.exchange.borrow_mut().peers.begin_pull()
+    {
         task::spawn_local(pulls::pull(Rc::clone(control), offered));
     }
 }
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -99,7 +99,7 @@
     by_tag: HashMap<u32, SocketAddr>,
     /// Told of by others, not heard themselves.
     named: HashSet<SocketAddr>,
-    pulling: HashSet<SocketAddr>,
+    is_pulling: bool,
     /// By how far older peers' time of day lies beyond this one's.
     pub(in crate::gateway) beyond_ms: HashMap<SocketAddr, i64>,
     /// Rosters told so far, for the turn in which each peer is told in full.
@@ -122,7 +122,7 @@
             heard: HashMap::new(),
             by_tag: HashMap::new(),
             named: HashSet::new(),
-            pulling: HashSet::new(),
+            is_pulling: false,
             beyond_ms: HashMap::new(),
             turn: 0,
         }
@@ -195,9 +195,10 @@
         self.live_peers(now_ms).count()
     }
 
-    /// Starts of live peers.
-    pub fn live_boots(&self, now_ms: u64) -> impl Iterator<Item = u64> {
-        self.live_peers(now_ms).map(|(_, peer)| peer.boot)
+    /// Starts of peers that somebody has heard since.
+    pub fn boots_since(&self, since_ms: u64) -> impl Iterator<Item = u64> {
+        let heard = self.heard.values().filter(move |known| known.peer.heard_ms >= since_ms);
+        heard.map(|known| known.peer.boot)
     }
 
     /// Live peers that are not stopping.
@@ -343,13 +344,13 @@
         self.by_tag.retain(|_, addr| heard.contains_key(addr));
     }
 
-    /// Notes that a pull from this peer is under way; false if one is already.
-    pub(in crate::gateway) fn begin_pull(&mut self, addr: SocketAddr) -> bool {
-        self.pulling.insert(addr)
+    /// Notes that a pull is under way; false if one is already, from whomever.
+    pub(in crate::gateway) fn begin_pull(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_pulling, true)
     }
 
-    pub(in crate::gateway) fn end_pull(&mut self, addr: SocketAddr) {
-        self.pulling.remove(&addr);
+    pub(in crate::gateway) fn end_pull(&mut self) {
+        self.is_pulling = false;
     }
 
     /// Notes where an entry may be.
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::{task, time};
 
 use crate::gateway::control::{Control, Platform};
@@ -19,6 +20,8 @@
 /// How long a peer may stay ahead before its state is pulled: the own watch is mostly as fast.
 const PULL_AFTER_MS: u64 = 60;
 const PULL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pulls that are served at a time.
+const MAX_SERVED: usize = 4;
 const MAX_STATE_BYTES: u32 = 8 << 20;
 const MAX_WANTED_BYTES: u32 = 256;
 /// Pause after a connection could not be accepted: out of descriptors, mostly.
@@ -96,7 +99,7 @@
             Err(error) => note_failed(&control, offered.from, &error),
         }
     }
-    control.exchange.borrow_mut().peers.end_pull(offered.from);
+    control.exchange.borrow_mut().peers.end_pull();
 }
 
 fn note_failed<P>(control: &Control<P>, from: SocketAddr, error: &anyhow::Error) {
@@ -197,13 +200,20 @@
     control: Rc<Control<P>>,
     listener: TcpListener,
 ) {
+    // One after the other, so that some are served in time: all at once would share the link of a small
+    // instance, and none would be. After a start of hundreds of entries that went on for as long as they
+    // asked again.
+    let served = Rc::new(Semaphore::new(MAX_SERVED));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             time::sleep(ACCEPT_AGAIN).await;
             continue;
         };
-        let control = Rc::clone(&control);
+        let (control, served) = (Rc::clone(&control), Rc::clone(&served));
         task::spawn_local(async move {
+            let Ok(Ok(_turn)) = time::timeout(PULL_LIMIT, served.acquire()).await else {
+                return;
+            };
             let given = time::timeout(PULL_LIMIT, write_state(&control, stream)).await;
             if !matches!(given, Ok(Ok(()))) {
                 slog::info!(control.log, "a peer's pull was not served");
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -21,6 +21,7 @@
 /// Follows a topic for as long as the process lives.
 pub(super) async fn follow<P: Platform>(control: Rc<Control<P>>, topic: Topic) {
     let mut from = None;
+    let mut has_listed = false;
     let leave_ms = control.shared.settings.leave_ms;
     let mut outage = outage::Outage::new(leave_ms);
     loop {
@@ -48,6 +49,10 @@
                         "away_ms" => away_ms);
                 }
                 let is_list = from.is_none();
+                if !has_listed {
+                    has_listed = true;
+                    control.topics_to_list.set(control.topics_to_list.get() - 1);
+                }
                 from = Some(batch.revision);
                 let has_changes = !is_list && !batch.items.is_empty();
                 take(&control, topic, batch, is_list, outage.keep_until_ms(now_ms));
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -39,6 +39,8 @@
     is_stopping: bool,
     /// Work has come of which the others have to know at once.
     has_news: bool,
+    /// It runs, and no other hears it or is heard.
+    is_cut_off: bool,
     /// Dead or frozen.
     is_silent: bool,
     sent_bytes: usize,
@@ -131,6 +133,7 @@
             holds_duties: false,
             is_stopping: false,
             has_news: false,
+            is_cut_off: false,
             is_silent: false,
             sent_bytes: 0,
             offset_ms: random.random_range(0..TICK_MS / STEP_MS) * STEP_MS,
@@ -184,7 +187,7 @@
                 if self.nodes[other].zone != self.nodes[from].zone {
                     self.between_zones_bytes += bytes + FRAME_BYTES;
                 }
-                if !self.random.random_bool(self.lost) {
+                if !self.nodes[from].is_cut_off && !self.random.random_bool(self.lost) {
                     let at_ms = self.now_ms + STEP_MS;
                     self.under_way.entry(at_ms).or_default().push((to, one.message.clone()));
                 }
@@ -196,7 +199,7 @@
         let now_ms = self.now_ms;
         let index = self.index[&to];
         let node = &mut self.nodes[index];
-        if node.is_silent {
+        if node.is_silent || node.is_cut_off {
             return;
         }
         let facts = facts(node, now_ms);
@@ -476,7 +479,7 @@
                 let node = &fleet.nodes[index];
                 let due = (window - 4..window).find(|one| !billed.sealed.contains_key(one));
                 if let Some(due) = due {
-                    let live = node.exchange.peers.live_boots(now_ms);
+                    let live = node.exchange.peers.boots_since(due * WINDOW_MS);
                     if node.settled.may_seal((due + 1) * WINDOW_MS, now_ms, held_ms, true, live) {
                         let counts = node.tally.sum(due).values().sum();
 
@@ -544,6 +547,27 @@
     }
 }
 
+/// Entries are cut off from the others at the end of a window for a little longer than it takes to count them
+/// as gone. They go on serving, and what they counted is owed.
+#[test]
+fn windows_wait_for_entries_that_may_only_be_cut_off() {
+    for (entries, zones) in [(22, 3), (68, 5)] {
+        let billed = bill(entries, zones, |fleet, passed_ms| {
+            let is_cut_off = |index: usize| index % 4 == 3;
+            // The first full window ends 3 s after the count begins, the next ones every 5 s.
+            let begins = [6_000, 11_000].contains(&passed_ms);
+            let ends = [10_500, 15_500].contains(&passed_ms);
+            if begins || ends {
+                let nodes = fleet.nodes.iter_mut().enumerate();
+                nodes
+                    .filter(|(index, _)| is_cut_off(*index))
+                    .for_each(|(_, node)| node.is_cut_off = begins);
+            }
+        });
+        billed.check(&format!("{entries} entries"), 0.001);
+    }
+}
+
 /// Entries die, freeze for a while, start, and the holder dies: every window is within the tolerance that
 /// operators allow.
 #[test]
