--- a/src/gateway/duties/billing.rs
+++ b/src/gateway/duties/billing.rs
@@ -142,8 +142,10 @@
         let last = (unix_ms / window_ms).checked_sub(1)?;
         let tally = control.shared.tally();
         // What was counted later for a window that is sealed is not added: a report never changes.
-        let window = (first_unsealed(seals).max(last.saturating_sub(KEPT_SEALS as u64 / 2))..=last)
-            .find(|window| !tally.sum(*window).is_empty())?;
+        let first = first_unsealed(seals).max(last.saturating_sub(KEPT_SEALS as u64 / 2));
+        let (window, counts) = (first..=last)
+            .map(|window| (window, tally.sum(window)))
+            .find(|(_, counts)| !counts.is_empty())?;
         let end_ms = (window + 1) * window_ms;
         // Those that vanished since the window began may only be cut off, and are waited for as well.
         let since_ms = now_ms.saturating_sub(unix_ms.saturating_sub(window * window_ms));
@@ -156,7 +158,7 @@
             is_settled_here,
             exchange.peers.boots_since(since_ms),
         );
-        is_due.then(|| Sealed { window, counts: tally.sum(window) })
+        is_due.then_some(Sealed { window, counts })
     }
 
     async fn seal<P: Platform>(&mut self, control: &Control<P>, sealed: Sealed) {
--- a/src/gateway/fleet/exchange.rs
+++ b/src/gateway/fleet/exchange.rs
@@ -197,15 +197,14 @@
                 self.tell_sums(now_ms, is_handover, book, &mut out);
                 self.tell_rosters(now_ms, &mut out);
                 self.queue_placed(homes);
-                self.tell_passed_on(now_ms, &mut out);
             }
             Role::Member | Role::Joining => {
                 self.tell_work(now_ms, is_news, book, &mut out);
                 self.tell_placed(role, homes, &mut out);
-                // What came while this entry was taken for an aggregator.
-                self.tell_passed_on(now_ms, &mut out);
             }
         }
+        // Also of an entry that others took for an aggregator.
+        self.tell_passed_on(now_ms, &mut out);
         out
     }
 
@@ -245,10 +244,7 @@
             } else {
                 self.peers.introduction(now_ms)
             };
-            let pieces = roster.split().into_iter();
-            out.extend(
-                pieces.map(|piece| Outgoing { to: to.clone(), message: Message::Roster(piece) }),
-            );
+            telling::push_roster(&to, roster, &mut out);
         }
         (is_new, out)
     }
--- a/src/gateway/fleet/exchange/telling.rs
+++ b/src/gateway/fleet/exchange/telling.rs
@@ -4,7 +4,7 @@
 
 use super::{Exchange, Facts, LOST_MS, Outgoing, Role};
 use crate::gateway::fleet::message::{Leg, Message, Placed, State, Work};
-use crate::gateway::fleet::peers::Scope;
+use crate::gateway::fleet::peers::{Scope, roster};
 use crate::gateway::policy::{homes, load};
 
 /// How often an entry tells of its work while that changes.
@@ -32,6 +32,11 @@
 /// Parts to be passed on that wait, at most; the oldest are dropped, which costs reading again.
 const MAX_WAITING: usize = 4_000;
 
+pub(super) fn push_roster(to: &[SocketAddr], roster: roster::Roster, out: &mut Vec<Outgoing>) {
+    let pieces = roster.split().into_iter();
+    out.extend(pieces.map(|piece| Outgoing { to: to.to_vec(), message: Message::Roster(piece) }));
+}
+
 impl Exchange {
     /// Whom a member tells.
     pub(super) fn aggregators(&self, now_ms: u64) -> Vec<SocketAddr> {
@@ -203,10 +208,7 @@
             (self.members(now_ms), self.peers.roster(Scope::All, now_ms)),
         ];
         for (to, roster) in rosters {
-            let pieces = roster.split().into_iter();
-            out.extend(
-                pieces.map(|piece| Outgoing { to: to.clone(), message: Message::Roster(piece) }),
-            );
+            push_roster(&to, roster, out);
         }
     }
 
