--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -86,6 +86,8 @@
     NotRun { status: u16 },
     /// Another endpoint has the address now.
     WrongEndpoint,
+    /// The endpoint takes nothing more since it was chosen; nothing was sent.
+    Closed,
     /// It may have run.
     Unknown(http1::Error),
 }
@@ -95,7 +97,7 @@
     #[must_use]
     pub fn arrived(&self) -> bool {
         match self {
-            Self::NotSent(_) => false,
+            Self::NotSent(_) | Self::Closed => false,
             Self::NotRun { .. } | Self::WrongEndpoint | Self::Unknown(_) => true,
         }
     }
@@ -121,6 +123,11 @@
         let endpoint = choice.endpoint.clone();
         let mut connection = self.connection(job, &endpoint).await?;
         let now_ms = self.now_ms();
+        if !self.takes_one_more(&endpoint, now_ms) {
+            self.pool.borrow_mut().give(endpoint.addr, connection, now_ms);
+            return Err(Failure::Closed);
+        }
+        self.note_cold_send(job, &endpoint, now_ms);
         if let Some(prompt) = &job.request.prompt {
             self.shared.homes().place(endpoint.key, &prompt.parts, now_ms);
             if is_news(choice) {
@@ -183,10 +190,25 @@
         }
         pool::connect(endpoint.addr).await.map_err(|error| {
             self.unreachable(endpoint);
+            self.cold_sends.borrow_mut().refused(endpoint.key, self.now_ms());
             Failure::NotSent(error)
         })
     }
 
+    /// Whether a chosen endpoint still takes a request, now that a connection is there.
+    fn takes_one_more(&self, endpoint: &directory::Endpoint, now_ms: u64) -> bool {
+        let snapshot = self.shared.snapshot.load();
+        snapshot.takes(endpoint)
+            && self.cold_sends.borrow().has_room(endpoint.key, &snapshot.warming, now_ms)
+    }
+
+    /// Notes a send to an endpoint that is, or may turn, cold.
+    fn note_cold_send(&self, job: &job::Job, endpoint: &directory::Endpoint, now_ms: u64) {
+        if job.service().warm_up.is_some() {
+            self.cold_sends.borrow_mut().note(endpoint.key, now_ms);
+        }
+    }
+
     /// The head that answers this request; what answers another is skipped.
     async fn matching_head(
         &self,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -3,19 +3,20 @@
 //! request's path waits for it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use compact_str::CompactString;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
 use tokio::task;
 
 use super::duties::{billing, delivery, duty, scaling, tally};
 use super::fleet::{datagrams, exchange, members, peers, pulls, recall};
-use super::policy::budget;
-use super::{directory, request, route, shared, watch};
+use super::policy::{budget, warmup};
+use super::{directory, evacuation, request, route, shared, watch};
 use crate::{bound, clock, lease, seal, store};
 
 /// What is followed in the store.
@@ -25,15 +26,19 @@
     Config,
     /// The endpoints.
     Endpoints,
+    /// The availability zones that are evacuated.
+    Evacuations,
 }
 
-const TOPICS: [Topic; 2] = [Topic::Config, Topic::Endpoints];
+/// What is followed where zones may be evacuated; elsewhere the last is left out.
+const TOPICS: [Topic; 3] = [Topic::Config, Topic::Endpoints, Topic::Evacuations];
 
 /// Something that the store holds, decoded.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Item {
     Config(Box<route::Parts>),
     Endpoint(directory::Event),
+    Evacuation(evacuation::Change),
 }
 
 /// What a list or a watch brought.
@@ -66,6 +71,9 @@
     /// Lists all of a topic.
     async fn list_all(&self, topic: Topic) -> Result<Batch, store::Failure>;
 
+    /// Asks the store for a sign of life, at little cost.
+    async fn probe(&self) -> Result<(), store::Failure>;
+
     /// Waits for changes of a topic after a revision.
     async fn watch(&self, topic: Topic, from: u64, wait_ms: u64) -> Result<Batch, WatchFailure>;
 
@@ -99,6 +107,11 @@
     pub(super) secret: seal::Secret,
     pub(super) table: RefCell<Option<Arc<route::Table>>>,
     pub(super) directory: RefCell<directory::Directory>,
+    pub(super) evacuations: RefCell<evacuation::Evacuations>,
+    /// Zones that were taken back just now, and when.
+    taken_back: RefCell<HashMap<CompactString, u64>>,
+    /// Wakes watches that wait at a store which no longer answers.
+    pub(super) silence: Notify,
     pub(super) exchange: RefCell<exchange::Exchange>,
     /// This entry's counts on their way to those who bill.
     pub(super) outbox: RefCell<delivery::Outbox>,
@@ -168,6 +181,9 @@
         platform: platform(),
         table: RefCell::default(),
         directory: RefCell::default(),
+        evacuations: RefCell::default(),
+        taken_back: RefCell::default(),
+        silence: Notify::new(),
         socket: UdpSocket::from_std(sockets.udp)?,
         holds_duties: Cell::new(false),
         own_lease: Cell::new(None),
@@ -176,14 +192,15 @@
         reads_lease: Cell::new(true),
         remembered: RefCell::default(),
         lists_known: Cell::new(false),
-        topics_to_list: Cell::new(TOPICS.len()),
+        topics_to_list: Cell::new(topics(&shared).len()),
         failing: RefCell::default(),
         shared,
         log,
     });
-    for topic in TOPICS {
-        task::spawn_local(watch::follow(Rc::clone(&control), topic));
+    for topic in topics(&control.shared) {
+        task::spawn_local(watch::follow(Rc::clone(&control), *topic));
     }
+    task::spawn_local(watch::probe(Rc::clone(&control)));
     task::spawn_local(recall::ask_engines(Rc::clone(&control)));
     task::spawn_local(pulls::serve(Rc::clone(&control), listener));
     task::spawn_local(datagrams::receive(Rc::clone(&control)));
@@ -193,6 +210,10 @@
     Ok(())
 }
 
+fn topics(shared: &shared::Shared) -> &'static [Topic] {
+    if shared.settings.has_evacuations { &TOPICS } else { &TOPICS[..2] }
+}
+
 fn open_exchange(shared: &shared::Shared) -> exchange::Exchange {
     let settings = &shared.settings;
     let own = exchange::Own {
@@ -269,14 +290,47 @@
         }
     }
 
+    /// Runs a change on the evacuated zones and publishes the outcome if it brought anything new.
+    pub(super) fn change_evacuations(
+        &self,
+        source: &'static str,
+        change: impl FnOnce(&mut evacuation::Evacuations) -> bool,
+    ) {
+        let before = self.evacuations.borrow().clone();
+        if !change(&mut self.evacuations.borrow_mut()) {
+            return;
+        }
+        self.log_evacuations(&before, source);
+        self.publish();
+        // The other entries send there until they know.
+        self.shared.news.notify_one();
+    }
+
+    fn log_evacuations(&self, before: &evacuation::Evacuations, source: &'static str) {
+        let now = self.evacuations.borrow();
+        for zone in now.zones().filter(|zone| !before.has(zone)) {
+            slog::info!(self.log, "zone evacuated"; "zone" => zone.as_str(),
+                "revision" => now.revision(), "source" => source);
+        }
+        for zone in before.zones().filter(|zone| !now.has(zone)) {
+            self.taken_back.borrow_mut().insert(zone.clone(), self.now_ms());
+            slog::info!(self.log, "zone taken back"; "zone" => zone.as_str(),
+                "revision" => now.revision(), "source" => source);
+        }
+    }
+
     fn log_directory(&self, before: &directory::Directory, source: &'static str) {
         let directory = self.directory.borrow();
         for endpoint in directory.endpoints() {
             let old = before.find(endpoint.key);
+            if old.is_some_and(|old| old.started_unix_ms != endpoint.started_unix_ms) {
+                self.shared.homes().forget(endpoint.key);
+            }
             if old.is_none_or(|old| old != endpoint) {
                 slog::info!(self.log, "endpoint known"; "endpoint" => endpoint.id.as_str(),
                     "service" => endpoint.service.as_str(), "addr" => endpoint.addr.to_string(),
                     "zone" => endpoint.zone.as_str(), "leaving" => endpoint.is_leaving,
+                    "started" => endpoint.started_unix_ms,
                     "revision" => directory.revision(), "source" => source);
             }
         }
@@ -290,14 +344,61 @@
     /// Hands what is known to the traffic thread.
     fn publish(&self) {
         let table = self.table.borrow().clone();
-        let is_ready = table.is_some() && self.lists_known.get();
+        let evacuations = self.evacuations.borrow().clone();
+        let knows_zones = evacuations.is_known() || !self.shared.settings.has_evacuations;
+        let is_ready = table.is_some() && self.lists_known.get() && knows_zones;
         let directory = Arc::new(self.directory.borrow().clone());
-        self.shared.snapshot.store(Arc::new(shared::Snapshot { table, directory }));
+        let warming = self.warming(table.as_deref(), &directory, self.now_ms());
+        let snapshot = shared::Snapshot { table, directory, evacuations, warming };
+        self.shared.snapshot.store(Arc::new(snapshot));
         if is_ready && !self.shared.is_ready.swap(true, Ordering::AcqRel) {
             slog::info!(self.log, "ready"; "version" => self.config_version());
         }
     }
 
+    /// Publishes anew if other endpoints are cold now, or others are this entry's to keep.
+    pub(super) fn update_warming(&self) {
+        let now_ms = self.now_ms();
+        self.taken_back.borrow_mut().retain(|_, at_ms| now_ms < *at_ms + warmup::TAKEN_BACK_MS);
+        let known = self.shared.snapshot.load();
+        let warming = self.warming(known.table.as_deref(), &known.directory, now_ms);
+        if warming != known.warming {
+            self.publish();
+        }
+    }
+
+    /// The endpoints that are cold or may be, with what this entry may send to each.
+    fn warming(
+        &self,
+        table: Option<&route::Table>,
+        directory: &directory::Directory,
+        now_ms: u64,
+    ) -> warmup::Warming {
+        let mut warming = warmup::Warming::default();
+        let (Some(table), Some(rate)) = (table, self.shared.settings.cold_rate) else {
+            return warming;
+        };
+        let taken_back = self.taken_back.borrow();
+        let exchange = self.exchange.borrow();
+        for service in table.services() {
+            let Some(warm_up) = service.warm_up else { continue };
+            let most_per_s = warmup::most_per_s(warm_up.per_s, rate.factor, rate.extra);
+            for endpoint in directory.taking(&service.name) {
+                let back_ms =
+                    taken_back.get(&endpoint.zone).map(|at_ms| at_ms + warmup::TAKEN_BACK_MS);
+                let Some(until_ms) = directory.cold_until_ms(endpoint.key, now_ms).max(back_ms)
+                else {
+                    continue;
+                };
+                let keeps = exchange.keeps(endpoint.key, &endpoint.zone);
+                let allowed =
+                    warmup::Allowed { until_ms, most_per_s: if keeps { most_per_s } else { 0 } };
+                warming.endpoints.insert(endpoint.key, allowed);
+            }
+        }
+        warming
+    }
+
     /// What this start of the entry has counted.
     pub(super) fn counts(&self) -> tally::Counts {
         self.shared.tally().newest_of(self.shared.boot, tally::KEPT_WINDOWS as usize)
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -36,6 +36,9 @@
     pub service: CompactString,
     pub addr: SocketAddr,
     pub zone: CompactString,
+    /// When this start of it began, on the platform's clock in Unix milliseconds: tells it from an earlier
+    /// one under the same id, whose memory is lost.
+    pub started_unix_ms: u64,
     /// Requests that it works on at the same time.
     pub slots: u32,
     /// It serves what it has and takes nothing new.
@@ -55,8 +58,21 @@
 pub struct Event {
     pub change: Change,
     pub revision: u64,
+    /// For how long the endpoint stays cold.
+    pub cold_ms: u32,
 }
 
+/// An endpoint that is cold: it takes only few requests a second for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cold {
+    pub endpoint: EndpointKey,
+    pub left_ms: u64,
+}
+
+/// News of a cold endpoint that would end its time this much later come of their way through the store;
+/// what is later means that it has turned cold once more.
+const COLD_LATE_MS: u64 = 400;
+
 /// An entry that has vanished around the store's return and is kept for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lapsed {
@@ -72,6 +88,9 @@
     /// Entries that vanished around the store's return, and when each is given up.
     #[serde(skip)]
     lapsed: HashMap<EndpointKey, u64>,
+    /// Endpoints that are cold, and until when.
+    #[serde(skip)]
+    cold: HashMap<EndpointKey, u64>,
 }
 
 impl Directory {
@@ -132,17 +151,60 @@
         events: impl Iterator<Item = Event>,
         revision: u64,
         keep_until_ms: Option<u64>,
+        now_ms: u64,
     ) -> bool {
         let known = self.revision;
         let is_old =
             |event: &Event| matches!(event.change, Change::Present(_)) && event.revision <= known;
-        let mut is_changed = false;
-        for event in events.filter(|event| !is_old(event)) {
+        let events: Vec<Event> = events.filter(|event| !is_old(event)).collect();
+        let mut is_changed = self.note_cold(&events, revision, now_ms);
+        for event in events {
             is_changed |= self.apply(event.change, revision.max(known), keep_until_ms);
         }
         is_changed
     }
 
+    /// Takes from the store how long endpoints stay cold. Gives whether any has turned cold.
+    pub fn note_cold(&mut self, events: &[Event], revision: u64, now_ms: u64) -> bool {
+        let mut is_changed = false;
+        for event in events {
+            if let Change::Present(endpoint) = &event.change {
+                is_changed |= self.set_cold(endpoint.key, event.cold_ms, now_ms);
+            }
+        }
+        if is_changed {
+            self.revision = self.revision.max(revision);
+        }
+        is_changed
+    }
+
+    fn set_cold(&mut self, endpoint: EndpointKey, cold_ms: u32, now_ms: u64) -> bool {
+        let until_ms = now_ms + u64::from(cold_ms);
+        let known_ms = self.cold_until_ms(endpoint, now_ms);
+        if cold_ms == 0 {
+            self.cold.remove(&endpoint);
+            return false;
+        }
+        let is_known = known_ms.is_some_and(|known_ms| until_ms <= known_ms + COLD_LATE_MS);
+        let until_ms = if is_known { known_ms.unwrap_or(until_ms).min(until_ms) } else { until_ms };
+        self.cold.insert(endpoint, until_ms);
+        !is_known
+    }
+
+    /// Until when an endpoint is cold, if it is.
+    #[must_use]
+    pub fn cold_until_ms(&self, endpoint: EndpointKey, now_ms: u64) -> Option<u64> {
+        self.cold.get(&endpoint).copied().filter(|until_ms| now_ms < *until_ms)
+    }
+
+    /// Endpoints that are cold, with the time left for each, for peers.
+    #[must_use]
+    pub fn cold(&self, now_ms: u64) -> Vec<Cold> {
+        let cold = self.cold.iter().filter(|(_, until_ms)| now_ms < **until_ms);
+        cold.map(|(endpoint, until_ms)| Cold { endpoint: *endpoint, left_ms: until_ms - now_ms })
+            .collect()
+    }
+
     /// Takes one change of the store. Gives whether anything changed.
     pub fn apply(&mut self, change: Change, revision: u64, keep_until_ms: Option<u64>) -> bool {
         let mut endpoints = self.endpoints.clone();
@@ -172,6 +234,7 @@
         let lapsed = &mut self.lapsed;
         self.endpoints.retain(|one| lapsed.get(&one.key).is_none_or(|until_ms| now_ms < *until_ms));
         lapsed.retain(|_, until_ms| now_ms < *until_ms);
+        self.cold.retain(|_, until_ms| now_ms < *until_ms);
         self.endpoints.len() != before
     }
 
@@ -187,12 +250,13 @@
 
     /// Takes a peer's directory if it is newer than this one. What the peer keeps for a grace time
     /// is kept here for no longer.
-    pub fn adopt(&mut self, other: Self, lapsed: &[Lapsed], now_ms: u64) -> bool {
+    pub fn adopt(&mut self, other: Self, lapsed: &[Lapsed], cold: &[Cold], now_ms: u64) -> bool {
         if other.revision <= self.revision {
             return false;
         }
         *self = other;
         self.lapsed = lapsed.iter().map(|one| (one.endpoint, now_ms + one.left_ms)).collect();
+        self.cold = cold.iter().map(|one| (one.endpoint, now_ms + one.left_ms)).collect();
         true
     }
 
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -58,6 +58,7 @@
         if !is_news {
             update_entries(&control, now_ms);
             control.change_directory("grace time over", |directory| directory.expire(now_ms));
+            control.update_warming();
         }
     }
 }
@@ -76,6 +77,7 @@
         is_stopping: control.shared.is_draining(),
         lease: newest.map(|(told, at_ms)| told.after(now_ms - at_ms)),
         gate: control.shared.gate.ages(now_ms),
+        evacuations: control.evacuations.borrow().clone(),
     }
 }
 
@@ -193,6 +195,7 @@
 fn take_state<P: Platform + 'static>(control: &Rc<Control<P>>, state: &State, now_ms: u64) {
     let shared = &control.shared;
     shared.gate.take(state.gate, now_ms);
+    control.change_evacuations("peer", |evacuations| evacuations.adopt(&state.evacuations));
     if let Some(told) = state.lease.filter(|told| told.boot != shared.boot) {
         let newer = |(known, _): (lease::Told, u64)| known.version <= told.version;
         if control.passed_lease.get().is_none_or(newer) {
--- a/src/gateway/fleet/exchange.rs
+++ b/src/gateway/fleet/exchange.rs
@@ -16,7 +16,8 @@
 
 use crate::gateway::fleet::message::{Message, State, Work};
 use crate::gateway::fleet::peers::Peers;
-use crate::gateway::policy::{gate, homes, load};
+use crate::gateway::policy::{gate, homes, load, warmup};
+use crate::gateway::{directory, evacuation};
 use crate::lease;
 
 /// After so much silence of the aggregators before it, an entry acts; those further behind wait as much
@@ -30,8 +31,11 @@
 /// tell it yet.
 const HANDOVER_MS: u64 = 200;
 
+/// An entry that has joined knows all others after so long.
+const SETTLE_MS: u64 = 2_000;
+
 /// What an entry knows of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Facts {
     pub age_ms: u64,
     pub unix_ms: u64,
@@ -42,21 +46,24 @@
     pub is_stopping: bool,
     pub lease: Option<lease::Told>,
     pub gate: gate::Ages,
+    pub evacuations: evacuation::Evacuations,
 }
 
 impl Facts {
     /// What the others have to know at once when it changes.
-    fn urgent(&self) -> Urgent {
+    fn urgent(&self, role: Role) -> Urgent {
         let lease = self.lease.map(|told| (told.version, told.is_over));
-        let flags = [self.has_store, self.holds_duties, self.is_stopping];
-        Urgent { versions: [self.config_version, self.directory_revision], flags, lease }
+        let is_acting = role == Role::Aggregator;
+        let flags = [self.has_store, self.holds_duties, self.is_stopping, is_acting];
+        let versions = [self.config_version, self.directory_revision, self.evacuations.revision()];
+        Urgent { versions, flags, lease }
     }
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Urgent {
-    versions: [u64; 2],
-    flags: [bool; 3],
+    versions: [u64; 3],
+    flags: [bool; 4],
     lease: Option<(u64, bool)>,
 }
 
@@ -110,12 +117,17 @@
     senior_ms: u64,
     /// Who did so last, and when.
     aggregator: Option<(SocketAddr, u64)>,
+    /// Who of this zone said last that it acts, and when.
+    acting: Option<(SocketAddr, u64)>,
     /// Who last told of another zone, and when.
     zone_aggregators: HashMap<CompactString, (SocketAddr, u64)>,
     /// When any other entry told of itself.
     heard_ms: u64,
     /// Until when this entry joins as if it had just started.
     rejoins_until_ms: u64,
+    /// Since when this entry aggregates or has an aggregator, without a break.
+    joined_since_ms: Option<u64>,
+    keepers: warmup::Keepers,
     /// Since when this entry aggregates.
     acts_since_ms: Option<u64>,
     last: Last,
@@ -137,9 +149,12 @@
             peers,
             senior_ms: now_ms,
             aggregator: None,
+            acting: None,
             zone_aggregators: HashMap::new(),
             heard_ms: 0,
             rejoins_until_ms: 0,
+            joined_since_ms: None,
+            keepers: warmup::Keepers::default(),
             acts_since_ms: None,
             last: Last::default(),
             last_work: Vec::new(),
@@ -167,6 +182,21 @@
         if is_told { Role::Member } else { Role::Joining }
     }
 
+    /// Whether this entry alone sends to an endpoint of this zone while it is cold, as far as it knows. One
+    /// that has just joined may not know of others that think the same of themselves.
+    #[must_use]
+    pub fn keeps(&self, endpoint: directory::EndpointKey, zone: &str) -> bool {
+        self.keepers.is_keeper(self.own.addr, endpoint, zone)
+    }
+
+    fn see_keepers(&mut self, now_ms: u64) {
+        let is_settled =
+            self.joined_since_ms.is_some_and(|since_ms| now_ms >= since_ms + SETTLE_MS);
+        let is_known = is_settled || self.peers.is_only_entry();
+        let candidates = if is_known { self.peers.keepers(now_ms) } else { Vec::new() };
+        self.keepers.see(candidates, now_ms);
+    }
+
     /// What to send now. `is_news`: work has come that others have to know of at once.
     pub fn tick(
         &mut self,
@@ -187,6 +217,11 @@
             Role::Member | Role::Joining => None,
         };
         self.acts_since_ms = acts_since_ms;
+        self.joined_since_ms = match role {
+            Role::Aggregator | Role::Member => self.joined_since_ms.or(Some(now_ms)),
+            Role::Joining => None,
+        };
+        self.see_keepers(now_ms);
         let is_handover = acts_since_ms.is_some_and(|since_ms| now_ms < since_ms + HANDOVER_MS);
         book.set_told(role == Role::Member || is_handover);
         book.sweep(now_ms);
@@ -225,6 +260,9 @@
         {
             *at_ms = now_ms;
         }
+        if state.is_acting && state.zone == self.own.zone {
+            self.acting = Some((state.from, now_ms));
+        }
         let mut out = Vec::new();
         // One that acts for another zone and is not its first may not know who else is there.
         let is_astray = state.zone != self.own.zone
@@ -234,7 +272,10 @@
         if state.is_joining || is_astray || is_behind {
             let to = vec![state.from];
             if state.is_joining || is_behind {
-                let message = Message::State(self.state(facts, false, now_ms));
+                // An answer asks for none: two that join would go on answering each other.
+                let state =
+                    State { is_joining: false, ..self.state(facts, self.role(now_ms), now_ms) };
+                let message = Message::State(state);
                 out.push(Outgoing { to: to.clone(), message });
             }
             let is_its_aggregator =
--- a/src/gateway/fleet/exchange/telling.rs
+++ b/src/gateway/fleet/exchange/telling.rs
@@ -38,9 +38,13 @@
 }
 
 impl Exchange {
-    /// Whom a member tells.
+    /// Whom a member tells: the first of its zone, and whoever acts for it. While the first are dead and not
+    /// known to be, the one that acts would hear of nobody, and the other zones would take all for gone.
     pub(super) fn aggregators(&self, now_ms: u64) -> Vec<SocketAddr> {
-        self.peers.aggregators(&self.own.zone, now_ms)
+        let mut first = self.peers.aggregators(&self.own.zone, now_ms);
+        let acting = self.acting.filter(|(_, at_ms)| now_ms < at_ms + LOST_MS);
+        first.extend(acting.map(|(addr, _)| addr).filter(|addr| !first.contains(addr)));
+        first
     }
 
     /// Those that act for the other zones, as far as is known.
@@ -64,7 +68,7 @@
         role: Role,
         out: &mut Vec<Outgoing>,
     ) {
-        let urgent = facts.urgent();
+        let urgent = facts.urgent(role);
         let pause_ms = if role == Role::Joining { JOIN_MS } else { STATE_MS };
         if now_ms < self.last.state_ms + pause_ms && urgent == self.last.urgent {
             return;
@@ -88,13 +92,13 @@
             self.last.seeds_ms = now_ms;
             to.extend(self.peers.silent(now_ms));
         }
-        let state = self.state(facts, role == Role::Joining, now_ms);
+        let state = self.state(facts, role, now_ms);
         self.peers.note_own(&state.peer(now_ms));
         let message = Message::State(state);
         out.push(Outgoing { to, message });
     }
 
-    pub(super) fn state(&self, facts: &Facts, is_joining: bool, now_ms: u64) -> State {
+    pub(super) fn state(&self, facts: &Facts, role: Role, now_ms: u64) -> State {
         State {
             from: self.own.addr,
             boot: self.own.boot,
@@ -107,10 +111,12 @@
             has_store: facts.has_store,
             holds_duties: facts.holds_duties,
             is_stopping: facts.is_stopping,
-            is_joining,
+            is_joining: role == Role::Joining,
+            is_acting: role == Role::Aggregator,
             live: u16::try_from(self.peers.live(now_ms)).unwrap_or(u16::MAX),
             lease: facts.lease,
             gate: facts.gate,
+            evacuations: facts.evacuations.clone(),
         }
     }
 
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::duties::{delivery, tally};
+use crate::gateway::evacuation;
 use crate::gateway::fleet::peers::{self, roster};
 use crate::gateway::policy::{gate, homes, load};
 use crate::lease;
@@ -28,11 +29,14 @@
     pub is_stopping: bool,
     /// It has heard of no aggregator, and asks whoever hears this who else there is.
     pub is_joining: bool,
+    /// It sums the work of its zone, and wants to hear of all there.
+    pub is_acting: bool,
     /// Live entries that it knows.
     pub live: u16,
     /// The newest that is known of the lease of the duties, where its holder tells of it.
     pub lease: Option<lease::Told>,
     pub gate: gate::Ages,
+    pub evacuations: evacuation::Evacuations,
 }
 
 impl State {
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -13,6 +13,7 @@
 use rand::seq::IteratorRandom;
 use xxhash_rust::xxh3;
 
+use crate::gateway::policy::warmup;
 use crate::gateway::settings;
 
 /// Entries that one without an aggregator tells each time, at most; of a larger fleet a part by lot.
@@ -102,6 +103,8 @@
     is_pulling: bool,
     /// By how far older peers' time of day lies beyond this one's.
     pub(in crate::gateway) beyond_ms: HashMap<SocketAddr, i64>,
+    /// This entry is stopping.
+    is_stopping: bool,
     /// Rosters told so far, for the turn in which each peer is told in full.
     turn: usize,
 }
@@ -124,6 +127,7 @@
             named: HashSet::new(),
             is_pulling: false,
             beyond_ms: HashMap::new(),
+            is_stopping: false,
             turn: 0,
         }
     }
@@ -131,6 +135,7 @@
     /// Notes what the others are told of this entry itself.
     pub fn note_own(&mut self, own: &Peer) {
         self.own_tag = own.tag(self.own);
+        self.is_stopping = own.is_stopping;
     }
 
     /// Begins the next turn of rosters.
@@ -239,6 +244,32 @@
         before.count()
     }
 
+    /// The entries that may be keepers of cold endpoints, this one among them.
+    ///
+    /// Those that a majority goes on with take over from the dead. An entry that hears only few of those it
+    /// heard before may itself be cut off with them, so its part never grows: it goes by all that it knew.
+    #[must_use]
+    pub fn keepers(&self, now_ms: u64) -> Vec<warmup::Candidate> {
+        let is_majority = 2 * (1 + self.live(now_ms)) > 1 + self.heard.len();
+        let heard = self.heard.iter().filter(|(_, known)| {
+            !is_majority || (known.peer.is_live(now_ms) && !known.peer.is_stopping)
+        });
+        let heard = heard.map(|(addr, known)| (*addr, &known.peer.zone));
+        let own = (!self.is_stopping).then_some((self.own, &self.zone));
+        let mut candidates: Vec<warmup::Candidate> = heard
+            .chain(own)
+            .map(|(addr, zone)| warmup::Candidate { addr, zone: zone.clone() })
+            .collect();
+        candidates.sort_unstable_by_key(|one| one.addr);
+        candidates
+    }
+
+    /// Whether there is no other entry: neither a seed nor any that was heard.
+    #[must_use]
+    pub fn is_only_entry(&self) -> bool {
+        self.seeds.is_empty() && self.heard.is_empty()
+    }
+
     fn goes_before(&self, strength: u16, addr: SocketAddr) -> bool {
         (Reverse(strength), addr) < (Reverse(self.strength), self.own)
     }
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -37,6 +37,7 @@
     config: Option<route::Parts>,
     directory: Option<directory::Directory>,
     lapsed: Vec<directory::Lapsed>,
+    cold: Vec<directory::Cold>,
     memory: Option<Memory>,
 }
 
@@ -92,7 +93,7 @@
                 if let Some(newer) = state.directory {
                     let now_ms = control.now_ms();
                     control.change_directory("peer", |directory| {
-                        directory.adopt(newer, &state.lapsed, now_ms)
+                        directory.adopt(newer, &state.lapsed, &state.cold, now_ms)
                     });
                 }
             }
@@ -238,6 +239,7 @@
             directory: (directory.revision() > wanted.directory_revision)
                 .then(|| directory.clone()),
             lapsed: directory.lapsed(control.now_ms()),
+            cold: directory.cold(control.now_ms()),
             memory: wanted.memory.then(|| memory(control)),
         }
     };
--- a/src/gateway/fleet/recall.rs
+++ b/src/gateway/fleet/recall.rs
@@ -35,7 +35,7 @@
     };
     let zone = &control.shared.settings.zone;
     let services = table.services().iter().filter(|service| service.engine.is_some());
-    let engines = services.flat_map(|service| snapshot.directory.taking(&service.name));
+    let engines = services.flat_map(|service| snapshot.taking(&service.name));
     engines.filter(|engine| engine.zone == *zone).cloned().collect()
 }
 
--- a/src/gateway/lines.rs
+++ b/src/gateway/lines.rs
@@ -108,6 +108,7 @@
             Failure::NotSent(error) => ("not_sent", error.to_string()),
             Failure::NotRun { status } => ("not_run", status.to_string()),
             Failure::WrongEndpoint => ("wrong_endpoint", String::new()),
+            Failure::Closed => ("closed", String::new()),
             Failure::Unknown(error) => ("unknown", error.to_string()),
         };
         measures::sent(&job.service().name, what);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod directory;
 pub mod drain;
 pub mod duties;
+pub mod evacuation;
 pub mod events;
 pub mod events_body;
 pub mod fleet;
@@ -35,7 +36,7 @@
 
 use tokio::{task, time};
 
-use self::policy::{budget, health, pauses};
+use self::policy::{budget, health, pauses, warmup};
 use crate::clock;
 
 /// How often idle connections and old knowledge are looked over.
@@ -50,6 +51,7 @@
     health: RefCell<health::Health>,
     pauses: RefCell<pauses::Pauses>,
     budgets: RefCell<budget::Budgets>,
+    cold_sends: RefCell<warmup::Sends>,
     log: slog::Logger,
 }
 
@@ -68,6 +70,7 @@
             pool: RefCell::default(),
             health: RefCell::default(),
             pauses: RefCell::default(),
+            cold_sends: RefCell::default(),
             log,
         });
         task::spawn_local(sweep(Rc::clone(&gateway)));
@@ -96,5 +99,6 @@
         let is_known = |endpoint| snapshot.directory.find(endpoint).is_some();
         gateway.health.borrow_mut().retain(is_known);
         gateway.pauses.borrow_mut().retain(is_known);
+        gateway.cold_sends.borrow_mut().sweep(now_ms);
     }
 }
--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -158,10 +158,10 @@
 /// First and second choice by rendezvous.
 type Favourites = [Option<EndpointKey>; RENDEZVOUS_PARTS.len()];
 
-/// Where the last shared part belongs, if nobody has it. The first would not do: a few first parts
+/// Where the last shared part belongs, if nobody has it who takes requests. The first would not do: a few first parts
 /// are common to hundreds of documents, which would all go to the same few endpoints.
 fn rendezvous(candidates: &[&Endpoint], prompt: &Prompt, known: &Known<'_>) -> Favourites {
-    let is_new = |part: &&Part| !known.homes.is_anywhere(part.id, known.now_ms);
+    let is_new = |part: &&Part| !known.homes.is_at_any(candidates, part.id, known.now_ms);
     let Some(part) = shared(prompt).last().filter(is_new) else {
         return [None; RENDEZVOUS_PARTS.len()];
     };
--- a/src/gateway/policy/homes.rs
+++ b/src/gateway/policy/homes.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::directory::EndpointKey;
+use crate::gateway::directory::{Endpoint, EndpointKey};
 use crate::gateway::request::Part;
 
 /// How long a part is taken to stay in an endpoint's memory after its last use: about as long as an
@@ -131,11 +131,12 @@
             .sum()
     }
 
-    /// Whether any endpoint has the part.
+    /// Whether any of these endpoints has the part.
     #[must_use]
-    pub fn is_anywhere(&self, part: u64, now_ms: u64) -> bool {
-        let held = self.held.get(&part);
-        held.is_some_and(|held| held.iter().any(|one| now_ms < one.used_ms + STAYS_MS))
+    pub fn is_at_any(&self, endpoints: &[&Endpoint], part: u64, now_ms: u64) -> bool {
+        let fresh = |one: &&Held| now_ms < one.used_ms + STAYS_MS;
+        let mut held = self.held.get(&part).into_iter().flatten().filter(fresh);
+        held.any(|one| endpoints.iter().any(|endpoint| endpoint.key == one.endpoint))
     }
 
     fn has(&self, endpoint: EndpointKey, part: u64, now_ms: u64) -> bool {
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -10,3 +10,4 @@
 pub mod outage;
 pub mod pauses;
 pub mod reading;
+pub mod warmup;
--- /dev/null
+++ b/src/gateway/policy/warmup.rs
@@ -0,0 +1,162 @@
+//! How many requests go to an endpoint that is cold. Pure.
+//!
+//! The load pattern: the endpoints of an availability zone come back at once, empty and cold, in the middle of
+//! a burst. To every entry they look like the least busy ones, so all send there at once; a cold endpoint
+//! that gets more than a few requests a second crashes, and all that were sent to it are lost.
+//!
+//! Hundreds of entries share a bound of a dozen requests a second, and may not hear of each other. A share
+//! for each would be less than one request. So one entry alone sends to a cold endpoint: its keeper, by
+//! rendezvous hashing over the entries of the endpoint's zone. Entries whose views differ, while some start
+//! or are cut off, may take two for the keeper at a time, so each keeps to half of the bound.
+
+use std::collections::{HashMap, VecDeque};
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use xxhash_rust::xxh3;
+
+use crate::gateway::directory::EndpointKey;
+
+/// Keepers of one endpoint at a time, while views differ.
+const KEEPERS: f64 = 2.0;
+/// The bound holds for any second; what is sent in a little more may arrive within one.
+const WINDOW_MS: u64 = 1_080;
+/// After a connection to an endpoint was refused it may have started again, cold, which the store tells only
+/// after its next beat.
+const SUSPECT_MS: u64 = 2_000;
+/// After an availability zone was taken back its endpoints may have turned cold just before, which arrives
+/// by another way.
+pub const TAKEN_BACK_MS: u64 = 1_000;
+
+/// Requests in a second that a cold endpoint may get from this entry, of this rate of its service.
+#[must_use]
+pub fn most_per_s(per_s: f64, factor: f64, extra: f64) -> u32 {
+    let part = ((per_s * factor + extra) / KEEPERS).floor();
+    part.min(per_s.ceil()).max(1.0) as u32
+}
+
+/// An entry that may be the keeper of endpoints.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    pub addr: SocketAddr,
+    pub zone: CompactString,
+}
+
+/// The candidates at one time; until when they were these.
+#[derive(Clone, Debug)]
+struct View {
+    candidates: Vec<Candidate>,
+    until_ms: u64,
+}
+
+impl View {
+    /// The one that sends to an endpoint of this zone.
+    fn keeper(&self, endpoint: EndpointKey, zone: &str) -> Option<SocketAddr> {
+        let has_zone = self.candidates.iter().any(|one| one.zone == zone);
+        let entitled = self.candidates.iter().filter(|one| !has_zone || one.zone == zone);
+        entitled.map(|one| one.addr).max_by_key(|addr| weight(endpoint, *addr))
+    }
+}
+
+fn weight(endpoint: EndpointKey, entry: SocketAddr) -> u64 {
+    let mut hasher = xxh3::Xxh3::new();
+    endpoint.hash(&mut hasher);
+    entry.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The candidates as this entry has seen them lately.
+///
+/// A keeper acts only once it has been the keeper for the time in which the bound holds: where the views
+/// change quickly, one keeper after another would each spend the bound within the same second.
+#[derive(Clone, Debug, Default)]
+pub struct Keepers {
+    views: VecDeque<View>,
+}
+
+impl Keepers {
+    /// These are the candidates now; none while this entry does not know the others.
+    pub fn see(&mut self, candidates: Vec<Candidate>, now_ms: u64) {
+        match self.views.back_mut().filter(|last| last.candidates == candidates) {
+            Some(last) => last.until_ms = now_ms,
+            None => self.views.push_back(View { candidates, until_ms: now_ms }),
+        }
+        while self.views.len() > 1 && now_ms >= self.views[0].until_ms + WINDOW_MS {
+            self.views.pop_front();
+        }
+    }
+
+    /// Whether this entry has been the keeper of an endpoint for long enough.
+    #[must_use]
+    pub fn is_keeper(&self, own: SocketAddr, endpoint: EndpointKey, zone: &str) -> bool {
+        !self.views.is_empty()
+            && self.views.iter().all(|view| view.keeper(endpoint, zone) == Some(own))
+    }
+}
+
+/// What this entry may send to a cold endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Allowed {
+    pub until_ms: u64,
+    /// Zero where another entry is the keeper.
+    pub most_per_s: u32,
+}
+
+/// Endpoints that are cold, or may be.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Warming {
+    pub endpoints: HashMap<EndpointKey, Allowed>,
+}
+
+impl Warming {
+    fn allowed(&self, endpoint: EndpointKey, now_ms: u64) -> Option<Allowed> {
+        self.endpoints.get(&endpoint).copied().filter(|allowed| now_ms < allowed.until_ms)
+    }
+}
+
+/// This entry's latest sends to endpoints of services that know a cold endpoint's rate.
+#[derive(Clone, Debug, Default)]
+pub struct Sends {
+    at_ms: HashMap<EndpointKey, VecDeque<u64>>,
+    refused_ms: HashMap<EndpointKey, u64>,
+}
+
+impl Sends {
+    /// A connection to the endpoint was refused, or not made in time.
+    pub fn refused(&mut self, endpoint: EndpointKey, now_ms: u64) {
+        self.refused_ms.insert(endpoint, now_ms);
+    }
+
+    /// Whether the endpoint may get one more request from this entry now.
+    #[must_use]
+    pub fn has_room(&self, endpoint: EndpointKey, warming: &Warming, now_ms: u64) -> bool {
+        let most = match warming.allowed(endpoint, now_ms) {
+            Some(allowed) => allowed.most_per_s,
+            None if self.is_suspect(endpoint, now_ms) => 1,
+            None => return true,
+        };
+        let recent = |sent_ms: &&u64| now_ms < **sent_ms + WINDOW_MS;
+        let sent = self.at_ms.get(&endpoint).map_or(0, |at_ms| at_ms.iter().filter(recent).count());
+        sent < most as usize
+    }
+
+    fn is_suspect(&self, endpoint: EndpointKey, now_ms: u64) -> bool {
+        self.refused_ms.get(&endpoint).is_some_and(|at_ms| now_ms < at_ms + SUSPECT_MS)
+    }
+
+    /// A request goes to the endpoint now.
+    pub fn note(&mut self, endpoint: EndpointKey, now_ms: u64) {
+        let at_ms = self.at_ms.entry(endpoint).or_default();
+        while at_ms.front().is_some_and(|sent_ms| now_ms >= sent_ms + WINDOW_MS) {
+            at_ms.pop_front();
+        }
+        at_ms.push_back(now_ms);
+    }
+
+    /// Forgets what is of no matter any more.
+    pub fn sweep(&mut self, now_ms: u64) {
+        self.at_ms.retain(|_, at_ms| at_ms.back().is_some_and(|sent| now_ms < sent + WINDOW_MS));
+        self.refused_ms.retain(|_, at_ms| now_ms < *at_ms + SUSPECT_MS);
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -206,6 +206,12 @@
                         return Err(self.given_up(job, error::Kind::NoEndpoint));
                     }
                 }
+                Failure::Closed => {
+                    // It may take this request later, once it is warm or taken back.
+                    job.tried.pop();
+                    job.uncounted = None;
+                    job.attempts -= 1;
+                }
                 Failure::WrongEndpoint => {
                     // It ran nowhere, so it does not count against the route's attempts.
                     job.attempts -= 1;
@@ -239,8 +245,11 @@
 
     fn choose<'a>(&self, snapshot: &'a shared::Snapshot, job: &Job) -> Option<choose::Choice<'a>> {
         let service = job.service();
-        let fresh =
-            snapshot.directory.taking(&service.name).filter(|one| !job.tried.contains(&one.key));
+        let now_ms = self.now_ms();
+        let cold_sends = self.cold_sends.borrow();
+        let fresh = snapshot.taking(&service.name).filter(|one| {
+            !job.tried.contains(&one.key) && cold_sends.has_room(one.key, &snapshot.warming, now_ms)
+        });
         let book = self.shared.book();
         let homes = self.shared.homes();
         let health = self.health.borrow();
@@ -252,7 +261,7 @@
             pauses: &pauses,
             pause_ms: job.route().pause_ms,
             zone: &self.shared.settings.zone,
-            now_ms: self.now_ms(),
+            now_ms,
             patience_ms: job.stream_patience_ms() as f64,
             reading: &self.shared.reading(&service.name),
         };
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -89,16 +89,25 @@
 }
 
 /// Endpoints that answer alike.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     pub name: CompactString,
     /// Connections that one endpoint takes from all callers together.
     pub max_connections: u32,
     pub engine: Option<Engine>,
+    /// What an endpoint takes while it is cold; none where it takes as much as ever.
+    pub warm_up: Option<WarmUp>,
     /// How many endpoints may be ordered; none where their number is not the router's matter.
     pub scaling: Option<Scaling>,
 }
 
+/// What an endpoint of a service takes while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Requests in a second; one that gets far more crashes.
+    pub per_s: f64,
+}
+
 /// How many endpoints of a service may run in each availability zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Scaling {
@@ -124,7 +133,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Table {
     parts: Parts,
     by_host: HashMap<CompactString, Vec<RouteKey>>,
@@ -134,7 +143,7 @@
 }
 
 /// What a table is built from.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Parts {
     /// Grows with each change that the operators make.
     pub version: u64,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -31,6 +31,17 @@
     }
 }
 
+/// How far the rate of requests to a cold endpoint may go beyond the one that its service names, over all
+/// entries and in any second.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdRate {
+    /// The service's rate is multiplied by this.
+    pub factor: f64,
+    /// Requests beyond that.
+    pub extra: f64,
+}
+
 /// What an entry is told.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -60,6 +71,12 @@
     pub billing_window_s: u64,
     /// How long an endpoint that leaves goes on taking requests.
     pub leave_ms: u64,
+    /// The operators may evacuate availability zones.
+    #[serde(default)]
+    pub has_evacuations: bool,
+    /// None where endpoints are never cold.
+    #[serde(default)]
+    pub cold_rate: Option<ColdRate>,
     /// From the request to stop until the process is killed.
     pub stop_s: f64,
     /// What the instance gives this process, in cores.
@@ -105,6 +122,11 @@
             crate::path!["billing_window_s"],
             "the window is empty",
         )?;
+        require(
+            self.cold_rate.is_none_or(|rate| rate.factor > 0.0 && rate.extra >= 0.0),
+            crate::path!["cold_rate"],
+            "a cold endpoint takes some requests",
+        )?;
         require(
             self.retries.window_s > 0.0,
             crate::path!["retries", "window_s"],
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,16 +9,39 @@
 use tokio::sync::Notify;
 
 use super::duties::tally;
-use super::policy::{gate, homes, load, reading};
-use super::{directory, drain, route, settings};
+use super::policy::{gate, homes, load, reading, warmup};
+use super::{directory, drain, evacuation, route, settings};
 use crate::clock;
 
-/// Configuration and endpoints at one moment.
+/// Configuration, endpoints and what may be sent to them at one moment.
 #[derive(Debug, Default)]
 pub struct Snapshot {
     /// None until the first configuration is known.
     pub table: Option<Arc<route::Table>>,
     pub directory: Arc<directory::Directory>,
+    pub evacuations: evacuation::Evacuations,
+    pub warming: warmup::Warming,
+}
+
+impl Snapshot {
+    /// Endpoints of a service that take new requests.
+    pub fn taking<'a, 'b>(
+        &'a self,
+        service: &'b str,
+    ) -> impl Iterator<Item = &'a directory::Endpoint> + use<'a, 'b> {
+        let taking = self.directory.taking(service);
+        taking.filter(|endpoint| !self.evacuations.has(&endpoint.zone))
+    }
+
+    /// Whether this start of an endpoint still takes new requests.
+    #[must_use]
+    pub fn takes(&self, endpoint: &directory::Endpoint) -> bool {
+        let is_same = |known: &directory::Endpoint| {
+            !known.is_leaving && known.started_unix_ms == endpoint.started_unix_ms
+        };
+        self.directory.find(endpoint.key).is_some_and(is_same)
+            && !self.evacuations.has(&endpoint.zone)
+    }
 }
 
 /// What the threads of an entry share.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,8 +6,8 @@
 use tokio::time;
 
 use super::control::{Batch, Control, Item, Platform, Topic, WatchFailure};
-use super::directory;
 use super::policy::outage;
+use super::{directory, evacuation};
 use crate::store;
 
 /// How often an entry that leaves reading to others looks whether they still do.
@@ -18,6 +18,27 @@
 /// An entry that has just started knows only after this time whether others read the store.
 const MEET_MS: u64 = 600;
 
+/// Pause between two signs of life that a reader asks of the store.
+const PROBE: Duration = Duration::from_millis(500);
+
+/// Asks the store for signs of life while this entry reads it, for as long as the process lives.
+///
+/// A watch that waits cannot tell a store that has nothing new from one that has fallen silent for this
+/// instance alone. Where all readers are hit at once, nobody would take over for as long as watches wait, and
+/// changes would be in force too late everywhere.
+pub(super) async fn probe<P: Platform>(control: Rc<Control<P>>) {
+    loop {
+        time::sleep(PROBE).await;
+        if !control.reads_store() || !control.has_store() {
+            continue;
+        }
+        if let Err(failure) = control.platform.probe().await {
+            slog::info!(control.log, "store gives no sign of life"; "failure" => failure.to_string());
+            control.silence.notify_waiters();
+        }
+    }
+}
+
 /// Follows a topic for as long as the process lives.
 pub(super) async fn follow<P: Platform>(control: Rc<Control<P>>, topic: Topic) {
     let mut from = None;
@@ -37,7 +58,10 @@
         let wait_ms = outage.wait_ms(control.now_ms());
         let brought = match from {
             None => control.platform.list_all(topic).await.map_err(WatchFailure::Failed),
-            Some(revision) => control.platform.watch(topic, revision, wait_ms).await,
+            Some(revision) => tokio::select! {
+                brought = control.platform.watch(topic, revision, wait_ms) => brought,
+                () = control.silence.notified() => Err(WatchFailure::Failed(store::Failure::NoAnswer)),
+            },
         };
         let now_ms = control.now_ms();
         let is_good = !matches!(brought, Err(WatchFailure::Failed(_)));
@@ -96,20 +120,38 @@
             }
         }
         Topic::Endpoints => control.change_directory("store", |directory| {
+            let now_ms = control.now_ms();
             let events = batch.items.into_iter().filter_map(|item| match item {
                 Item::Endpoint(event) => Some(event),
-                Item::Config(_) => None,
+                Item::Config(_) | Item::Evacuation(_) => None,
             });
             let is_changed = if is_list {
-                let listed = events.filter_map(|event| match event.change {
-                    directory::Change::Present(endpoint) => Some(endpoint),
+                let events: Vec<directory::Event> = events.collect();
+                let listed = events.iter().filter_map(|event| match &event.change {
+                    directory::Change::Present(endpoint) => Some(endpoint.clone()),
                     directory::Change::Gone(_) => None,
                 });
                 directory.replace(listed.collect(), revision, keep_until_ms)
+                    | directory.note_cold(&events, revision, now_ms)
             } else {
-                directory.follow(events, revision, keep_until_ms)
+                directory.follow(events, revision, keep_until_ms, now_ms)
             };
-            is_changed | directory.expire(control.now_ms())
+            is_changed | directory.expire(now_ms)
+        }),
+        Topic::Evacuations => control.change_evacuations("store", |evacuations| {
+            let changes = batch.items.into_iter().filter_map(|item| match item {
+                Item::Evacuation(change) => Some(change),
+                Item::Config(_) | Item::Endpoint(_) => None,
+            });
+            if is_list {
+                let zones = changes.filter_map(|change| match change {
+                    evacuation::Change::Evacuated(zone) => Some(zone),
+                    evacuation::Change::TakenBack(_) => None,
+                });
+                evacuations.replace(zones.collect(), revision)
+            } else {
+                evacuations.follow(changes, revision)
+            }
         }),
     }
 }
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -24,6 +24,7 @@
             service: "engine".into(),
             addr: ([127, 0, 0, 1], 1_000 + index as u16).into(),
             zone: "a".into(),
+            started_unix_ms: 1,
             slots: 64,
             is_leaving: false,
         }
@@ -422,5 +423,6 @@
     }
     let told = homes.take_untold(usize::MAX);
     assert!(told.len() <= 2_000, "{}", told.len());
-    assert!(homes.is_anywhere(0, NOW_MS), "it is still known here");
+    let first = [Part { id: 0, tokens: 10 }];
+    assert_eq!(homes.known_tokens(endpoints[0].key, &first, NOW_MS), 10, "it is still known here");
 }
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -11,6 +11,7 @@
         addr: ([127, 0, 0, 1], 80).into(),
         zone: "a".into(),
         slots: 8,
+        started_unix_ms: 1,
         is_leaving: false,
     }
 }
@@ -71,8 +72,8 @@
     assert!(!directory.replace(vec![], 9, None));
     let mut newer = listed();
     newer.apply(Change::Gone("one".into()), 15, None);
-    assert!(directory.adopt(newer.clone(), &[], 0));
-    assert!(!newer.adopt(listed(), &[], 0));
+    assert!(directory.adopt(newer.clone(), &[], &[], 0));
+    assert!(!newer.adopt(listed(), &[], &[], 0));
     assert_eq!(taking(&directory), ["two"]);
 }
 
@@ -86,7 +87,7 @@
     keeping.apply(Change::Present(endpoint("three")), 21, Some(5_000));
     let lapsed = keeping.lapsed(4_000);
     let mut pulling = listed();
-    assert!(pulling.adopt(keeping, &lapsed, 70_000));
+    assert!(pulling.adopt(keeping, &lapsed, &[], 70_000));
     assert_eq!(taking(&pulling), ["one", "three", "two"]);
     assert!(!pulling.expire(70_999));
     assert!(pulling.expire(71_000));
@@ -102,11 +103,11 @@
     let mut directory = listed();
     let mut newer = listed();
     newer.apply(Change::Gone("one".into()), 187, None);
-    assert!(directory.adopt(newer, &[], 0));
-    let beat = Event { change: Change::Present(endpoint("one")), revision: 150 };
-    let removal = Event { change: Change::Gone("one".into()), revision: 187 };
-    let came = Event { change: Change::Present(endpoint("three")), revision: 200 };
-    assert!(directory.follow([beat, removal, came].into_iter(), 212, Some(9_000)));
+    assert!(directory.adopt(newer, &[], &[], 0));
+    let beat = Event { change: Change::Present(endpoint("one")), revision: 150, cold_ms: 0 };
+    let removal = Event { change: Change::Gone("one".into()), revision: 187, cold_ms: 0 };
+    let came = Event { change: Change::Present(endpoint("three")), revision: 200, cold_ms: 0 };
+    assert!(directory.follow([beat, removal, came].into_iter(), 212, Some(9_000), 0));
     assert_eq!(taking(&directory), ["three", "two"]);
     assert!(directory.lapsed(0).is_empty());
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod directory;
 mod drain;
+mod evacuations;
 mod fleet;
 mod gate;
 mod outage;
@@ -13,6 +14,8 @@
 mod routes;
 mod streams;
 mod succession;
+mod virtual_fleet;
+mod warmup;
 
 use proptest::test_runner::{Config, RngSeed};
 
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -28,6 +28,7 @@
         name: name.into(),
         max_connections: 100,
         engine: None,
+        warm_up: None,
         scaling: None,
     };
     Table::from(Parts {
--- /dev/null
+++ b/tests/gateway/virtual_fleet.rs
@@ -0,0 +1,310 @@
+//! A fleet of entries on a virtual clock, with datagrams that take time and get lost.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use briarwinch::gateway::directory::EndpointKey;
+use briarwinch::gateway::duties::delivery::{Outbox, Settled};
+use briarwinch::gateway::duties::tally::Tally;
+use briarwinch::gateway::evacuation;
+use briarwinch::gateway::fleet::exchange::{Exchange, Facts, Outgoing, Own};
+use briarwinch::gateway::fleet::message::Message;
+use briarwinch::gateway::fleet::peers::Peers;
+use briarwinch::gateway::policy::{gate, homes, load};
+use briarwinch::gateway::settings;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+pub const STEP_MS: u64 = 10;
+pub const TICK_MS: u64 = 50;
+pub const COUNTS_MS: u64 = 200;
+pub const START_MS: u64 = 100_000;
+pub const WINDOW_MS: u64 = 5_000;
+/// Bytes of a seal and of the headers of a datagram.
+pub const FRAME_BYTES: usize = 16 + 28;
+pub const SEED: u64 = 20;
+pub const ZONES: [&str; 7] = ["a", "b", "c", "d", "e", "f", "g"];
+
+pub struct Node {
+    pub addr: SocketAddr,
+    pub zone: &'static str,
+    pub boot: u64,
+    pub exchange: Exchange,
+    pub book: load::Book,
+    pub homes: homes::Homes,
+    pub tally: Tally,
+    pub outbox: Outbox,
+    pub settled: Settled,
+    pub holds_duties: bool,
+    pub is_stopping: bool,
+    pub evacuations: evacuation::Evacuations,
+    /// Work has come of which the others have to know at once.
+    pub has_news: bool,
+    /// It runs, and no other hears it or is heard.
+    pub is_cut_off: bool,
+    /// Only entries of the same island hear each other.
+    pub island: u8,
+    /// Dead or frozen.
+    pub is_silent: bool,
+    pub sent_bytes: usize,
+    pub offset_ms: u64,
+}
+
+pub struct Fleet {
+    pub now_ms: u64,
+    pub nodes: Vec<Node>,
+    pub index: HashMap<SocketAddr, usize>,
+    /// By the time at which they arrive.
+    pub under_way: BTreeMap<u64, Vec<(SocketAddr, Message)>>,
+    pub random: StdRng,
+    pub lost: f64,
+    pub between_zones_bytes: usize,
+}
+
+pub fn addr(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, (index / 250) as u8, (index % 250) as u8 + 1], 7_340))
+}
+
+pub const SIZES: [(usize, usize); 4] = [(4, 2), (22, 3), (68, 5), (340, 7)];
+
+/// Names an endpoint of these tests.
+pub fn key(index: usize) -> EndpointKey {
+    EndpointKey::of(&format!("endpoint-{index}"))
+}
+
+pub fn settings(index: usize, zone: &str, cores: f64) -> settings::Gateway {
+    let own = addr(index);
+    settings::Gateway {
+        id: format!("entry-{index}").into(),
+        region: "r".into(),
+        zone: zone.into(),
+        ip: own.ip(),
+        listen_addr: own,
+        ready_addr: own,
+        internal_ports: [own.port(), own.port() + 1],
+        seeds: (0..3).map(addr).collect(),
+        store_addr: own,
+        duties_addr: None,
+        fleet_secret: String::new(),
+        retries: settings::Retries { ratio: 0.2, extra: 50.0, window_s: 10.0 },
+        billing_window_s: WINDOW_MS / 1_000,
+        leave_ms: 4_000,
+        has_evacuations: true,
+        cold_rate: None,
+        stop_s: 8.0,
+        cores,
+    }
+}
+
+impl Fleet {
+    pub fn open(entries: usize, zones: usize, lost: f64) -> Self {
+        println!("seed {SEED}, {entries} entries in {zones} zones, {lost} of the datagrams lost");
+        let mut fleet = Self {
+            now_ms: START_MS,
+            nodes: Vec::new(),
+            index: HashMap::new(),
+            under_way: BTreeMap::new(),
+            random: StdRng::seed_from_u64(SEED),
+            lost,
+            between_zones_bytes: 0,
+        };
+        (0..entries).for_each(|_| fleet.start(zones));
+        fleet
+    }
+
+    /// Starts one more entry; in each zone a few are stronger than the others.
+    pub fn start(&mut self, zones: usize) {
+        let index = self.nodes.len();
+        let zone = ZONES[index % zones];
+        let cores = if index / zones % 5 == 2 { 0.5 } else { 0.09 };
+        self.index.insert(addr(index), index);
+        let node = Self::node(index, zone, cores, self.now_ms, &mut self.random);
+        self.nodes.push(node);
+    }
+
+    pub fn node(
+        index: usize,
+        zone: &'static str,
+        cores: f64,
+        now_ms: u64,
+        random: &mut StdRng,
+    ) -> Node {
+        let settings = settings(index, zone, cores);
+        let boot = random.random();
+        let own = Own { addr: addr(index), boot, zone: zone.into(), strength: settings.strength() };
+        Node {
+            addr: addr(index),
+            zone,
+            boot,
+            exchange: Exchange::new(own, Peers::new(&settings, now_ms), now_ms),
+            book: load::Book::default(),
+            homes: homes::Homes::default(),
+            tally: Tally::default(),
+            outbox: Outbox::new(boot, WINDOW_MS),
+            settled: Settled::default(),
+            holds_duties: false,
+            is_stopping: false,
+            evacuations: evacuation::Evacuations::default(),
+            has_news: false,
+            is_cut_off: false,
+            island: 0,
+            is_silent: false,
+            sent_bytes: 0,
+            offset_ms: random.random_range(0..TICK_MS / STEP_MS) * STEP_MS,
+        }
+    }
+
+    /// The entry starts again and knows nothing.
+    pub fn restart(&mut self, index: usize) {
+        let zone = self.nodes[index].zone;
+        self.nodes[index] = Self::node(index, zone, 0.09, self.now_ms, &mut self.random);
+    }
+
+    pub fn run_ms(&mut self, span_ms: u64) {
+        let end_ms = self.now_ms + span_ms;
+        while self.now_ms < end_ms {
+            self.step();
+        }
+    }
+
+    pub fn step(&mut self) {
+        let now_ms = self.now_ms;
+        while let Some(first) = self.under_way.first_entry().filter(|one| *one.key() <= now_ms) {
+            for (to, message) in first.remove() {
+                self.deliver(to, message);
+            }
+        }
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            if node.is_silent || !(now_ms + node.offset_ms).is_multiple_of(TICK_MS) {
+                continue;
+            }
+            let facts = facts(node, now_ms);
+            let mut out =
+                node.exchange.tick(now_ms, &facts, node.has_news, &mut node.book, &mut node.homes);
+            node.has_news = false;
+            if (now_ms + node.offset_ms) % COUNTS_MS < TICK_MS {
+                out.extend(counts(node, now_ms));
+            }
+            self.send(index, out);
+        }
+        self.now_ms += STEP_MS;
+    }
+
+    pub fn send(&mut self, from: usize, out: Vec<Outgoing>) {
+        for one in out {
+            let bytes = postcard::to_stdvec(&one.message).expect("a message").len();
+            assert!(bytes + 16 <= 1_400, "{} of {bytes} bytes", one.message.kind());
+            for to in one.to {
+                self.nodes[from].sent_bytes += bytes + FRAME_BYTES;
+                let Some(&other) = self.index.get(&to) else { continue };
+                if self.nodes[other].zone != self.nodes[from].zone {
+                    self.between_zones_bytes += bytes + FRAME_BYTES;
+                }
+                let is_heard = !self.nodes[from].is_cut_off
+                    && self.nodes[from].island == self.nodes[other].island;
+                if is_heard && !self.random.random_bool(self.lost) {
+                    let at_ms = self.now_ms + STEP_MS;
+                    self.under_way.entry(at_ms).or_default().push((to, one.message.clone()));
+                }
+            }
+        }
+    }
+
+    pub fn deliver(&mut self, to: SocketAddr, message: Message) {
+        let now_ms = self.now_ms;
+        let index = self.index[&to];
+        let node = &mut self.nodes[index];
+        if node.is_silent || node.is_cut_off {
+            return;
+        }
+        let facts = facts(node, now_ms);
+        let mut out = Vec::new();
+        match message {
+            Message::State(state) => {
+                node.evacuations.adopt(&state.evacuations);
+                out = node.exchange.take_state(&state, &facts, now_ms).1;
+            }
+            Message::Work(work) => node.exchange.take_work(&work, &mut node.book, now_ms),
+            Message::Roster(roster) => {
+                node.exchange.peers.take(&roster, now_ms);
+            }
+            Message::Placed(placed) => {
+                node.exchange.pass_on(placed.leg, &placed.parts);
+                placed.parts.into_iter().for_each(|one| node.homes.note(one, now_ms));
+            }
+            Message::Counts { from, counts } => {
+                node.tally.take(counts.boot, &counts.counts);
+                let receipt = node.settled.take(&counts, node.boot);
+                let message = Message::CountsTaken { from: node.addr, keeper: node.boot, receipt };
+                out.push(Outgoing { to: vec![from], message });
+            }
+            Message::CountsTaken { from, keeper, receipt } => {
+                node.outbox.take(from, keeper, receipt);
+            }
+        }
+        self.send(index, out);
+    }
+
+    pub fn silence(&mut self, which: impl Fn(usize) -> bool) {
+        let nodes = self.nodes.iter_mut().enumerate().filter(|(index, _)| which(*index));
+        nodes.for_each(|(_, node)| node.is_silent = true);
+    }
+
+    pub fn alive(&self) -> usize {
+        self.nodes.iter().filter(|node| !node.is_silent).count()
+    }
+
+    /// Fewest and most live others that any live entry knows.
+    pub fn known(&self) -> (usize, usize) {
+        let alive = self.nodes.iter().filter(|node| !node.is_silent);
+        let known: Vec<usize> = alive.map(|node| node.exchange.peers.live(self.now_ms)).collect();
+        (*known.iter().min().expect("entries"), *known.iter().max().expect("entries"))
+    }
+
+    /// How long until each live entry knows all others that live, and no others.
+    pub fn settles_within_ms(&mut self, limit_ms: u64) -> u64 {
+        let begin_ms = self.now_ms;
+        let others = self.alive() - 1;
+        while self.known() != (others, others) {
+            let passed_ms = self.now_ms - begin_ms;
+            assert!(
+                passed_ms < limit_ms,
+                "{:?} of {others} known after {passed_ms} ms",
+                self.known()
+            );
+            self.step();
+        }
+        self.now_ms - begin_ms
+    }
+}
+
+pub fn facts(node: &Node, now_ms: u64) -> Facts {
+    Facts {
+        age_ms: now_ms - START_MS,
+        unix_ms: now_ms,
+        config_version: 1,
+        directory_revision: 1,
+        has_store: true,
+        holds_duties: node.holds_duties,
+        is_stopping: node.is_stopping,
+        lease: None,
+        gate: gate::Gate::default().ages(now_ms),
+        evacuations: node.evacuations.clone(),
+    }
+}
+
+pub fn counts(node: &mut Node, now_ms: u64) -> Vec<Outgoing> {
+    let peers = &node.exchange.peers;
+    let mut keepers: Vec<SocketAddr> = peers.holder(now_ms).into_iter().collect();
+    keepers.extend(peers.next_in_line(2, now_ms));
+    keepers.dedup();
+    keepers.truncate(2);
+    let own = node.tally.newest_of(node.boot, 6);
+    let parcels = node.outbox.parcels(&keepers, &own, now_ms);
+    let message = |counts| Message::Counts { from: node.addr, counts };
+    parcels
+        .into_iter()
+        .map(|(to, counts)| Outgoing { to: vec![to], message: message(counts) })
+        .collect()
+}
