--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -198,7 +198,7 @@
     /// Whether a chosen endpoint still takes a request, now that a connection is there.
     fn takes_one_more(&self, endpoint: &directory::Endpoint, now_ms: u64) -> bool {
         let snapshot = self.shared.snapshot.load();
-        snapshot.takes(endpoint)
+        snapshot.takes(endpoint, now_ms)
             && self.cold_sends.borrow().has_room(endpoint.key, &snapshot.warming, now_ms)
     }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -211,7 +211,7 @@
 }
 
 fn topics(shared: &shared::Shared) -> &'static [Topic] {
-    if shared.settings.has_evacuations { &TOPICS } else { &TOPICS[..2] }
+    if shared.settings.evacuation_ms.is_some() { &TOPICS } else { &TOPICS[..2] }
 }
 
 fn open_exchange(shared: &shared::Shared) -> exchange::Exchange {
@@ -345,7 +345,7 @@
     fn publish(&self) {
         let table = self.table.borrow().clone();
         let evacuations = self.evacuations.borrow().clone();
-        let knows_zones = evacuations.is_known() || !self.shared.settings.has_evacuations;
+        let knows_zones = evacuations.is_known() || self.shared.settings.evacuation_ms.is_none();
         let is_ready = table.is_some() && self.lists_known.get() && knows_zones;
         let directory = Arc::new(self.directory.borrow().clone());
         let warming = self.warming(table.as_deref(), &directory, self.now_ms());
@@ -361,7 +361,7 @@
         let now_ms = self.now_ms();
         self.taken_back.borrow_mut().retain(|_, at_ms| now_ms < *at_ms + warmup::TAKEN_BACK_MS);
         let known = self.shared.snapshot.load();
-        let warming = self.warming(known.table.as_deref(), &known.directory, now_ms);
+        let warming = self.warming(known.table.as_deref(), &self.directory.borrow(), now_ms);
         if warming != known.warming {
             self.publish();
         }
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -77,7 +77,7 @@
         is_stopping: control.shared.is_draining(),
         lease: newest.map(|(told, at_ms)| told.after(now_ms - at_ms)),
         gate: control.shared.gate.ages(now_ms),
-        evacuations: control.evacuations.borrow().clone(),
+        evacuations: control.evacuations.borrow().told(now_ms),
     }
 }
 
@@ -195,7 +195,7 @@
 fn take_state<P: Platform + 'static>(control: &Rc<Control<P>>, state: &State, now_ms: u64) {
     let shared = &control.shared;
     shared.gate.take(state.gate, now_ms);
-    control.change_evacuations("peer", |evacuations| evacuations.adopt(&state.evacuations));
+    control.change_evacuations("peer", |evacuations| evacuations.adopt(&state.evacuations, now_ms));
     if let Some(told) = state.lease.filter(|told| told.boot != shared.boot) {
         let newer = |(known, _): (lease::Told, u64)| known.version <= told.version;
         if control.passed_lease.get().is_none_or(newer) {
--- a/src/gateway/fleet/exchange.rs
+++ b/src/gateway/fleet/exchange.rs
@@ -46,7 +46,7 @@
     pub is_stopping: bool,
     pub lease: Option<lease::Told>,
     pub gate: gate::Ages,
-    pub evacuations: evacuation::Evacuations,
+    pub evacuations: evacuation::Told,
 }
 
 impl Facts {
@@ -55,7 +55,7 @@
         let lease = self.lease.map(|told| (told.version, told.is_over));
         let is_acting = role == Role::Aggregator;
         let flags = [self.has_store, self.holds_duties, self.is_stopping, is_acting];
-        let versions = [self.config_version, self.directory_revision, self.evacuations.revision()];
+        let versions = [self.config_version, self.directory_revision, self.evacuations.revision];
         Urgent { versions, flags, lease }
     }
 }
--- a/src/gateway/fleet/recall.rs
+++ b/src/gateway/fleet/recall.rs
@@ -35,8 +35,9 @@
     };
     let zone = &control.shared.settings.zone;
     let services = table.services().iter().filter(|service| service.engine.is_some());
-    let engines = services.flat_map(|service| snapshot.taking(&service.name));
-    engines.filter(|engine| engine.zone == *zone).cloned().collect()
+    let engines = services.flat_map(|service| snapshot.directory.taking(&service.name));
+    let is_asked = |engine: &&Endpoint| engine.zone == *zone && !snapshot.evacuations.has(zone);
+    engines.filter(is_asked).cloned().collect()
 }
 
 async fn ask<P: Platform>(control: &Control<P>, engine: &Endpoint) {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use compact_str::CompactString;
+use xxhash_rust::xxh3;
 
 use super::attempt::Patience;
 use super::directory::EndpointKey;
@@ -98,6 +99,14 @@
         self.end_ms.saturating_sub(now_ms)
     }
 
+    /// When the request stays away from a zone that is evacuated: with those that share its document.
+    #[must_use]
+    pub fn moving_key(&self) -> u64 {
+        let prompt = self.request.prompt.as_ref();
+        let document = prompt.and_then(|prompt| prompt.shared().last());
+        document.map_or_else(|| xxh3::xxh3_64(self.request.id.as_bytes()), |part| part.id)
+    }
+
     /// How long a caller of this stream waits for its next event.
     #[must_use]
     pub fn stream_patience_ms(&self) -> u64 {
--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -130,13 +130,8 @@
     cheapest(choices).map(|choice| Choice { free_share, ..choice })
 }
 
-/// The parts that other requests have too.
-fn shared(prompt: &Prompt) -> &[Part] {
-    prompt.parts.split_last().map_or(&[], |(_, shared)| shared)
-}
-
 fn has_shared_part(endpoint: &Endpoint, prompt: &Prompt, known: &Known<'_>) -> bool {
-    known.homes.known_tokens(endpoint.key, shared(prompt), known.now_ms) > 0
+    known.homes.known_tokens(endpoint.key, prompt.shared(), known.now_ms) > 0
 }
 
 /// Places that are taken at an engine, those included that others are expected to have taken unseen.
@@ -162,7 +157,7 @@
 /// are common to hundreds of documents, which would all go to the same few endpoints.
 fn rendezvous(candidates: &[&Endpoint], prompt: &Prompt, known: &Known<'_>) -> Favourites {
     let is_new = |part: &&Part| !known.homes.is_at_any(candidates, part.id, known.now_ms);
-    let Some(part) = shared(prompt).last().filter(is_new) else {
+    let Some(part) = prompt.shared().last().filter(is_new) else {
         return [None; RENDEZVOUS_PARTS.len()];
     };
     let weight = |one: &Endpoint| xxh3::xxh3_64_with_seed(one.id.as_bytes(), part.id);
@@ -188,7 +183,7 @@
     let work = known.book.at(endpoint.key, known.now_ms);
     let has_tokens = known.homes.known_tokens(endpoint.key, &prompt.parts, known.now_ms);
     let unread_tokens = prompt.tokens.saturating_sub(has_tokens);
-    let shared_tokens: u32 = shared(prompt).iter().map(|part| part.tokens).sum();
+    let shared_tokens: u32 = prompt.shared().iter().map(|part| part.tokens).sum();
     let reread_ms = known.reading.ms(u64::from(shared_tokens.saturating_sub(has_tokens)));
     let crowd_ms = f64::from(work.requests) * CROWD_MS
         + known.reading.place_ms(filled(endpoint, work, known), engine.slots);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -247,7 +247,7 @@
         let service = job.service();
         let now_ms = self.now_ms();
         let cold_sends = self.cold_sends.borrow();
-        let fresh = snapshot.taking(&service.name).filter(|one| {
+        let fresh = snapshot.taking(&service.name, job.moving_key(), now_ms).filter(|one| {
             !job.tried.contains(&one.key) && cold_sends.has_room(one.key, &snapshot.warming, now_ms)
         });
         let book = self.shared.book();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -24,6 +24,14 @@
     pub parts: Vec<Part>,
 }
 
+impl Prompt {
+    /// The parts that other requests have too.
+    #[must_use]
+    pub fn shared(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// A request as a caller sent it.
 #[derive(Clone, Debug)]
 pub struct Request {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -71,9 +71,10 @@
     pub billing_window_s: u64,
     /// How long an endpoint that leaves goes on taking requests.
     pub leave_ms: u64,
-    /// The operators may evacuate availability zones.
+    /// Within this time of the operators' word no request goes to an availability zone that they evacuate;
+    /// none where zones are not evacuated.
     #[serde(default)]
-    pub has_evacuations: bool,
+    pub evacuation_ms: Option<u64>,
     /// None where endpoints are never cold.
     #[serde(default)]
     pub cold_rate: Option<ColdRate>,
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -15,6 +15,9 @@
 /// Changes of endpoints are gathered for this time, so that many at once cost one call. They serve on for
 /// seconds after they say that they leave.
 const GATHER: Duration = Duration::from_millis(300);
+/// What a watch brings after it has waited for so long has happened just now: what had happened before it
+/// was asked for comes at once, also from a slow store.
+const LIVE_MS: u64 = 500;
 /// An entry that has just started knows only after this time whether others read the store.
 const MEET_MS: u64 = 600;
 
@@ -55,7 +58,8 @@
             time::sleep(ASIDE).await;
             continue;
         }
-        let wait_ms = outage.wait_ms(control.now_ms());
+        let asked_ms = control.now_ms();
+        let wait_ms = outage.wait_ms(asked_ms);
         let brought = match from {
             None => control.platform.list_all(topic).await.map_err(WatchFailure::Failed),
             Some(revision) => tokio::select! {
@@ -79,7 +83,12 @@
                 }
                 from = Some(batch.revision);
                 let has_changes = !is_list && !batch.items.is_empty();
-                take(&control, topic, batch, is_list, outage.keep_until_ms(now_ms));
+                let origin = Origin {
+                    is_list,
+                    is_live: !is_list && now_ms >= asked_ms + LIVE_MS,
+                    keep_until_ms: outage.keep_until_ms(now_ms),
+                };
+                take(&control, topic, batch, origin);
                 if topic == Topic::Endpoints && has_changes {
                     time::sleep(GATHER).await;
                 }
@@ -103,14 +112,19 @@
     }
 }
 
-fn take<P: Platform>(
-    control: &Control<P>,
-    topic: Topic,
-    batch: Batch,
+/// Where a batch comes from.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
     is_list: bool,
+    /// A watch had waited for it, so it happened just now.
+    is_live: bool,
+    /// Until when an endpoint that is missing is kept.
     keep_until_ms: Option<u64>,
-) {
+}
+
+fn take<P: Platform>(control: &Control<P>, topic: Topic, batch: Batch, origin: Origin) {
     let revision = batch.revision;
+    let Origin { is_list, is_live, keep_until_ms } = origin;
     match topic {
         Topic::Config => {
             for item in batch.items {
@@ -143,15 +157,17 @@
                 Item::Evacuation(change) => Some(change),
                 Item::Config(_) | Item::Endpoint(_) => None,
             });
+            let now_ms = control.now_ms();
             if is_list {
                 let zones = changes.filter_map(|change| match change {
                     evacuation::Change::Evacuated(zone) => Some(zone),
                     evacuation::Change::TakenBack(_) => None,
                 });
-                evacuations.replace(zones.collect(), revision)
-            } else {
-                evacuations.follow(changes, revision)
+                return evacuations.replace(zones, revision, now_ms);
             }
+            let allowed_ms = control.shared.settings.evacuation_ms.filter(|_| is_live);
+            let left_ms = evacuation::leave_ms(allowed_ms.unwrap_or(0));
+            evacuations.follow(changes, revision, left_ms, now_ms)
         }),
     }
 }
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -89,7 +89,7 @@
         retries: settings::Retries { ratio: 0.2, extra: 50.0, window_s: 10.0 },
         billing_window_s: WINDOW_MS / 1_000,
         leave_ms: 4_000,
-        has_evacuations: true,
+        evacuation_ms: Some(5_000),
         cold_rate: None,
         stop_s: 8.0,
         cores,
@@ -222,7 +222,7 @@
         let mut out = Vec::new();
         match message {
             Message::State(state) => {
-                node.evacuations.adopt(&state.evacuations);
+                node.evacuations.adopt(&state.evacuations, now_ms);
                 out = node.exchange.take_state(&state, &facts, now_ms).1;
             }
             Message::Work(work) => node.exchange.take_work(&work, &mut node.book, now_ms),
@@ -290,7 +290,7 @@
         is_stopping: node.is_stopping,
         lease: None,
         gate: gate::Gate::default().ages(now_ms),
-        evacuations: node.evacuations.clone(),
+        evacuations: node.evacuations.told(now_ms),
     }
 }
 
