New documents spread whatever engine has read their beginning; an outage of the store costs fewer calls

Cause 1: exhibit lists begin with one of four texts. Change: only the document itself weighs so much, a beginning its reading once; a first event that may be late costs four times what is beyond 0.6 of the target.

Cause 2: while the store turned all away, every entry retried three topics each, several times a second. Change: one topic looks, the others wait; entries behind the first two of their zone look every 3 s at most.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -3,15 +3,16 @@
 //! request's path waits for it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
-use tokio::task;
+use tokio::{task, time};
 
 use super::duties::{billing, delivery, duty, scaling, tally};
 use super::fleet::{datagrams, exchange, members, peers, pulls, recall};
@@ -134,12 +135,18 @@
     lists_known: Cell<bool>,
     /// Topics that this start of the entry has not listed at the store yet.
     pub(super) topics_to_list: Cell<usize>,
-    /// Topics whose last call the store failed.
-    failing: RefCell<HashSet<Topic>>,
+    /// Topics whose last call the store failed, in the order in which they failed first.
+    failing: RefCell<Vec<Topic>>,
+    /// Wakes what waits for the store to answer again.
+    regained: Notify,
 }
 
 /// Zones from which on one reader each is enough: while it is gone, the others' readers tell its zone.
 const MANY_ZONES: usize = 3;
+/// Entries of a zone that look for the store's return often.
+const FIRST_READERS: usize = 2;
+/// While one topic looks for the store's return, the others wait for so long at least.
+const SECOND_TOPIC: Duration = Duration::from_secs(3);
 /// Exit code of an entry whose control thread has ended.
 const EXIT_CONTROL: i32 = 70;
 
@@ -194,6 +201,7 @@
         lists_known: Cell::new(false),
         topics_to_list: Cell::new(topics(&shared).len()),
         failing: RefCell::default(),
+        regained: Notify::new(),
         shared,
         log,
     });
@@ -234,10 +242,12 @@
     /// Notes whether the store answered a call for a topic.
     pub(super) fn store_answered(&self, topic: Topic, is_good: bool) {
         let mut failing = self.failing.borrow_mut();
-        if is_good {
-            failing.remove(&topic);
-        } else {
-            failing.insert(topic);
+        let is_failing = failing.contains(&topic);
+        if is_good && is_failing {
+            failing.retain(|one| *one != topic);
+            self.regained.notify_waiters();
+        } else if !is_good && !is_failing {
+            failing.push(topic);
         }
     }
 
@@ -246,6 +256,22 @@
         self.failing.borrow().is_empty()
     }
 
+    /// Waits until the store has answered a call for another topic, where that one failed first; for so long
+    /// at most. So an outage costs one call at a time, not one for each topic.
+    pub(super) async fn other_topic_is_answered(&self, topic: Topic, most: Duration) {
+        let is_first = self.failing.borrow().first() == Some(&topic);
+        if is_first {
+            time::sleep(most).await;
+        } else {
+            let _ = time::timeout(most.max(SECOND_TOPIC), self.regained.notified()).await;
+        }
+    }
+
+    /// Whether enough others of this zone would read the store before this entry.
+    pub(super) fn is_behind_readers(&self) -> bool {
+        self.exchange.borrow().peers.reading_rank(self.now_ms()) >= FIRST_READERS
+    }
+
     /// Whether this entry reads the store for its zone. The others learn from their aggregator, so that the
     /// calls to the store grow with the zones and not with the fleet.
     pub(super) fn reads_store(&self) -> bool {
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -270,6 +270,15 @@
         self.seeds.is_empty() && self.heard.is_empty()
     }
 
+    /// Live peers of this zone that would read the store before this entry, whether it answers them or not.
+    #[must_use]
+    pub fn reading_rank(&self, now_ms: u64) -> usize {
+        let before = self.live_peers(now_ms).filter(|(addr, peer)| {
+            **addr < self.own && peer.zone == self.zone && !peer.is_stopping
+        });
+        before.count()
+    }
+
     fn goes_before(&self, strength: u16, addr: SocketAddr) -> bool {
         (Reverse(strength), addr) < (Reverse(self.strength), self.own)
     }
--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -25,9 +25,17 @@
 
 /// What each running request adds to the time to a first event, by its part of each step.
 const CROWD_MS: f64 = 3.0;
-/// What the time to read a shared part again costs, beside that the request waits for it: the same
-/// time is taken from all that come later, and the part displaces others.
-const REREAD_WEIGHT: f64 = 16.0;
+/// What the time to read a document again costs, beside that the request waits for it: the same time is taken
+/// from all that come later, and the document displaces others.
+const DOCUMENT_WEIGHT: f64 = 16.0;
+/// The same for a beginning that many documents share: it is read once at each engine and used for ever
+/// after. With more, all new documents would go to the few engines that have read it.
+const BEGINNING_WEIGHT: f64 = 1.0;
+/// Part of the latency target from which on a first event may be late: the expectation is off by about so
+/// much.
+const LATE_PART: f64 = 0.6;
+/// What a ms beyond that costs.
+const LATE_WEIGHT: f64 = 4.0;
 /// Part of the caller's patience from which on it may be gone before the first event.
 const PATIENCE_PART: f64 = 0.6;
 /// What a ms beyond that costs: more than any reading again, since the request is lost and what was
@@ -62,6 +70,8 @@
     pub pause_ms: u32,
     pub zone: &'a str,
     pub now_ms: u64,
+    /// The first event is in time for the caller within this.
+    pub target_ms: f64,
     /// How long the caller waits for a first event.
     pub patience_ms: f64,
 }
@@ -118,7 +128,7 @@
     let by_lot = (candidates.len() as f64 * BY_LOT_PART).ceil() as usize;
     let mut others = by_lot.max(BY_LOT_LEAST);
     let weighed = candidates.iter().copied().filter(|one| {
-        if favourites.contains(&Some(one.key)) || has_shared_part(one, prompt, known) {
+        if favourites.contains(&Some(one.key)) || has_document(one, prompt, known) {
             return true;
         }
         let is_drawn = others > 0;
@@ -130,8 +140,9 @@
     cheapest(choices).map(|choice| Choice { free_share, ..choice })
 }
 
-fn has_shared_part(endpoint: &Endpoint, prompt: &Prompt, known: &Known<'_>) -> bool {
-    known.homes.known_tokens(endpoint.key, prompt.shared(), known.now_ms) > 0
+fn has_document(endpoint: &Endpoint, prompt: &Prompt, known: &Known<'_>) -> bool {
+    let document = prompt.shared().last();
+    document.is_some_and(|part| known.homes.has(endpoint.key, part.id, known.now_ms))
 }
 
 /// Places that are taken at an engine, those included that others are expected to have taken unseen.
@@ -184,19 +195,27 @@
     let has_tokens = known.homes.known_tokens(endpoint.key, &prompt.parts, known.now_ms);
     let unread_tokens = prompt.tokens.saturating_sub(has_tokens);
     let shared_tokens: u32 = prompt.shared().iter().map(|part| part.tokens).sum();
-    let reread_ms = known.reading.ms(u64::from(shared_tokens.saturating_sub(has_tokens)));
+    let missing_tokens = shared_tokens.saturating_sub(has_tokens);
+    let document_tokens = prompt.shared().last().map_or(0, |part| part.tokens).min(missing_tokens);
+    let document_ms = known.reading.ms(u64::from(document_tokens));
+    let beginning_ms = known.reading.ms(u64::from(missing_tokens - document_tokens));
     let crowd_ms = f64::from(work.requests) * CROWD_MS
         + known.reading.place_ms(filled(endpoint, work, known), engine.slots);
     let first_ms = known.reading.first_ms(work.unread_tokens + u64::from(unread_tokens)) + crowd_ms;
     let lost_ms = (first_ms - known.patience_ms * PATIENCE_PART).max(0.0);
-    let mut cost_ms =
-        first_ms + lost_ms * LOST_WEIGHT + reread_ms * REREAD_WEIGHT + outside_ms(endpoint, known);
+    let late_ms = (first_ms - known.target_ms * LATE_PART).max(0.0);
+    let mut cost_ms = first_ms
+        + late_ms * LATE_WEIGHT
+        + lost_ms * LOST_WEIGHT
+        + document_ms * DOCUMENT_WEIGHT
+        + beginning_ms * BEGINNING_WEIGHT
+        + outside_ms(endpoint, known);
     if known.pause_ms > 0 {
         let late_share = known.pauses.late_share(endpoint.key, known.pause_ms, known.now_ms);
         cost_ms += late_share * UNEVEN_MS;
     }
     if let Some(place) = favourites.iter().position(|one| *one == Some(endpoint.key)) {
-        cost_ms -= reread_ms * RENDEZVOUS_PARTS[place];
+        cost_ms -= document_ms * RENDEZVOUS_PARTS[place];
     }
     Choice { endpoint, cost_ms, unread_tokens, work, first_ms, free_share: 1.0 }
 }
--- a/src/gateway/policy/homes.rs
+++ b/src/gateway/policy/homes.rs
@@ -139,7 +139,9 @@
         held.any(|one| endpoints.iter().any(|endpoint| endpoint.key == one.endpoint))
     }
 
-    fn has(&self, endpoint: EndpointKey, part: u64, now_ms: u64) -> bool {
+    /// Whether an endpoint has the part.
+    #[must_use]
+    pub fn has(&self, endpoint: EndpointKey, part: u64, now_ms: u64) -> bool {
         let held = self.held.get(&part);
         held.is_some_and(|held| {
             held.iter().any(|one| one.endpoint == endpoint && now_ms < one.used_ms + STAYS_MS)
--- a/src/gateway/policy/outage.rs
+++ b/src/gateway/policy/outage.rs
@@ -20,6 +20,9 @@
 /// Longest pause: the store's return is seen within this, of the two seconds in which a change has
 /// to be in force.
 const LONGEST_PAUSE_MS: u64 = 800;
+/// The same of entries that are not the first of their zone to read: those notice the store's return, and
+/// tell. All together would be hundreds of calls a second for a store that is just coming back.
+const LONGEST_PAUSE_BEHIND_MS: u64 = 3_000;
 /// Entries of endpoints lapse when the store was away for longer than this: a third of the shortest
 /// time after which the platform drops an entry.
 const LAPSE_AFTER_MS: u64 = 1_200;
@@ -48,10 +51,12 @@
         Self { leave_ms, since_ms: None, back_ms: None, pause_ms: 0 }
     }
 
-    /// The store did not answer. Gives how long to wait before the next call.
-    pub fn failed(&mut self, now_ms: u64, random: &mut impl Rng) -> u64 {
+    /// The store did not answer. `is_behind`: others of the zone read the store before this entry. Gives how
+    /// long to wait before the next call.
+    pub fn failed(&mut self, now_ms: u64, is_behind: bool, random: &mut impl Rng) -> u64 {
         self.since_ms.get_or_insert(now_ms);
-        self.pause_ms = (self.pause_ms * 2).clamp(FIRST_PAUSE_MS, LONGEST_PAUSE_MS);
+        let longest_ms = if is_behind { LONGEST_PAUSE_BEHIND_MS } else { LONGEST_PAUSE_MS };
+        self.pause_ms = (self.pause_ms * 2).clamp(FIRST_PAUSE_MS, longest_ms);
         random.random_range(self.pause_ms / 2..=self.pause_ms)
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -262,6 +262,7 @@
             pause_ms: job.route().pause_ms,
             zone: &self.shared.settings.zone,
             now_ms,
+            target_ms: f64::from(job.route().target_ms),
             patience_ms: job.stream_patience_ms() as f64,
             reading: &self.shared.reading(&service.name),
         };
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -105,8 +105,15 @@
                 if failure == store::Failure::Conflict {
                     from = None;
                 }
-                let pause_ms = outage.failed(now_ms, &mut rand::rng());
-                time::sleep(Duration::from_millis(pause_ms)).await;
+                // One that has listed nothing yet cannot serve, and looks as often as the first.
+                let is_behind = has_listed && control.is_behind_readers();
+                let pause_ms = outage.failed(now_ms, is_behind, &mut rand::rng());
+                let pause = Duration::from_millis(pause_ms);
+                if has_listed {
+                    control.other_topic_is_answered(topic, pause).await;
+                } else {
+                    time::sleep(pause).await;
+                }
             }
         }
     }
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -13,6 +13,7 @@
 
 const ENGINE: route::Engine = route::Engine { slots: 64, memory_tokens: 620_000 };
 const NOW_MS: u64 = 1_000_000;
+const TARGET_MS: f64 = 2_000.0;
 const PATIENCE_MS: f64 = 8_000.0;
 
 fn endpoints(count: usize) -> Vec<Endpoint> {
@@ -53,6 +54,7 @@
             pause_ms: 120,
             zone: "a",
             now_ms: NOW_MS,
+            target_ms: TARGET_MS,
             patience_ms: PATIENCE_MS,
         }
     }
@@ -77,6 +79,19 @@
     }
 }
 
+/// Its first part is common to many documents.
+fn draft(document: u64) -> Prompt {
+    Prompt {
+        tokens: 9_200,
+        max_output_tokens: 50,
+        parts: vec![
+            Part { id: 1, tokens: 2_500 },
+            Part { id: 100 + document, tokens: 3_800 },
+            Part { id: 10_000 + document, tokens: 2_900 },
+        ],
+    }
+}
+
 fn question(session: u64) -> Prompt {
     Prompt {
         tokens: 1_400,
@@ -135,20 +150,44 @@
     let endpoints = endpoints(40);
     let entry = Entry::default();
     let mut random = StdRng::seed_from_u64(6);
-    let draft = |document: u64| Prompt {
-        tokens: 9_200,
-        max_output_tokens: 50,
-        parts: vec![
-            Part { id: 1, tokens: 2_500 },
-            Part { id: 100 + document, tokens: 3_800 },
-            Part { id: 10_000 + document, tokens: 2_900 },
-        ],
-    };
     let homes: HashSet<EndpointKey> =
         (0..60).map(|document| entry.choose(&endpoints, &draft(document), &mut random)).collect();
     assert!(homes.len() >= 25, "{} homes for 60 documents", homes.len());
 }
 
+/// Guards against new documents that all go to the few engines that have read the text with which they begin:
+/// their users wait behind each other while the other engines idle.
+#[test]
+fn new_documents_spread_although_one_engine_has_read_their_beginning() {
+    let endpoints = endpoints(40);
+    let mut entry = Entry::default();
+    let mut random = StdRng::seed_from_u64(6);
+    entry.homes.place(endpoints[3].key, &draft(0).parts, NOW_MS);
+    entry.book.add(endpoints[3].key, work(20_000), NOW_MS);
+    let placed: Vec<EndpointKey> =
+        (1..60).map(|document| entry.choose(&endpoints, &draft(document), &mut random)).collect();
+    let crowded = placed.iter().filter(|one| **one == endpoints[3].key).count();
+    assert!(crowded <= 3, "{crowded} of 59");
+    assert_eq!(entry.choose(&endpoints, &draft(0), &mut random), endpoints[3].key, "a known one");
+}
+
+/// Guards against a short document that is waited for longer than its user's target, although reading it
+/// elsewhere takes a moment.
+#[test]
+fn a_request_leaves_its_document_when_it_would_be_late_there() {
+    let endpoints = endpoints(40);
+    let mut entry = Entry::default();
+    let mut random = StdRng::seed_from_u64(8);
+    entry.homes.place(endpoints[3].key, &draft(0).parts, NOW_MS);
+    entry.book.add(endpoints[3].key, work(60_000), NOW_MS);
+    let known = Known { target_ms: 600.0, ..entry.known() };
+    let chosen =
+        choose::choose(endpoints.iter(), Some(&ENGINE), Some(&draft(0)), &known, &mut random);
+    assert_ne!(chosen.expect("an endpoint").endpoint.key, endpoints[3].key);
+    let patient = entry.choose(&endpoints, &draft(0), &mut random);
+    assert_eq!(patient, endpoints[3].key, "in time for a longer target");
+}
+
 /// The home of a document has a queue longer than its user's patience. Sent there all the same, the
 /// request is lost, and the engine has worked for nothing.
 #[test]
--- a/tests/gateway/outage.rs
+++ b/tests/gateway/outage.rs
@@ -10,7 +10,7 @@
 
 fn back_at(back_ms: u64, away_ms: u64) -> Outage {
     let mut outage = Outage::new(LEAVE_MS);
-    outage.failed(back_ms - away_ms, &mut StdRng::seed_from_u64(1));
+    outage.failed(back_ms - away_ms, false, &mut StdRng::seed_from_u64(1));
     assert_eq!(outage.answered(back_ms), Some(away_ms));
     outage
 }
@@ -32,13 +32,30 @@
 fn watches_are_short_while_the_store_is_away() {
     let mut outage = Outage::new(LEAVE_MS);
     assert_eq!(outage.wait_ms(0), 5_000);
-    outage.failed(1_000, &mut StdRng::seed_from_u64(1));
+    outage.failed(1_000, false, &mut StdRng::seed_from_u64(1));
     assert!(outage.wait_ms(1_000) <= 200);
     outage.answered(5_000);
     assert!(outage.wait_ms(5_000) <= 500);
     assert_eq!(outage.wait_ms(5_000 + 2_200), 5_000);
 }
 
+/// Guards against hundreds of entries that all ask a store which is just coming back, several times a second.
+#[test]
+fn entries_that_are_not_the_first_to_read_look_rarely_for_the_store() {
+    let calls = |is_behind: bool| {
+        let (mut outage, mut random) = (Outage::new(LEAVE_MS), StdRng::seed_from_u64(1));
+        let (mut now_ms, mut calls) = (0, 0);
+        while now_ms < 20_000 {
+            now_ms += outage.failed(now_ms, is_behind, &mut random);
+            calls += 1;
+        }
+        calls
+    };
+    let (first, behind) = (calls(false), calls(true));
+    assert!((25..=60).contains(&first), "{first} calls in 20 s");
+    assert!(behind * 2 <= first, "{behind} calls in 20 s");
+}
+
 /// An outage of a moment lets no entry lapse; what vanishes after it has left.
 #[test]
 fn what_vanishes_after_a_short_outage_is_gone() {
@@ -55,7 +72,7 @@
         away_ms in 0..20_000_u64, vanished_after_ms in 0..5_000_u64, leave_ms in 500..5_000_u64,
     ) {
         let mut outage = Outage::new(leave_ms);
-        outage.failed(100_000, &mut StdRng::seed_from_u64(1));
+        outage.failed(100_000, false, &mut StdRng::seed_from_u64(1));
         let back_ms = 100_000 + away_ms;
         outage.answered(back_ms);
         let now_ms = back_ms + vanished_after_ms;
