--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -360,6 +360,14 @@
                     "revision" => directory.revision(), "source" => source);
             }
         }
+        let now_ms = self.now_ms();
+        let is_news =
+            |cold: &directory::Cold| before.cold_until_ms(cold.endpoint, now_ms).is_none();
+        for cold in directory.cold(now_ms).into_iter().filter(is_news) {
+            let id = directory.find(cold.endpoint).map(|endpoint| endpoint.id.as_str());
+            slog::info!(self.log, "endpoint cold"; "endpoint" => id, "left_ms" => cold.left_ms,
+                "revision" => directory.revision(), "source" => source);
+        }
         for old in before.endpoints().iter().filter(|old| directory.find(old.key).is_none()) {
             self.shared.homes().forget(old.key);
             slog::info!(self.log, "endpoint gone"; "endpoint" => old.id.as_str(),
--- a/src/gateway/measures.rs
+++ b/src/gateway/measures.rs
@@ -62,6 +62,10 @@
     metrics::gauge!("briarwinch_gateway_config_version").set(version as f64);
     metrics::gauge!("briarwinch_gateway_endpoints")
         .set(snapshot.directory.endpoints().len() as f64);
+    metrics::gauge!("briarwinch_gateway_endpoints_cold")
+        .set(snapshot.warming.endpoints.len() as f64);
+    metrics::gauge!("briarwinch_gateway_zones_evacuated")
+        .set(snapshot.evacuations.zones().count() as f64);
     metrics::gauge!("briarwinch_gateway_peers").set(peers as f64);
     metrics::gauge!("briarwinch_gateway_holds_duties").set(f64::from(u8::from(holds_duties)));
 }
