A request leaves a lost zone after two refused connections

Its engines were idle in everybody's book, so each request tried seven of them, one after the other, within 45 ms, and was refused as no_endpoint while 14 engines of the third zone served: 82 refusals in the first seconds. The bound of unsent tries (6) was said to be more than a zone has; it has 13 here.

Ruled out: avoiding whole zones for all requests after some refusals (engines that crash one by one in a zone would take the others' documents away). Change: an endpoint's refusal is noted with the request by zone; after two, the zone is taken only if there is no other.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -35,6 +35,8 @@
     pub end_ms: u64,
     /// Endpoints that have, or may have, seen it.
     pub tried: Vec<EndpointKey>,
+    /// Availability zones of those that could not be connected to, one for each.
+    pub refused_zones: Vec<CompactString>,
     pub attempts: u32,
     /// Some endpoint has seen it, even if it did not run it: each further send is a retry.
     pub has_arrived: bool,
--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -14,6 +14,7 @@
 //! The load pattern for plain services: few slots, answers of some ten milliseconds, endpoints of
 //! unequal speed, some of which fail or hang. Requests go where the fewest are under way, by time.
 
+use compact_str::CompactString;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use xxhash_rust::xxh3;
@@ -49,6 +50,8 @@
 /// many. Entries that weigh all of them choose the same one.
 const BY_LOT_PART: f64 = 0.1;
 const BY_LOT_LEAST: usize = 6;
+/// So many endpoints of an availability zone that refuse one request a connection mean that the zone is lost.
+const LOST_ZONE_REFUSALS: usize = 2;
 /// What an answer with a late event costs, beside one that is in time throughout.
 const UNEVEN_MS: f64 = 600.0;
 /// The way to another availability zone and back, and its price in bytes.
@@ -74,6 +77,8 @@
     pub target_ms: f64,
     /// How long the caller waits for a first event.
     pub patience_ms: f64,
+    /// Availability zones of the endpoints to which this request found no connection, one for each.
+    pub refused_zones: &'a [CompactString],
 }
 
 /// An endpoint with what choosing it would mean.
@@ -104,6 +109,7 @@
     let is_open = |one: &&Endpoint| !known.health.is_avoided(one.key, known.now_ms);
     let open: Vec<&Endpoint> = all.iter().copied().filter(is_open).collect();
     let mut candidates = if open.is_empty() { all } else { open };
+    leave_lost_zones(&mut candidates, known.refused_zones);
     // Equal costs are decided by the order, which is drawn by lot: else all entries would take the
     // same endpoint.
     candidates.shuffle(random);
@@ -113,6 +119,17 @@
     }
 }
 
+/// Leaves out the endpoints of zones that seem lost, unless there are no others. Where a zone is lost its
+/// idle endpoints look best, and a request would try one after the other.
+fn leave_lost_zones(candidates: &mut Vec<&Endpoint>, refused_zones: &[CompactString]) {
+    let is_lost = |one: &&Endpoint| {
+        refused_zones.iter().filter(|zone| **zone == one.zone).count() >= LOST_ZONE_REFUSALS
+    };
+    if !candidates.iter().all(is_lost) {
+        candidates.retain(|one| !is_lost(one));
+    }
+}
+
 fn cheapest<'a>(choices: impl Iterator<Item = Choice<'a>>) -> Option<Choice<'a>> {
     choices.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,8 +20,8 @@
 
 /// Longest answer that is gathered before it is sent, in bytes.
 const MAX_WHOLE_BYTES: usize = 8 << 20;
-/// Sends that no endpoint has seen, before a request is given up: more than the endpoints that one
-/// failed zone has.
+/// Sends that no endpoint has seen, before a request is given up: more than it takes to leave two lost
+/// zones.
 const MAX_UNSENT: u32 = 6;
 /// Pause before endpoints are looked for again when there is none.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
@@ -115,6 +115,7 @@
             arrived_ms,
             end_ms: arrived_ms + u64::from(wait_ms),
             tried: Vec::new(),
+            refused_zones: Vec::new(),
             attempts: 0,
             has_arrived: false,
             may_have_run: false,
@@ -201,6 +202,7 @@
                 Failure::NotSent(_) => {
                     job.uncounted = None;
                     job.attempts -= 1;
+                    job.refused_zones.push(choice.endpoint.zone.clone());
                     unsent += 1;
                     if unsent > MAX_UNSENT {
                         return Err(self.given_up(job, error::Kind::NoEndpoint));
@@ -264,6 +266,7 @@
             now_ms,
             target_ms: f64::from(job.route().target_ms),
             patience_ms: job.stream_patience_ms() as f64,
+            refused_zones: &job.refused_zones,
             reading: &self.shared.reading(&service.name),
         };
         choose::choose(
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -8,6 +8,7 @@
 use briarwinch::gateway::policy::{health, homes, load, pauses, reading};
 use briarwinch::gateway::request::{Part, Prompt};
 use briarwinch::gateway::route;
+use compact_str::CompactString;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -55,6 +56,7 @@
             zone: "a",
             now_ms: NOW_MS,
             target_ms: TARGET_MS,
+            refused_zones: &[],
             patience_ms: PATIENCE_MS,
         }
     }
@@ -361,6 +363,29 @@
     assert!(!entry.health.is_avoided(endpoints[0].key, NOW_MS));
 }
 
+/// Guards against a request that tries one dead endpoint of a lost zone after another, since they look idle, and
+/// is given up while another zone serves.
+#[test]
+fn a_zone_that_refuses_a_request_twice_is_left_unless_there_is_no_other() {
+    let mut endpoints = endpoints(12);
+    endpoints[7].zone = "b".into();
+    let mut random = StdRng::seed_from_u64(5);
+    let entry = Entry::default();
+    let plain = |refused: &[CompactString], endpoints: &[Endpoint], random: &mut StdRng| {
+        let known = Known { refused_zones: refused, ..entry.known() };
+        let choice = choose::choose(endpoints.iter(), None, None, &known, random);
+        choice.expect("an endpoint").endpoint.zone.clone()
+    };
+    let refused = ["a".into(), "a".into()];
+    assert_eq!(
+        plain(&refused[..1], &endpoints, &mut random),
+        "a",
+        "it may be one endpoint's fault"
+    );
+    assert_eq!(plain(&refused, &endpoints, &mut random), "b");
+    assert_eq!(plain(&refused, &endpoints[..7], &mut random), "a", "there is no other");
+}
+
 /// A payment goes out on a connection that was opened before its endpoint lost power, and the user
 /// never learns whether it was made. A connection attempt would have shown it, and another endpoint
 /// could have taken the payment.
