One way to count readers before an entry, one way to list an endpoint in tests; nothing is looked for while nothing is cold

At each tick all endpoints were gone through for cold ones; now only while one is cold or a zone was taken back just now.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -413,6 +413,10 @@
             return warming;
         };
         let taken_back = self.taken_back.borrow();
+        // This runs at each tick, and mostly no endpoint is cold.
+        if taken_back.is_empty() && !directory.has_cold(now_ms) {
+            return warming;
+        }
         let exchange = self.exchange.borrow();
         for service in table.services() {
             let Some(warm_up) = service.warm_up else { continue };
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -197,6 +197,12 @@
         self.cold.get(&endpoint).copied().filter(|until_ms| now_ms < *until_ms)
     }
 
+    /// Whether any endpoint is cold.
+    #[must_use]
+    pub fn has_cold(&self, now_ms: u64) -> bool {
+        self.cold.values().any(|until_ms| now_ms < *until_ms)
+    }
+
     /// Endpoints that are cold, with the time left for each, for peers.
     #[must_use]
     pub fn cold(&self, now_ms: u64) -> Vec<Cold> {
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -235,13 +235,24 @@
         first(self.live_peers(now_ms).filter(|(_, peer)| !peer.is_stopping), most)
     }
 
-    /// Live peers of this zone that read the store before this entry does.
-    #[must_use]
-    pub fn readers_before(&self, now_ms: u64) -> usize {
+    /// Live peers of this zone that would read the store before this entry.
+    fn before(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
         let before = self.live_peers(now_ms).filter(|(addr, peer)| {
-            **addr < self.own && peer.zone == self.zone && peer.has_store && !peer.is_stopping
+            **addr < self.own && peer.zone == self.zone && !peer.is_stopping
         });
-        before.count()
+        before.map(|(_, peer)| peer)
+    }
+
+    /// How many of these the store answers, so that they do read it.
+    #[must_use]
+    pub fn readers_before(&self, now_ms: u64) -> usize {
+        self.before(now_ms).filter(|peer| peer.has_store).count()
+    }
+
+    /// How many these are, whether the store answers them or not.
+    #[must_use]
+    pub fn reading_rank(&self, now_ms: u64) -> usize {
+        self.before(now_ms).count()
     }
 
     /// The entries that may be keepers of cold endpoints, this one among them.
@@ -270,15 +281,6 @@
         self.seeds.is_empty() && self.heard.is_empty()
     }
 
-    /// Live peers of this zone that would read the store before this entry, whether it answers them or not.
-    #[must_use]
-    pub fn reading_rank(&self, now_ms: u64) -> usize {
-        let before = self.live_peers(now_ms).filter(|(addr, peer)| {
-            **addr < self.own && peer.zone == self.zone && !peer.is_stopping
-        });
-        before.count()
-    }
-
     fn goes_before(&self, strength: u16, addr: SocketAddr) -> bool {
         (Reverse(strength), addr) < (Reverse(self.strength), self.own)
     }
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -3,7 +3,7 @@
 
 use briarwinch::gateway::directory::{Change, Directory, Endpoint, EndpointKey, Event};
 
-fn endpoint(id: &str) -> Endpoint {
+pub fn endpoint(id: &str) -> Endpoint {
     Endpoint {
         key: EndpointKey::of(id),
         id: id.into(),
--- a/tests/gateway/warmup.rs
+++ b/tests/gateway/warmup.rs
@@ -2,11 +2,12 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use briarwinch::gateway::directory::{Change, Directory, Endpoint, EndpointKey, Event};
+use briarwinch::gateway::directory::{Change, Directory, EndpointKey, Event};
 use briarwinch::gateway::policy::warmup::{self, Allowed, Sends, Warming};
 use proptest::prelude::*;
 use rand::Rng;
 
+use crate::directory::endpoint;
 use crate::virtual_fleet::{Fleet, TICK_MS, ZONES, key};
 
 const PER_S: f64 = 6.7;
@@ -196,19 +197,6 @@
     }
 }
 
-fn endpoint(id: &str) -> Endpoint {
-    Endpoint {
-        key: EndpointKey::of(id),
-        id: id.into(),
-        service: "engine".into(),
-        addr: ([127, 0, 0, 1], 80).into(),
-        zone: "a".into(),
-        started_unix_ms: 1,
-        slots: 8,
-        is_leaving: false,
-    }
-}
-
 fn told(id: &str, cold_ms: u32, revision: u64) -> Event {
     Event { change: Change::Present(endpoint(id)), revision, cold_ms }
 }
