Limits that endpoints name are read, logged and counted

No decision uses them yet. Now a line says which endpoint named which figure and when it ended, each send says under which limit its endpoint is, and a gauge counts limited endpoints.

An answer without a limit ends one only if its request left after the limit was named, since answers overtake each other.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -158,7 +158,7 @@
                 if facts.is_other_endpoint {
                     return Err(Failure::WrongEndpoint);
                 }
-                self.heard(endpoint.key, &facts);
+                self.heard(&endpoint, &facts, now_ms);
                 if facts.not_run {
                     let status = head.status;
                     self.keep_when_read(&endpoint, connection).await;
@@ -239,11 +239,16 @@
         health.heard_ms(endpoint) > sent_ms && health.is_alive(endpoint, self.now_ms())
     }
 
-    pub(super) fn heard(&self, endpoint: EndpointKey, facts: &request::AnswerFacts) {
+    /// Takes what the head of an answer says of the endpoint, to a request that was sent at `sent_ms`.
+    fn heard(&self, endpoint: &directory::Endpoint, facts: &request::AnswerFacts, sent_ms: u64) {
         let now_ms = self.now_ms();
-        self.health.borrow_mut().heard(endpoint, now_ms);
+        self.health.borrow_mut().heard(endpoint.key, now_ms);
         if let Some(load) = facts.load {
-            self.shared.book().take_report(endpoint, load.running + load.waiting, now_ms);
+            self.shared.book().take_report(endpoint.key, load.running + load.waiting, now_ms);
+        }
+        let change = self.shared.limits().answered(endpoint.key, facts.limit, sent_ms, now_ms);
+        if let Some(change) = change {
+            self.log_limit(endpoint, change);
         }
     }
 
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -120,7 +120,8 @@
     control.shared.sharers.store(sharing, Ordering::Relaxed);
     control.shared.serving_others.store(peers.serving(now_ms), Ordering::Relaxed);
     let snapshot = control.shared.snapshot.load();
-    measures::known(&snapshot, peers.live(now_ms), control.holds_duties.get());
+    let limited = control.shared.limits().count();
+    measures::known(&snapshot, limited, peers.live(now_ms), control.holds_duties.get());
 }
 
 fn send_all<P>(control: &Control<P>, outgoing: Vec<Outgoing>) {
--- a/src/gateway/lines.rs
+++ b/src/gateway/lines.rs
@@ -7,9 +7,9 @@
 
 use super::attempt::Failure;
 use super::job::Job;
-use super::policy::choose;
+use super::policy::{choose, limits};
 use super::request::{Answer, Request};
-use super::{Gateway, measures};
+use super::{Gateway, directory, measures};
 use crate::error;
 
 /// What a request asked for, for the line that says why it was refused.
@@ -92,6 +92,7 @@
     }
 
     pub(super) fn log_choice(&self, job: &Job, choice: &choose::Choice<'_>) {
+        let limit = self.shared.limits().of(choice.endpoint.key);
         slog::debug!(self.log, "sent"; "request" => job.request.id.as_str(),
             "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
             "version" => job.table.version(), "endpoint" => choice.endpoint.id.as_str(),
@@ -100,9 +101,16 @@
             "first_ms" => choice.first_ms as u64, "unread_tokens" => choice.unread_tokens,
             "ahead_tokens" => choice.work.unread_tokens, "running" => choice.work.requests,
             "load_age_ms" => self.shared.book().age_ms(self.now_ms()),
+            "limit_per_s" => limit.map(limits::Rate::per_s),
             "left_ms" => job.left_ms(self.now_ms()));
     }
 
+    pub(super) fn log_limit(&self, endpoint: &directory::Endpoint, change: limits::Change) {
+        slog::info!(self.log, "endpoint limit"; "endpoint" => endpoint.id.as_str(),
+            "per_s" => change.now.map(limits::Rate::per_s),
+            "before_per_s" => change.before.map(limits::Rate::per_s), "source" => "answer");
+    }
+
     pub(super) fn log_failure(&self, job: &Job, choice: &choose::Choice<'_>, failure: &Failure) {
         let (what, detail) = match failure {
             Failure::NotSent(error) => ("not_sent", error.to_string()),
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod gate;
 pub mod health;
 pub mod homes;
+pub mod limits;
 pub mod load;
 pub mod outage;
 pub mod pauses;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
+use super::policy::limits;
 use super::{events_body, http1};
 use crate::error;
 
@@ -104,6 +105,8 @@
     /// It bears the endpoint's signature.
     pub is_signed: bool,
     pub load: Option<ReportedLoad>,
+    /// What the endpoint takes from all entries together, while it is limited.
+    pub limit: Option<limits::Rate>,
 }
 
 /// What an endpoint says of its load.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use super::duties::tally;
-use super::policy::{gate, homes, load, reading, warmup};
+use super::policy::{gate, homes, limits, load, reading, warmup};
 use super::{directory, drain, evacuation, route, settings};
 use crate::clock;
 
@@ -82,6 +82,7 @@
     retries: Mutex<settings::Retries>,
     book: Mutex<load::Book>,
     turned_away: Mutex<load::TurnedAway>,
+    limits: Mutex<limits::Limits>,
     homes: Mutex<homes::Homes>,
     tally: Mutex<tally::Tally>,
     /// When sends began whose requests may still be counted, on the boot clock.
@@ -114,6 +115,7 @@
             gate: gate::Gate::default(),
             book: Mutex::default(),
             turned_away: Mutex::default(),
+            limits: Mutex::default(),
             homes: Mutex::default(),
             tally: Mutex::default(),
             uncounted: Mutex::default(),
@@ -131,6 +133,11 @@
         lock(&self.turned_away)
     }
 
+    /// What endpoints take at most.
+    pub fn limits(&self) -> MutexGuard<'_, limits::Limits> {
+        lock(&self.limits)
+    }
+
     /// Where prompt parts are.
     pub fn homes(&self) -> MutexGuard<'_, homes::Homes> {
         lock(&self.homes)
