Entries share the limits that endpoints name

Callers saw nothing of it; the engines did: one that had asked for 2.2 requests a second got 22 in 4 s where 18 are allowed, one with 2.5 got 25 of 20, as many as before they asked.

Now a limit is shared out: entries tell each other of it, each one's share is a whole number of requests in 4 s by its place among all entries (rendezvous hashing, the endpoint's own zone first), those past the last request have none, and one that does not know its place sends nothing. It is checked where an endpoint is chosen and once more when its connection is there. The end is noticed by those with a share and told to the rest; changes are ordered by a stamp that grows and follows the time of day. Shares never add up to more than the limit while views agree; while they differ the allowed half above it covers them (property test over cuts, freezes, kills and starts at 5, 22, 68 entries; 340 in a test of its own).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 
 use super::directory::EndpointKey;
 use super::policy::{choose, health, load};
-use super::{Gateway, directory, http1, job, pool, request};
+use super::{Gateway, directory, http1, job, lines, pool, request};
 
 /// Answers to other requests that are skipped before the awaited one; endpoints have been seen to
 /// send one too many.
@@ -128,6 +128,7 @@
             return Err(Failure::Closed);
         }
         self.note_cold_send(job, &endpoint, now_ms);
+        self.shared.limits().note(endpoint.key, now_ms);
         if let Some(prompt) = &job.request.prompt {
             self.shared.homes().place(endpoint.key, &prompt.parts, now_ms);
             if is_news(choice) {
@@ -200,6 +201,7 @@
         let snapshot = self.shared.snapshot.load();
         snapshot.takes(endpoint, now_ms)
             && self.cold_sends.borrow().has_room(endpoint.key, &snapshot.warming, now_ms)
+            && self.shared.limits().has_room(endpoint.key, now_ms)
     }
 
     /// Notes a send to an endpoint that is, or may turn, cold.
@@ -246,9 +248,13 @@
         if let Some(load) = facts.load {
             self.shared.book().take_report(endpoint.key, load.running + load.waiting, now_ms);
         }
-        let change = self.shared.limits().answered(endpoint.key, facts.limit, sent_ms, now_ms);
+        let unix_ms = self.shared.time.unix_ms();
+        let mut limits = self.shared.limits();
+        let change = limits.answered(endpoint.key, facts.limit, sent_ms, now_ms, unix_ms);
         if let Some(change) = change {
-            self.log_limit(endpoint, change);
+            lines::endpoint_limit(&self.log, &endpoint.id, change, "answer");
+            // The other entries send at their usual rate until they know.
+            self.shared.news.notify_one();
         }
     }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -16,8 +16,8 @@
 
 use super::duties::{billing, delivery, duty, scaling, tally};
 use super::fleet::{datagrams, exchange, members, peers, pulls, recall};
-use super::policy::{budget, warmup};
-use super::{directory, evacuation, request, route, shared, watch};
+use super::policy::{budget, limits, warmup};
+use super::{directory, evacuation, lines, request, route, shared, watch};
 use crate::{bound, clock, lease, seal, store};
 
 /// What is followed in the store.
@@ -401,6 +401,29 @@
         }
     }
 
+    /// Takes what a peer tells of the limits that endpoints have named.
+    pub(super) fn take_limits(&self, told: &[limits::Told], now_ms: u64) {
+        let directory = self.directory.borrow();
+        let mut limits = self.shared.limits();
+        for one in told {
+            let change = limits.adopt(*one, now_ms);
+            if let (Some(change), Some(endpoint)) = (change, directory.find(one.endpoint)) {
+                lines::endpoint_limit(&self.log, &endpoint.id, change, "peer");
+            }
+        }
+    }
+
+    /// Deals this entry's shares of the limits that endpoints have named.
+    pub(super) fn share_limits(&self) {
+        let exchange = self.exchange.borrow();
+        let directory = self.directory.borrow();
+        self.shared.limits().set_shares(self.now_ms(), |key, rate| {
+            let endpoint = directory.find(key);
+            let standing = endpoint.and_then(|one| exchange.standing(key, &one.zone));
+            limits::share(rate, standing)
+        });
+    }
+
     /// The endpoints that are cold or may be, with what this entry may send to each.
     fn warming(
         &self,
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -59,6 +59,7 @@
             update_entries(&control, now_ms);
             control.change_directory("grace time over", |directory| directory.expire(now_ms));
             control.update_warming();
+            control.share_limits();
         }
     }
 }
@@ -78,6 +79,7 @@
         lease: newest.map(|(told, at_ms)| told.after(now_ms - at_ms)),
         gate: control.shared.gate.ages(now_ms),
         evacuations: control.evacuations.borrow().told(now_ms),
+        limits: control.shared.limits().told(),
     }
 }
 
@@ -173,6 +175,7 @@
             let mut homes = shared.homes();
             placed.parts.into_iter().for_each(|placed| homes.note(placed, now_ms));
         }
+        Message::Limits(limits) => control.take_limits(&limits, now_ms),
         Message::Counts { from, counts } => {
             shared.tally().take(counts.boot, &counts.counts);
             let receipt = control.settled.borrow_mut().take(&counts, shared.boot);
--- a/src/gateway/fleet/exchange.rs
+++ b/src/gateway/fleet/exchange.rs
@@ -16,7 +16,7 @@
 
 use crate::gateway::fleet::message::{Message, State, Work};
 use crate::gateway::fleet::peers::Peers;
-use crate::gateway::policy::{gate, homes, load, warmup};
+use crate::gateway::policy::{gate, homes, limits, load, warmup};
 use crate::gateway::{directory, evacuation};
 use crate::lease;
 
@@ -47,6 +47,7 @@
     pub lease: Option<lease::Told>,
     pub gate: gate::Ages,
     pub evacuations: evacuation::Told,
+    pub limits: Vec<limits::Told>,
 }
 
 impl Facts {
@@ -56,7 +57,8 @@
         let is_acting = role == Role::Aggregator;
         let flags = [self.has_store, self.holds_duties, self.is_stopping, is_acting];
         let versions = [self.config_version, self.directory_revision, self.evacuations.revision];
-        Urgent { versions, flags, lease }
+        let limits = self.limits.iter().map(|told| told.stamp).max();
+        Urgent { versions, flags, lease, limits }
     }
 }
 
@@ -65,6 +67,8 @@
     versions: [u64; 3],
     flags: [bool; 4],
     lease: Option<(u64, bool)>,
+    /// The newest change of an endpoint's limit.
+    limits: Option<u64>,
 }
 
 /// A message and whom it goes to.
@@ -189,6 +193,16 @@
         self.keepers.is_keeper(self.own.addr, endpoint, zone)
     }
 
+    /// This entry's place among those that may send to an endpoint of this zone, if it knows the others.
+    #[must_use]
+    pub fn standing(
+        &self,
+        endpoint: directory::EndpointKey,
+        zone: &str,
+    ) -> Option<warmup::Standing> {
+        self.keepers.standing(self.own.addr, endpoint, zone)
+    }
+
     fn see_keepers(&mut self, now_ms: u64) {
         let is_settled =
             self.joined_since_ms.is_some_and(|since_ms| now_ms >= since_ms + SETTLE_MS);
--- a/src/gateway/fleet/exchange/telling.rs
+++ b/src/gateway/fleet/exchange/telling.rs
@@ -29,6 +29,8 @@
 const MAX_PLACED: usize = 70;
 /// Messages of parts after one another; a day's start places hundreds at once.
 const MAX_PLACED_MESSAGES: usize = 8;
+/// Limits of endpoints in a message; about 18 bytes each.
+const MAX_LIMITS: usize = 60;
 /// Parts to be passed on that wait, at most; the oldest are dropped, which costs reading again.
 const MAX_WAITING: usize = 4_000;
 
@@ -94,6 +96,10 @@
         }
         let state = self.state(facts, role, now_ms);
         self.peers.note_own(&state.peer(now_ms));
+        for limits in facts.limits.chunks(MAX_LIMITS) {
+            let message = Message::Limits(limits.to_vec());
+            out.push(Outgoing { to: to.clone(), message });
+        }
         let message = Message::State(state);
         out.push(Outgoing { to, message });
     }
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -8,7 +8,7 @@
 use crate::gateway::duties::{delivery, tally};
 use crate::gateway::evacuation;
 use crate::gateway::fleet::peers::{self, roster};
-use crate::gateway::policy::{gate, homes, load};
+use crate::gateway::policy::{gate, homes, limits, load};
 use crate::lease;
 
 /// What an entry tells of itself, beside its work.
@@ -89,6 +89,8 @@
     Work(Work),
     Roster(roster::Roster),
     Placed(Placed),
+    /// Limits that endpoints have named, told with an entry's state.
+    Limits(Vec<limits::Told>),
     /// What one start of an entry has counted.
     Counts {
         from: SocketAddr,
@@ -111,6 +113,7 @@
             Self::Work(_) => "work",
             Self::Roster(_) => "roster",
             Self::Placed(_) => "placed",
+            Self::Limits(_) => "limits",
             Self::Counts { .. } => "counts",
             Self::CountsTaken { .. } => "counts_taken",
         }
--- a/src/gateway/lines.rs
+++ b/src/gateway/lines.rs
@@ -9,7 +9,7 @@
 use super::job::Job;
 use super::policy::{choose, limits};
 use super::request::{Answer, Request};
-use super::{Gateway, directory, measures};
+use super::{Gateway, measures};
 use crate::error;
 
 /// What a request asked for, for the line that says why it was refused.
@@ -52,6 +52,18 @@
     }
 }
 
+/// An endpoint has named a limit, another one, or none any more.
+pub(super) fn endpoint_limit(
+    log: &slog::Logger,
+    endpoint: &str,
+    change: limits::Change,
+    source: &'static str,
+) {
+    slog::info!(log, "endpoint limit"; "endpoint" => endpoint,
+        "per_s" => change.now.map(limits::Rate::per_s),
+        "before_per_s" => change.before.map(limits::Rate::per_s), "source" => source);
+}
+
 impl Gateway {
     /// Version of the configuration in force; zero: none.
     fn config_version(&self) -> u64 {
@@ -105,12 +117,6 @@
             "left_ms" => job.left_ms(self.now_ms()));
     }
 
-    pub(super) fn log_limit(&self, endpoint: &directory::Endpoint, change: limits::Change) {
-        slog::info!(self.log, "endpoint limit"; "endpoint" => endpoint.id.as_str(),
-            "per_s" => change.now.map(limits::Rate::per_s),
-            "before_per_s" => change.before.map(limits::Rate::per_s), "source" => "answer");
-    }
-
     pub(super) fn log_failure(&self, job: &Job, choice: &choose::Choice<'_>, failure: &Failure) {
         let (what, detail) = match failure {
             Failure::NotSent(error) => ("not_sent", error.to_string()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -100,6 +100,6 @@
         gateway.health.borrow_mut().retain(is_known);
         gateway.pauses.borrow_mut().retain(is_known);
         gateway.cold_sends.borrow_mut().sweep(now_ms);
-        gateway.shared.limits().retain(is_known);
+        gateway.shared.limits().sweep(now_ms, is_known);
     }
 }
--- a/src/gateway/policy/warmup.rs
+++ b/src/gateway/policy/warmup.rs
@@ -50,7 +50,22 @@
     until_ms: u64,
 }
 
+/// An entry's place among those that may send to an endpoint, the endpoint's own zone first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// Zero comes first.
+    pub rank: usize,
+    pub entries: usize,
+}
+
 impl View {
+    fn standing(&self, own: SocketAddr, endpoint: EndpointKey, zone: &str) -> Option<Standing> {
+        let order = |one: &Candidate| (one.zone == zone, weight(endpoint, one.addr));
+        let own = order(self.candidates.iter().find(|one| one.addr == own)?);
+        let rank = self.candidates.iter().filter(|one| order(one) > own).count();
+        Some(Standing { rank, entries: self.candidates.len() })
+    }
+
     /// The one that sends to an endpoint of this zone.
     fn keeper(&self, endpoint: EndpointKey, zone: &str) -> Option<SocketAddr> {
         let has_zone = self.candidates.iter().any(|one| one.zone == zone);
@@ -87,6 +102,17 @@
         }
     }
 
+    /// This entry's place among those that may send to an endpoint: the last one that it has had lately,
+    /// among the most entries. `None` while it does not know the others.
+    #[must_use]
+    pub fn standing(&self, own: SocketAddr, endpoint: EndpointKey, zone: &str) -> Option<Standing> {
+        let standings: Option<Vec<Standing>> =
+            self.views.iter().map(|view| view.standing(own, endpoint, zone)).collect();
+        standings?
+            .into_iter()
+            .reduce(|a, b| Standing { rank: a.rank.max(b.rank), entries: a.entries.max(b.entries) })
+    }
+
     /// Whether this entry has been the keeper of an endpoint for long enough.
     #[must_use]
     pub fn is_keeper(&self, own: SocketAddr, endpoint: EndpointKey, zone: &str) -> bool {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -249,8 +249,11 @@
         let service = job.service();
         let now_ms = self.now_ms();
         let cold_sends = self.cold_sends.borrow();
+        let limits = self.shared.limits();
         let fresh = snapshot.taking(&service.name, job.moving_key(), now_ms).filter(|one| {
-            !job.tried.contains(&one.key) && cold_sends.has_room(one.key, &snapshot.warming, now_ms)
+            !job.tried.contains(&one.key)
+                && cold_sends.has_room(one.key, &snapshot.warming, now_ms)
+                && limits.has_room(one.key, now_ms)
         });
         let book = self.shared.book();
         let homes = self.shared.homes();
--- /dev/null
+++ b/tests/gateway/limits.rs
@@ -0,0 +1,230 @@
+//! Endpoints that name how many requests a second they take: whatever entries know of each other, together
+//! they keep to it, and they notice its end.
+
+use std::collections::VecDeque;
+
+use briarwinch::gateway::directory::EndpointKey;
+use briarwinch::gateway::policy::limits::{self, Limits, Rate, Told};
+use briarwinch::gateway::policy::warmup::Standing;
+use proptest::prelude::*;
+
+use crate::virtual_fleet::{Fleet, START_MS, TICK_MS, Trouble, key, troubles};
+
+/// The bound holds for any span of this length, once the limit has been named for so long.
+const SPAN_MS: u64 = 4_000;
+const CONTACT_MS: u64 = 3_000;
+/// An entry is bound by an answer that it has passed on so long ago.
+const TOLD_MS: u64 = 500;
+/// From a send to the head of its answer.
+const ANSWER_MS: u64 = 100;
+
+fn rate(per_s: f64) -> Rate {
+    Rate::from_per_s(per_s).expect("a rate")
+}
+
+fn bound(per_s: f64) -> f64 {
+    1.5 * per_s * SPAN_MS as f64 / 1_000.0 + 5.0
+}
+
+/// What befell an entry lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct Record {
+    /// When it passed on an answer with the limit for the first time.
+    told_ms: Option<u64>,
+    /// Until when it is excused for having been cut off, frozen or started.
+    excused_ms: u64,
+}
+
+/// Entries that send to one endpoint whenever they may, as under a burst.
+struct Burst {
+    /// While the endpoint names it.
+    limit: Option<Rate>,
+    named_ms: u64,
+    records: Vec<Record>,
+    /// Requests under way: when each is answered, by which entry it was sent, and when.
+    under_way: VecDeque<(u64, usize, u64)>,
+    /// Arrivals from entries that were told and are not excused.
+    counted: VecDeque<u64>,
+    total: usize,
+    most: usize,
+}
+
+impl Burst {
+    fn begin(fleet: &Fleet, limit: Rate) -> Self {
+        Self {
+            limit: Some(limit),
+            named_ms: fleet.now_ms,
+            records: vec![Record::default(); fleet.nodes.len()],
+            under_way: VecDeque::new(),
+            counted: VecDeque::new(),
+            total: 0,
+            most: 0,
+        }
+    }
+
+    fn forget(&mut self, fleet: &Fleet, index: usize) {
+        self.records[index] =
+            Record { told_ms: None, excused_ms: fleet.now_ms + CONTACT_MS + SPAN_MS };
+    }
+
+    fn run_ms(&mut self, fleet: &mut Fleet, span_ms: u64) {
+        let end_ms = fleet.now_ms + span_ms;
+        while fleet.now_ms < end_ms {
+            self.records.resize_with(fleet.nodes.len(), Record::default);
+            self.answer(fleet);
+            for index in 0..fleet.nodes.len() {
+                self.step(fleet, index);
+            }
+            fleet.step();
+        }
+    }
+
+    fn answer(&mut self, fleet: &mut Fleet) {
+        let now_ms = fleet.now_ms;
+        while let Some((_, index, sent_ms)) =
+            self.under_way.pop_front_if(|(at_ms, ..)| *at_ms <= now_ms)
+        {
+            let node = &mut fleet.nodes[index];
+            if node.is_silent {
+                continue;
+            }
+            node.limits.answered(key(0), self.limit, sent_ms, now_ms, now_ms);
+            if self.limit.is_some() {
+                self.records[index].told_ms.get_or_insert(now_ms);
+            }
+        }
+    }
+
+    fn step(&mut self, fleet: &mut Fleet, index: usize) {
+        let now_ms = fleet.now_ms;
+        let node = &mut fleet.nodes[index];
+        let record = &mut self.records[index];
+        if node.is_silent || node.is_cut_off || node.island != 0 {
+            record.excused_ms = now_ms + CONTACT_MS + SPAN_MS;
+        }
+        if node.is_silent {
+            return;
+        }
+        if (now_ms + node.offset_ms).is_multiple_of(TICK_MS) {
+            let exchange = &node.exchange;
+            node.limits
+                .set_shares(now_ms, |key, rate| limits::share(rate, exchange.standing(key, "a")));
+        }
+        if !node.limits.has_room(key(0), now_ms) {
+            return;
+        }
+        node.limits.note(key(0), now_ms);
+        self.under_way.push_back((now_ms + ANSWER_MS, index, now_ms));
+        self.total += 1;
+        let is_told = record.told_ms.is_some_and(|told_ms| now_ms >= told_ms + TOLD_MS);
+        if is_told && now_ms >= record.excused_ms {
+            self.arrive(now_ms);
+        }
+    }
+
+    fn arrive(&mut self, now_ms: u64) {
+        while self.counted.front().is_some_and(|at_ms| now_ms >= at_ms + SPAN_MS) {
+            self.counted.pop_front();
+        }
+        self.counted.push_back(now_ms);
+        if now_ms >= self.named_ms + CONTACT_MS {
+            self.most = self.most.max(self.counted.len());
+        }
+    }
+}
+
+fn play(entries: usize, zones: usize, per_s: f64, troubles: &[(Trouble, f64, u64)]) -> Burst {
+    let mut fleet = Fleet::open(entries, zones, 0.02);
+    fleet.run_ms(2_500);
+    let mut burst = Burst::begin(&fleet, rate(per_s));
+    let mut dead = Vec::new();
+    for (trouble, share, pause_ms) in troubles {
+        let restarted = fleet.strike(zones, &mut dead, (*trouble, *share));
+        burst.records.resize_with(fleet.nodes.len(), Record::default);
+        restarted.into_iter().for_each(|index| burst.forget(&fleet, index));
+        burst.run_ms(&mut fleet, *pause_ms);
+    }
+    burst
+}
+
+proptest! {
+    #![proptest_config(crate::cases(60))]
+    /// Guards against an endpoint in need that gets a limit's worth from each entry instead of from all.
+    #[test]
+    fn entries_together_keep_to_a_limit(
+        size in prop::sample::select(vec![(5, 3), (22, 3), (68, 5)]),
+        per_s in prop::sample::select(vec![0.5, 2.0, 2.5, 9.0, 60.0]),
+        troubles in troubles(),
+    ) {
+        let burst = play(size.0, size.1, per_s, &troubles);
+        prop_assert!(burst.most as f64 <= bound(per_s), "{} in a span", burst.most);
+    }
+}
+
+/// Guards against the same in the largest fleet, in which there are more entries than requests to share.
+#[test]
+fn the_largest_fleet_keeps_to_a_limit_while_entries_die() {
+    let troubles =
+        [(Trouble::Heal, 0.0, 6_000), (Trouble::Kill, 0.3, 3_000), (Trouble::Heal, 0.0, 8_000)];
+    let burst = play(340, 7, 2.0, &troubles);
+    assert!(burst.most as f64 <= bound(2.0), "{} in a span", burst.most);
+}
+
+/// Guards against a limit that is kept by sending nothing, and against one that never ends for entries that
+/// have no share of it.
+#[test]
+fn a_limit_is_used_in_calm_and_its_end_is_known_everywhere() {
+    for (entries, zones, used_s) in [(4, 3, 20), (22, 3, 20), (68, 5, 8), (340, 7, 4)] {
+        let mut fleet = Fleet::open(entries, zones, 0.02);
+        fleet.run_ms(4_000);
+        let mut burst = Burst::begin(&fleet, rate(2.2));
+        burst.run_ms(&mut fleet, 5_000);
+        let before = burst.total;
+        burst.run_ms(&mut fleet, used_s * 1_000);
+        let per_s = (burst.total - before) as f64 / used_s as f64;
+        println!("{entries} entries: {per_s} a second, {} in a span", burst.most);
+        assert!((1.8..=2.2).contains(&per_s), "{entries} entries: {per_s} a second");
+        burst.limit = None;
+        burst.run_ms(&mut fleet, 5_000);
+        let limited = fleet.nodes.iter().filter(|node| node.limits.of(key(0)).is_some()).count();
+        assert_eq!(limited, 0, "of {entries} entries");
+    }
+}
+
+/// Guards against an answer to an older request that ends a limit which the endpoint has just named.
+#[test]
+fn an_answer_that_was_overtaken_does_not_end_a_limit() {
+    let (endpoint, mut limits) = (EndpointKey::of("one"), Limits::default());
+    assert!(limits.answered(endpoint, Some(rate(2.0)), 900, 1_000, START_MS).is_some());
+    assert!(limits.answered(endpoint, None, 950, 1_050, START_MS).is_none());
+    assert_eq!(limits.of(endpoint), Some(rate(2.0)));
+    assert!(limits.answered(endpoint, None, 1_060, 1_100, START_MS).is_some());
+    assert_eq!(limits.of(endpoint), None);
+}
+
+/// Guards against peers that tell old news: a limit that has ended would return from them for ever.
+#[test]
+fn the_newest_change_of_a_limit_counts_whoever_tells_it() {
+    let (endpoint, mut limits) = (EndpointKey::of("one"), Limits::default());
+    let told = |stamp, rate| Told { endpoint, stamp, rate };
+    assert!(limits.adopt(told(50, Some(rate(2.0))), 1_000).is_some());
+    assert!(limits.adopt(told(60, None), 1_010).is_some());
+    assert!(limits.adopt(told(50, Some(rate(2.0))), 1_020).is_none());
+    assert_eq!(limits.of(endpoint), None);
+    assert!(limits.adopt(told(60, Some(rate(3.0))), 1_030).is_some(), "named at the same time");
+    assert_eq!(limits.of(endpoint), Some(rate(3.0)));
+}
+
+/// Guards against an entry that knows no other, and takes the whole limit for its own.
+#[test]
+fn an_entry_without_a_place_among_the_others_has_no_share() {
+    assert_eq!(limits::share(rate(50.0), None), 0);
+    let first = |entries| Some(Standing { rank: 0, entries });
+    assert_eq!(limits::share(rate(2.2), first(4)), 2);
+    assert_eq!(limits::share(rate(2.2), first(340)), 1);
+    assert_eq!(
+        limits::share(rate(0.0), first(1)),
+        1,
+        "only an answer tells that a limit has ended"
+    );
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod evacuations;
 mod fleet;
 mod gate;
+mod limits;
 mod outage;
 mod pulls;
 mod retries;
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -10,8 +10,9 @@
 use briarwinch::gateway::fleet::exchange::{Exchange, Facts, Outgoing, Own};
 use briarwinch::gateway::fleet::message::Message;
 use briarwinch::gateway::fleet::peers::Peers;
-use briarwinch::gateway::policy::{gate, homes, load};
+use briarwinch::gateway::policy::{gate, homes, limits, load};
 use briarwinch::gateway::settings;
+use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -32,6 +33,7 @@
     pub exchange: Exchange,
     pub book: load::Book,
     pub homes: homes::Homes,
+    pub limits: limits::Limits,
     pub tally: Tally,
     pub outbox: Outbox,
     pub settled: Settled,
@@ -139,6 +141,7 @@
             exchange: Exchange::new(own, Peers::new(&settings, now_ms), now_ms),
             book: load::Book::default(),
             homes: homes::Homes::default(),
+            limits: limits::Limits::default(),
             tally: Tally::default(),
             outbox: Outbox::new(boot, WINDOW_MS),
             settled: Settled::default(),
@@ -233,6 +236,11 @@
                 node.exchange.pass_on(placed.leg, &placed.parts);
                 placed.parts.into_iter().for_each(|one| node.homes.note(one, now_ms));
             }
+            Message::Limits(limits) => {
+                for told in limits {
+                    node.limits.adopt(told, now_ms);
+                }
+            }
             Message::Counts { from, counts } => {
                 node.tally.take(counts.boot, &counts.counts);
                 let receipt = node.settled.take(&counts, node.boot);
@@ -279,6 +287,70 @@
     }
 }
 
+/// Something that happens to some entries.
+#[derive(Clone, Copy, Debug)]
+pub enum Trouble {
+    /// Each of them is cut off from all others.
+    CutOff,
+    /// They hear only each other.
+    Split,
+    Freeze,
+    Kill,
+    Start,
+    /// All that are cut off or frozen are back; the dead start again.
+    Heal,
+}
+
+/// Some troubles, with the share of the entries that each hits and the time until the next.
+pub fn troubles() -> impl Strategy<Value = Vec<(Trouble, f64, u64)>> {
+    let trouble = prop_oneof![
+        Just(Trouble::CutOff),
+        Just(Trouble::Split),
+        Just(Trouble::Freeze),
+        Just(Trouble::Kill),
+        Just(Trouble::Start),
+        Just(Trouble::Heal),
+    ];
+    prop::collection::vec((trouble, 0.05_f64..1.0, 100_u64..4_000), 1..9)
+}
+
+impl Fleet {
+    /// Trouble hits a share of the entries; `dead` are those that were killed and not started again. Gives
+    /// those that start again now.
+    pub fn strike(
+        &mut self,
+        zones: usize,
+        dead: &mut Vec<usize>,
+        what: (Trouble, f64),
+    ) -> Vec<usize> {
+        let (trouble, share) = what;
+        for index in 0..self.nodes.len() {
+            let is_hit = self.random.random_bool(share);
+            match trouble {
+                Trouble::CutOff if is_hit => self.nodes[index].is_cut_off = true,
+                Trouble::Split if is_hit => self.nodes[index].island = 1,
+                Trouble::Freeze if is_hit => self.nodes[index].is_silent = true,
+                Trouble::Kill if is_hit => {
+                    self.nodes[index].is_silent = true;
+                    dead.push(index);
+                }
+                Trouble::Start if is_hit && self.nodes.len() < 400 => self.start(zones),
+                Trouble::Heal => {
+                    let node = &mut self.nodes[index];
+                    (node.is_cut_off, node.island, node.is_silent) = (false, 0, false);
+                }
+                _ => {}
+            }
+        }
+        if !matches!(trouble, Trouble::Heal) {
+            return Vec::new();
+        }
+        let restarted = std::mem::take(dead);
+        restarted.iter().for_each(|index| self.restart(*index));
+        restarted
+    }
+}
+
 pub fn facts(node: &Node, now_ms: u64) -> Facts {
     Facts {
         age_ms: now_ms - START_MS,
@@ -291,6 +363,7 @@
         lease: None,
         gate: gate::Gate::default().ages(now_ms),
         evacuations: node.evacuations.told(now_ms),
+        limits: node.limits.told(),
     }
 }
 
--- a/tests/gateway/warmup.rs
+++ b/tests/gateway/warmup.rs
@@ -5,10 +5,9 @@
 use briarwinch::gateway::directory::{Change, Directory, EndpointKey, Event};
 use briarwinch::gateway::policy::warmup::{self, Allowed, Sends, Warming};
 use proptest::prelude::*;
-use rand::Rng;
 
 use crate::directory::endpoint;
-use crate::virtual_fleet::{Fleet, TICK_MS, ZONES, key};
+use crate::virtual_fleet::{Fleet, TICK_MS, Trouble, ZONES, key, troubles};
 
 const PER_S: f64 = 6.7;
 const FACTOR: f64 = 1.5;
@@ -41,8 +40,7 @@
     }
 
     /// What the entry knew is lost with its process.
-    fn restart(&mut self, fleet: &mut Fleet, index: usize) {
-        fleet.restart(index);
+    fn forget(&mut self, index: usize) {
         self.sends[index] = Sends::default();
         self.warming[index] = Warming::default();
     }
@@ -93,64 +91,14 @@
     }
 }
 
-/// Something that happens to some entries.
-#[derive(Clone, Copy, Debug)]
-enum Trouble {
-    /// Each of them is cut off from all others.
-    CutOff,
-    /// They hear only each other.
-    Split,
-    Freeze,
-    Kill,
-    Start,
-    /// All that are cut off or frozen are back; the dead start again.
-    Heal,
-}
-
-fn troubles() -> impl Strategy<Value = Vec<(Trouble, f64, u64)>> {
-    let trouble = prop_oneof![
-        Just(Trouble::CutOff),
-        Just(Trouble::Split),
-        Just(Trouble::Freeze),
-        Just(Trouble::Kill),
-        Just(Trouble::Start),
-        Just(Trouble::Heal),
-    ];
-    prop::collection::vec((trouble, 0.05_f64..1.0, 100_u64..4_000), 1..9)
-}
-
-fn strike(fleet: &mut Fleet, burst: &mut Burst, dead: &mut Vec<usize>, what: (Trouble, f64)) {
-    let (trouble, share) = what;
-    for index in 0..fleet.nodes.len() {
-        let is_hit = fleet.random.random_bool(share);
-        match trouble {
-            Trouble::CutOff if is_hit => fleet.nodes[index].is_cut_off = true,
-            Trouble::Split if is_hit => fleet.nodes[index].island = 1,
-            Trouble::Freeze if is_hit => fleet.nodes[index].is_silent = true,
-            Trouble::Kill if is_hit => {
-                fleet.nodes[index].is_silent = true;
-                dead.push(index);
-            }
-            Trouble::Start if is_hit && fleet.nodes.len() < 400 => fleet.start(burst.zones),
-            Trouble::Heal => {
-                let node = &mut fleet.nodes[index];
-                (node.is_cut_off, node.island, node.is_silent) = (false, 0, false);
-            }
-            _ => {}
-        }
-    }
-    if matches!(trouble, Trouble::Heal) {
-        dead.drain(..).for_each(|index| burst.restart(fleet, index));
-    }
-}
-
 fn play(entries: usize, zones: usize, troubles: &[(Trouble, f64, u64)]) -> Burst {
     let mut fleet = Fleet::open(entries, zones, 0.02);
     fleet.run_ms(2_500);
     let mut burst = Burst::begin(&fleet, zones);
     let mut dead = Vec::new();
     for (trouble, share, pause_ms) in troubles {
-        strike(&mut fleet, &mut burst, &mut dead, (*trouble, *share));
+        let restarted = fleet.strike(zones, &mut dead, (*trouble, *share));
+        restarted.into_iter().for_each(|index| burst.forget(index));
         burst.run_ms(&mut fleet, *pause_ms);
     }
     burst
