What endpoints say of leaving in their answers is read, logged and counted

No decision uses it yet. The lines of the incident could not tell an engine that said nothing to these entries from one that nobody listened to. Now a line says which start of which endpoint said so, and whether the list knew; a gauge counts them.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 
 use super::directory::EndpointKey;
 use super::policy::{choose, health, load};
-use super::{Gateway, directory, http1, job, lines, pool, request};
+use super::{Gateway, departures, directory, http1, job, lines, pool, request};
 
 /// Answers to other requests that are skipped before the awaited one; endpoints have been seen to
 /// send one too many.
@@ -248,6 +248,9 @@
         if let Some(load) = facts.load {
             self.shared.book().take_report(endpoint.key, load.running + load.waiting, now_ms);
         }
+        if facts.is_leaving && self.shared.departures().note(departures::Departure::of(endpoint)) {
+            lines::endpoint_leaves(&self.log, endpoint, "answer");
+        }
         let unix_ms = self.shared.time.unix_ms();
         let mut limits = self.shared.limits();
         let change = limits.answered(endpoint.key, facts.limit, sent_ms, now_ms, unix_ms);
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -123,7 +123,8 @@
     control.shared.serving_others.store(peers.serving(now_ms), Ordering::Relaxed);
     let snapshot = control.shared.snapshot.load();
     let limited = control.shared.limits().count();
-    measures::known(&snapshot, limited, peers.live(now_ms), control.holds_duties.get());
+    let leaving = control.shared.departures().count();
+    measures::known(&snapshot, limited, leaving, peers.live(now_ms), control.holds_duties.get());
 }
 
 fn send_all<P>(control: &Control<P>, outgoing: Vec<Outgoing>) {
--- a/src/gateway/lines.rs
+++ b/src/gateway/lines.rs
@@ -9,7 +9,7 @@
 use super::job::Job;
 use super::policy::{choose, limits};
 use super::request::{Answer, Request};
-use super::{Gateway, measures};
+use super::{Gateway, directory, measures};
 use crate::error;
 
 /// What a request asked for, for the line that says why it was refused.
@@ -52,6 +52,17 @@
     }
 }
 
+/// An endpoint says itself that it leaves.
+pub(super) fn endpoint_leaves(
+    log: &slog::Logger,
+    endpoint: &directory::Endpoint,
+    source: &'static str,
+) {
+    slog::info!(log, "endpoint leaves"; "endpoint" => endpoint.id.as_str(),
+        "started" => endpoint.started_unix_ms, "listed_leaving" => endpoint.is_leaving,
+        "source" => source);
+}
+
 /// An endpoint has named a limit, another one, or none any more.
 pub(super) fn endpoint_limit(
     log: &slog::Logger,
--- a/src/gateway/measures.rs
+++ b/src/gateway/measures.rs
@@ -57,7 +57,13 @@
 }
 
 /// What the control thread knows.
-pub fn known(snapshot: &shared::Snapshot, limited: usize, peers: usize, holds_duties: bool) {
+pub fn known(
+    snapshot: &shared::Snapshot,
+    limited: usize,
+    leaving: usize,
+    peers: usize,
+    holds_duties: bool,
+) {
     let version = snapshot.table.as_ref().map_or(0, |table| table.version());
     metrics::gauge!("briarwinch_gateway_config_version").set(version as f64);
     metrics::gauge!("briarwinch_gateway_endpoints")
@@ -65,6 +71,7 @@
     metrics::gauge!("briarwinch_gateway_endpoints_cold")
         .set(snapshot.warming.endpoints.len() as f64);
     metrics::gauge!("briarwinch_gateway_endpoints_limited").set(limited as f64);
+    metrics::gauge!("briarwinch_gateway_endpoints_leaving").set(leaving as f64);
     metrics::gauge!("briarwinch_gateway_zones_evacuated")
         .set(snapshot.evacuations.zones().count() as f64);
     metrics::gauge!("briarwinch_gateway_peers").set(peers as f64);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod attempt;
 pub mod control;
+pub mod departures;
 pub mod directory;
 pub mod drain;
 pub mod duties;
@@ -101,5 +102,6 @@
         gateway.pauses.borrow_mut().retain(is_known);
         gateway.cold_sends.borrow_mut().sweep(now_ms);
         gateway.shared.limits().sweep(now_ms, is_known);
+        gateway.shared.departures().retain(is_known);
     }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -105,6 +105,8 @@
     /// It bears the endpoint's signature.
     pub is_signed: bool,
     pub load: Option<ReportedLoad>,
+    /// The endpoint leaves: it wants no further request.
+    pub is_leaving: bool,
     /// What the endpoint takes from all entries together, while it is limited.
     pub limit: Option<limits::Rate>,
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -10,7 +10,7 @@
 
 use super::duties::tally;
 use super::policy::{gate, homes, limits, load, reading, warmup};
-use super::{directory, drain, evacuation, route, settings};
+use super::{departures, directory, drain, evacuation, route, settings};
 use crate::clock;
 
 /// Configuration, endpoints and what may be sent to them at one moment.
@@ -83,6 +83,7 @@
     book: Mutex<load::Book>,
     turned_away: Mutex<load::TurnedAway>,
     limits: Mutex<limits::Limits>,
+    departures: Mutex<departures::Departures>,
     homes: Mutex<homes::Homes>,
     tally: Mutex<tally::Tally>,
     /// When sends began whose requests may still be counted, on the boot clock.
@@ -116,6 +117,7 @@
             book: Mutex::default(),
             turned_away: Mutex::default(),
             limits: Mutex::default(),
+            departures: Mutex::default(),
             homes: Mutex::default(),
             tally: Mutex::default(),
             uncounted: Mutex::default(),
@@ -138,6 +140,11 @@
         lock(&self.limits)
     }
 
+    /// Endpoints that leave, as they say themselves.
+    pub fn departures(&self) -> MutexGuard<'_, departures::Departures> {
+        lock(&self.departures)
+    }
+
     /// Where prompt parts are.
     pub fn homes(&self) -> MutexGuard<'_, homes::Homes> {
         lock(&self.homes)
