--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -83,7 +83,7 @@
     /// No connection: the endpoint has not seen it.
     NotSent(http1::Error),
     /// The endpoint states that it did not run it. With the time to wait, if it told one.
-    NotRun { status: u16 },
+    NotRun { status: u16, retry_after_ms: Option<u32> },
     /// Another endpoint has the address now.
     WrongEndpoint,
     /// The endpoint takes nothing more since it was chosen; nothing was sent.
@@ -161,9 +161,12 @@
                 }
                 self.heard(&endpoint, &facts, now_ms);
                 if facts.not_run {
-                    let status = head.status;
+                    let failure = Failure::NotRun {
+                        status: head.status,
+                        retry_after_ms: facts.retry_after_ms,
+                    };
                     self.keep_when_read(&endpoint, connection).await;
-                    return Err(Failure::NotRun { status });
+                    return Err(failure);
                 }
                 Ok(Running { endpoint, connection, head, facts, ticket, sent_ms: now_ms })
             }
--- a/src/gateway/lines.rs
+++ b/src/gateway/lines.rs
@@ -131,14 +131,19 @@
     pub(super) fn log_failure(&self, job: &Job, choice: &choose::Choice<'_>, failure: &Failure) {
         let (what, detail) = match failure {
             Failure::NotSent(error) => ("not_sent", error.to_string()),
-            Failure::NotRun { status } => ("not_run", status.to_string()),
+            Failure::NotRun { status, .. } => ("not_run", status.to_string()),
             Failure::WrongEndpoint => ("wrong_endpoint", String::new()),
             Failure::Closed => ("closed", String::new()),
             Failure::Unknown(error) => ("unknown", error.to_string()),
         };
+        let retry_after_ms = match failure {
+            Failure::NotRun { retry_after_ms, .. } => *retry_after_ms,
+            _ => None,
+        };
         measures::sent(&job.service().name, what);
         slog::info!(self.log, "send failed"; "request" => job.request.id.as_str(),
             "endpoint" => choice.endpoint.id.as_str(), "outcome" => what, "detail" => detail,
+            "retry_after_ms" => retry_after_ms,
             "attempt" => job.attempts, "waited_ms" => self.now_ms() - job.arrived_ms);
     }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -105,6 +105,8 @@
     /// It bears the endpoint's signature.
     pub is_signed: bool,
     pub load: Option<ReportedLoad>,
+    /// For how long the endpoint, which has turned the request away, wants no other one from this entry.
+    pub retry_after_ms: Option<u32>,
     /// The endpoint leaves: it wants no further request.
     pub is_leaving: bool,
     /// What the endpoint takes from all entries together, while it is limited.
