An endpoint that turns a request away and says for how long is left alone

Cause: of the answer to a request that did not run only its status was read, the same class of fault as with limits and departures. Where all endpoints of a service are left alone, the caller's Retry-After counts from when the first of them takes requests again."

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -249,6 +249,9 @@
         if let Some(load) = facts.load {
             self.shared.book().take_report(endpoint.key, load.running + load.waiting, now_ms);
         }
+        if let Some(wait_ms) = facts.retry_after_ms {
+            self.backoff.borrow_mut().ask(endpoint, wait_ms, now_ms);
+        }
         let departure = departures::Departure::of(endpoint);
         if facts.is_leaving && self.shared.departures().note(departure, now_ms) {
             lines::endpoint_leaves(&self.log, endpoint, "answer");
--- a/src/gateway/eligibility.rs
+++ b/src/gateway/eligibility.rs
@@ -3,8 +3,8 @@
 use std::cell::Ref;
 use std::sync::MutexGuard;
 
-use super::policy::{limits, warmup};
-use super::{Gateway, departures, directory, shared};
+use super::policy::{backoff, limits, warmup};
+use super::{Gateway, departures, directory, job, shared};
 
 /// What forbids sends to endpoints, as of one moment.
 pub(super) struct Eligibility<'a> {
@@ -12,6 +12,7 @@
     cold_sends: Ref<'a, warmup::Sends>,
     limits: MutexGuard<'a, limits::Limits>,
     departures: MutexGuard<'a, departures::Departures>,
+    backoff: Ref<'a, backoff::Backoff>,
     now_ms: u64,
 }
 
@@ -21,6 +22,7 @@
         self.cold_sends.has_room(key, &self.snapshot.warming, self.now_ms)
             && self.limits.has_room(key, self.now_ms)
             && !self.departures.has(endpoint)
+            && self.backoff.left_ms(endpoint, self.now_ms) == 0
     }
 }
 
@@ -35,7 +37,17 @@
             cold_sends: self.cold_sends.borrow(),
             limits: self.shared.limits(),
             departures: self.shared.departures(),
+            backoff: self.backoff.borrow(),
             now_ms,
         }
     }
+
+    /// How long all endpoints of a request's service are still left alone, as they have asked.
+    pub(super) fn backoff_ms(&self, job: &job::Job) -> u64 {
+        let now_ms = self.now_ms();
+        let snapshot = self.shared.snapshot.load();
+        let backoff = self.backoff.borrow();
+        let endpoints = snapshot.taking(&job.service().name, job.moving_key(), now_ms);
+        endpoints.map(|endpoint| backoff.left_ms(endpoint, now_ms)).min().unwrap_or(0)
+    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,7 +38,7 @@
 
 use tokio::{task, time};
 
-use self::policy::{budget, health, pauses, warmup};
+use self::policy::{backoff, budget, health, pauses, warmup};
 use crate::clock;
 
 /// How often idle connections and old knowledge are looked over.
@@ -54,6 +54,7 @@
     pauses: RefCell<pauses::Pauses>,
     budgets: RefCell<budget::Budgets>,
     cold_sends: RefCell<warmup::Sends>,
+    backoff: RefCell<backoff::Backoff>,
     log: slog::Logger,
 }
 
@@ -73,6 +74,7 @@
             health: RefCell::default(),
             pauses: RefCell::default(),
             cold_sends: RefCell::default(),
+            backoff: RefCell::default(),
             log,
         });
         task::spawn_local(sweep(Rc::clone(&gateway)));
@@ -102,6 +104,7 @@
         gateway.health.borrow_mut().retain(is_known);
         gateway.pauses.borrow_mut().retain(is_known);
         gateway.cold_sends.borrow_mut().sweep(now_ms);
+        gateway.backoff.borrow_mut().sweep(now_ms);
         gateway.shared.limits().sweep(now_ms, is_known);
         gateway.shared.departures().sweep(now_ms);
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -360,6 +360,8 @@
             error::Kind::TooLate => kind,
             _ => error::Kind::NoEndpoint,
         };
-        error::Refusal::not_run(kind).retry_after_ms(wait_ms as u32)
+        // Before an endpoint takes requests again the caller would come back in vain.
+        let wait_ms = wait_ms as u64 + self.backoff_ms(job);
+        error::Refusal::not_run(kind).retry_after_ms(u32::try_from(wait_ms).unwrap_or(u32::MAX))
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Entries that forward straight to endpoints: their decisions and connections, without a platform.
 
+mod backoff;
 mod billing;
 mod choice;
 mod connections;
