--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -2,6 +2,8 @@
 //! entries, contends for the duties, and hands snapshots to the traffic thread. Nothing on a
 //! request's path waits for it.
 
+mod restrictions;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -16,8 +18,8 @@
 
 use super::duties::{billing, delivery, duty, scaling, tally};
 use super::fleet::{datagrams, exchange, members, peers, pulls, recall};
-use super::policy::{budget, limits, warmup};
-use super::{departures, directory, evacuation, lines, request, route, shared, watch};
+use super::policy::budget;
+use super::{directory, evacuation, request, route, shared, watch};
 use crate::{bound, clock, lease, seal, store};
 
 /// What is followed in the store.
@@ -316,35 +318,6 @@
         }
     }
 
-    /// Runs a change on the evacuated zones and publishes the outcome if it brought anything new.
-    pub(super) fn change_evacuations(
-        &self,
-        source: &'static str,
-        change: impl FnOnce(&mut evacuation::Evacuations) -> bool,
-    ) {
-        let before = self.evacuations.borrow().clone();
-        if !change(&mut self.evacuations.borrow_mut()) {
-            return;
-        }
-        self.log_evacuations(&before, source);
-        self.publish();
-        // The other entries send there until they know.
-        self.shared.news.notify_one();
-    }
-
-    fn log_evacuations(&self, before: &evacuation::Evacuations, source: &'static str) {
-        let now = self.evacuations.borrow();
-        for zone in now.zones().filter(|zone| !before.has(zone)) {
-            slog::info!(self.log, "zone evacuated"; "zone" => zone.as_str(),
-                "revision" => now.revision(), "source" => source);
-        }
-        for zone in before.zones().filter(|zone| !now.has(zone)) {
-            self.taken_back.borrow_mut().insert(zone.clone(), self.now_ms());
-            slog::info!(self.log, "zone taken back"; "zone" => zone.as_str(),
-                "revision" => now.revision(), "source" => source);
-        }
-    }
-
     fn log_directory(&self, before: &directory::Directory, source: &'static str) {
         let directory = self.directory.borrow();
         for endpoint in directory.endpoints() {
@@ -390,88 +363,6 @@
         }
     }
 
-    /// Publishes anew if other endpoints are cold now, or others are this entry's to keep.
-    pub(super) fn update_warming(&self) {
-        let now_ms = self.now_ms();
-        self.taken_back.borrow_mut().retain(|_, at_ms| now_ms < *at_ms + warmup::TAKEN_BACK_MS);
-        let known = self.shared.snapshot.load();
-        let warming = self.warming(known.table.as_deref(), &self.directory.borrow(), now_ms);
-        if warming != known.warming {
-            self.publish();
-        }
-    }
-
-    /// Takes what a peer tells of the limits that endpoints have named.
-    pub(super) fn take_limits(&self, told: &[limits::Told], now_ms: u64) {
-        let directory = self.directory.borrow();
-        let mut limits = self.shared.limits();
-        for one in told {
-            let change = limits.adopt(*one, now_ms);
-            if let (Some(change), Some(endpoint)) = (change, directory.find(one.endpoint)) {
-                lines::endpoint_limit(&self.log, &endpoint.id, change, "peer");
-            }
-        }
-    }
-
-    /// Takes what a peer tells of endpoints that have said that they leave.
-    pub(super) fn take_departures(&self, told: &[departures::Departure], now_ms: u64) {
-        let directory = self.directory.borrow();
-        let mut departures = self.shared.departures();
-        for departure in told {
-            let is_new = departures.note(*departure, now_ms);
-            if let Some(endpoint) = directory.find(departure.endpoint).filter(|_| is_new) {
-                lines::endpoint_leaves(&self.log, endpoint, "peer");
-            }
-        }
-    }
-
-    /// Deals this entry's shares of the limits that endpoints have named.
-    pub(super) fn share_limits(&self) {
-        let exchange = self.exchange.borrow();
-        let directory = self.directory.borrow();
-        self.shared.limits().set_shares(self.now_ms(), |key, rate| {
-            let endpoint = directory.find(key);
-            let standing = endpoint.and_then(|one| exchange.standing(key, &one.zone));
-            limits::share(rate, standing)
-        });
-    }
-
-    /// The endpoints that are cold or may be, with what this entry may send to each.
-    fn warming(
-        &self,
-        table: Option<&route::Table>,
-        directory: &directory::Directory,
-        now_ms: u64,
-    ) -> warmup::Warming {
-        let mut warming = warmup::Warming::default();
-        let (Some(table), Some(rate)) = (table, self.shared.settings.cold_rate) else {
-            return warming;
-        };
-        let taken_back = self.taken_back.borrow();
-        // This runs at each tick, and mostly no endpoint is cold.
-        if taken_back.is_empty() && !directory.has_cold(now_ms) {
-            return warming;
-        }
-        let exchange = self.exchange.borrow();
-        for service in table.services() {
-            let Some(warm_up) = service.warm_up else { continue };
-            let most_per_s = warmup::most_per_s(warm_up.per_s, rate.factor, rate.extra);
-            for endpoint in directory.taking(&service.name) {
-                let back_ms =
-                    taken_back.get(&endpoint.zone).map(|at_ms| at_ms + warmup::TAKEN_BACK_MS);
-                let Some(until_ms) = directory.cold_until_ms(endpoint.key, now_ms).max(back_ms)
-                else {
-                    continue;
-                };
-                let keeps = exchange.keeps(endpoint.key, &endpoint.zone);
-                let allowed =
-                    warmup::Allowed { until_ms, most_per_s: if keeps { most_per_s } else { 0 } };
-                warming.endpoints.insert(endpoint.key, allowed);
-            }
-        }
-        warming
-    }
-
     /// What this start of the entry has counted.
     pub(super) fn counts(&self) -> tally::Counts {
         self.shared.tally().newest_of(self.shared.boot, tally::KEPT_WINDOWS as usize)
