A fleet on the virtual clock plays the same each time

A property of cold endpoints failed once and could not be played again: who tells whom was drawn from the process's own randomness, and maps were walked in an order that differs from run to run. The same schedule gave 7 or 14 requests in a second. In service entries still draw different lots, since addresses and starts differ."

--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -5,11 +5,14 @@
 
 pub mod roster;
 
+use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use xxhash_rust::xxh3;
 
@@ -96,10 +99,10 @@
     strength: u16,
     started_ms: u64,
     seeds: Vec<SocketAddr>,
-    heard: HashMap<SocketAddr, Known>,
+    heard: BTreeMap<SocketAddr, Known>,
     by_tag: HashMap<u32, SocketAddr>,
     /// Told of by others, not heard themselves.
-    named: HashSet<SocketAddr>,
+    named: BTreeSet<SocketAddr>,
     is_pulling: bool,
     /// By how far older peers' time of day lies beyond this one's.
     pub(in crate::gateway) beyond_ms: HashMap<SocketAddr, i64>,
@@ -107,6 +110,8 @@
     is_stopping: bool,
     /// Rosters told so far, for the turn in which each peer is told in full.
     turn: usize,
+    /// Lots drawn so far.
+    lots: Cell<u64>,
 }
 
 impl Peers {
@@ -122,13 +127,14 @@
             strength: settings.strength(),
             started_ms: now_ms,
             seeds: seeds.filter(|addr| *addr != own).collect(),
-            heard: HashMap::new(),
+            heard: BTreeMap::new(),
             by_tag: HashMap::new(),
-            named: HashSet::new(),
+            named: BTreeSet::new(),
             is_pulling: false,
             beyond_ms: HashMap::new(),
             is_stopping: false,
             turn: 0,
+            lots: Cell::new(0),
         }
     }
 
@@ -323,15 +329,24 @@
 
     /// The other zones in which peers live.
     #[must_use]
-    pub fn other_zones(&self, now_ms: u64) -> HashSet<CompactString> {
+    pub fn other_zones(&self, now_ms: u64) -> BTreeSet<CompactString> {
         let zones = self.live_peers(now_ms).map(|(_, peer)| &peer.zone);
         zones.filter(|zone| **zone != self.zone).cloned().collect()
     }
 
+    /// A source of lots, other ones for each entry, start and draw. The same fleet on a virtual clock draws
+    /// the same, so that what went wrong once can be played again.
+    fn draw(&self) -> StdRng {
+        let lots = self.lots.get();
+        self.lots.set(lots + 1);
+        let text = format!("{} {} {lots}", self.own, self.started_ms);
+        StdRng::seed_from_u64(xxh3::xxh3_64(text.as_bytes()))
+    }
+
     /// Entries by lot, for one that has no aggregator to pass on what it has to tell.
     #[must_use]
     pub fn by_lot(&self) -> Vec<SocketAddr> {
-        self.heard.keys().copied().choose_multiple(&mut rand::rng(), FAN_OUT)
+        self.heard.keys().copied().choose_multiple(&mut self.draw(), FAN_OUT)
     }
 
     /// Whom an entry tells of itself that has no aggregator: its seeds, and by lot those that it was told
@@ -342,13 +357,13 @@
         const SOME: usize = 16;
         /// Of all others.
         const FEW: usize = 4;
-        let mut random = rand::rng();
+        let mut random = self.draw();
         let own_zone = self.heard.iter().filter(|(_, known)| known.peer.zone == self.zone);
         let own_zone = own_zone.map(|(addr, _)| addr).choose_multiple(&mut random, SOME);
         let named = self.named.iter().choose_multiple(&mut random, SOME);
         let others = self.heard.keys().choose_multiple(&mut random, FEW);
         let all = self.seeds.iter().chain(own_zone).chain(named).chain(others);
-        let all: HashSet<SocketAddr> = all.copied().collect();
+        let all: BTreeSet<SocketAddr> = all.copied().collect();
         all.into_iter().collect()
     }
 
@@ -361,7 +376,7 @@
             self.heard.get(addr).is_some_and(|known| known.peer.is_live(now_ms))
         };
         let former = self.heard.keys().copied().filter(|addr| !is_live(addr));
-        let mut silent = former.choose_multiple(&mut rand::rng(), FEW);
+        let mut silent = former.choose_multiple(&mut self.draw(), FEW);
         silent.extend(self.seeds.iter().copied().filter(|addr| !is_live(addr)));
         silent
     }
--- a/src/gateway/fleet/peers/roster.rs
+++ b/src/gateway/fleet/peers/roster.rs
@@ -1,7 +1,7 @@
 //! What entries tell each other of who lives: lines of peers that are new or have changed, tags of others,
 //! and one combined tag for a zone in which all are well.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
@@ -121,7 +121,7 @@
         /// So many rosters tell once of each peer that is well by its tag.
         const TAG_TURNS: usize = 4;
         let turn = self.turn;
-        let mut zones: HashMap<&CompactString, Whole> = HashMap::new();
+        let mut zones: BTreeMap<&CompactString, Whole> = BTreeMap::new();
         let own = Whole { zone: self.zone.clone(), tags: self.own_tag, age: 0 };
         zones.insert(&self.zone, own);
         for (_, known) in self.live_of(scope, now_ms) {
