Limits are told as news and then in turns

With all engines of a zone under a limit each entry would have been told of every one of them five times a second: 600 limited endpoints are 11 KB a message round. Now a change is told for two seconds, and after that all that is known once in sixteen rounds (at most an eighth of 600 at a time, test). What an answer says is taken in one match in place of four conditions; no behaviour changed by that."

--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -68,6 +68,10 @@
     let own = control.own_lease.get();
     let told = control.passed_lease.get().filter(|(_, at_ms)| now_ms < at_ms + LEASE_TOLD_MS);
     let newest = [own, told].into_iter().flatten().max_by_key(|(told, _)| told.version);
+    let (limits, limits_stamp) = {
+        let limits = control.shared.limits();
+        (limits.told(now_ms), limits.newest_stamp())
+    };
     Facts {
         age_ms: control.shared.time.age_ms(),
         unix_ms: control.shared.time.unix_ms(),
@@ -79,7 +83,8 @@
         lease: newest.map(|(told, at_ms)| told.after(now_ms - at_ms)),
         gate: control.shared.gate.ages(now_ms),
         evacuations: control.evacuations.borrow().told(now_ms),
-        limits: control.shared.limits().told(),
+        limits,
+        limits_stamp,
         departures: control.shared.departures().told(now_ms),
     }
 }
--- a/src/gateway/fleet/exchange.rs
+++ b/src/gateway/fleet/exchange.rs
@@ -48,6 +48,8 @@
     pub gate: gate::Ages,
     pub evacuations: evacuation::Told,
     pub limits: Vec<limits::Told>,
+    /// The newest change of an endpoint's limit.
+    pub limits_stamp: u64,
     pub departures: Vec<departures::Departure>,
 }
 
@@ -57,20 +59,22 @@
         let lease = self.lease.map(|told| (told.version, told.is_over));
         let is_acting = role == Role::Aggregator;
         let flags = [self.has_store, self.holds_duties, self.is_stopping, is_acting];
-        let versions = [self.config_version, self.directory_revision, self.evacuations.revision];
-        let limits = self.limits.iter().map(|told| told.stamp).max();
+        let versions = [
+            self.config_version,
+            self.directory_revision,
+            self.evacuations.revision,
+            self.limits_stamp,
+        ];
         let departures = self.departures.len();
-        Urgent { versions, flags, lease, limits, departures }
+        Urgent { versions, flags, lease, departures }
     }
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Urgent {
-    versions: [u64; 3],
+    versions: [u64; 4],
     flags: [bool; 4],
     lease: Option<(u64, bool)>,
-    /// The newest change of an endpoint's limit.
-    limits: Option<u64>,
     /// Endpoints that have said lately that they leave.
     departures: usize,
 }
--- a/src/gateway/policy/limits.rs
+++ b/src/gateway/policy/limits.rs
@@ -23,6 +23,11 @@
 
 /// The time for which a limit is shared out.
 pub const WINDOW_MS: u64 = 4_000;
+/// What has changed within this is told each time, the rest in turns: a zone's engines may all name limits.
+const NEWS_MS: u64 = 2_000;
+/// Turns in which all that is known is told once, and the length of one.
+const TURNS: u8 = 16;
+const TURN_MS: u64 = 200;
 /// How long the end of a limit is told: entries that were cut off, or have lost datagrams, still hear of it.
 const END_TOLD_MS: u64 = 10_000;
 
@@ -74,6 +79,7 @@
     rate: Option<Rate>,
     /// When the endpoint last named it or a peer told of it; since when it has ended.
     known_ms: u64,
+    changed_ms: u64,
     /// Requests in a window.
     share: u32,
     /// The last send, or when the share was given.
@@ -106,21 +112,15 @@
         now_ms: u64,
         unix_ms: u64,
     ) -> Option<Change> {
-        if named.is_none() && !self.known.contains_key(&endpoint) {
-            return None;
-        }
-        let known = self.known.get_mut(&endpoint);
-        let is_overtaken = known.as_ref().is_some_and(|known| sent_ms < known.known_ms);
-        if named.is_none() && is_overtaken {
-            return None;
-        }
-        if let Some(known) = known.filter(|known| known.rate == named) {
-            if named.is_some() {
+        let before = match (named, self.known.get_mut(&endpoint)) {
+            (None, None) => return None,
+            (None, Some(known)) if known.rate.is_none() || sent_ms < known.known_ms => return None,
+            (Some(rate), Some(known)) if known.rate == Some(rate) => {
                 known.known_ms = now_ms;
+                return None;
             }
-            return None;
-        }
-        let before = self.known.get(&endpoint).map_or(0, |known| known.stamp);
+            (_, known) => known.map_or(0, |known| known.stamp),
+        };
         let stamp = unix_ms.max(before + 1);
         self.set(Told { endpoint, stamp, rate: named }, now_ms)
     }
@@ -141,6 +141,7 @@
             stamp: told.stamp,
             rate: told.rate,
             known_ms: now_ms,
+            changed_ms: now_ms,
             share: before.map_or(0, |known| known.share),
             used_ms: before.map_or(now_ms, |known| known.used_ms),
         };
@@ -188,19 +189,29 @@
         self.known.values().filter(|known| known.rate.is_some()).count()
     }
 
-    /// What the other entries are told, the newest first.
+    /// What the other entries are told now: the news, and a part of all else.
     #[must_use]
-    pub fn told(&self) -> Vec<Told> {
+    pub fn told(&self, now_ms: u64) -> Vec<Told> {
+        let turn = (now_ms / TURN_MS % u64::from(TURNS)) as u8;
+        let is_told = |(endpoint, known): &(&EndpointKey, &Known)| {
+            now_ms < known.changed_ms + NEWS_MS || endpoint.part_of(TURNS) == turn
+        };
         let told = |(endpoint, known): (&EndpointKey, &Known)| Told {
             endpoint: *endpoint,
             stamp: known.stamp,
             rate: known.rate,
         };
-        let mut all: Vec<Told> = self.known.iter().map(told).collect();
-        all.sort_unstable_by_key(|told| (std::cmp::Reverse(told.stamp), told.endpoint));
+        let mut all: Vec<Told> = self.known.iter().filter(is_told).map(told).collect();
+        all.sort_unstable_by_key(|told| told.endpoint);
         all
     }
 
+    /// Stamp of the newest change; zero: none is known.
+    #[must_use]
+    pub fn newest_stamp(&self) -> u64 {
+        self.known.values().map(|known| known.stamp).max().unwrap_or(0)
+    }
+
     /// Forgets endpoints that are gone, and ends that were told for long enough.
     pub fn sweep(&mut self, now_ms: u64, is_known: impl Fn(EndpointKey) -> bool) {
         self.known.retain(|endpoint, known| {
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -1,7 +1,7 @@
 //! Endpoints that name how many requests a second they take: whatever entries know of each other, together
 //! they keep to it, and they notice its end.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 
 use briarwinch::gateway::directory::EndpointKey;
 use briarwinch::gateway::policy::limits::{self, Limits, Rate, Told};
@@ -215,6 +215,23 @@
     assert_eq!(limits.of(endpoint), Some(rate(3.0)));
 }
 
+/// Guards against datagrams that grow with the endpoints that are limited: each entry would be told of all of
+/// them five times a second.
+#[test]
+fn what_is_known_of_many_limits_is_told_in_turns() {
+    const ENDPOINTS: usize = 600;
+    let mut limits = Limits::default();
+    for index in 0..ENDPOINTS {
+        limits.answered(key(index), Some(rate(2.0)), 900, 1_000, START_MS);
+    }
+    assert_eq!(limits.told(1_100).len(), ENDPOINTS, "news");
+    let told: Vec<Vec<Told>> = (0..16).map(|turn| limits.told(10_000 + turn * 200)).collect();
+    let most = told.iter().map(Vec::len).max().unwrap_or(0);
+    assert!(most <= ENDPOINTS / 8, "{most} at once");
+    let all: HashSet<EndpointKey> = told.iter().flatten().map(|told| told.endpoint).collect();
+    assert_eq!(all.len(), ENDPOINTS);
+}
+
 /// Guards against an entry that knows no other, and takes the whole limit for its own.
 #[test]
 fn an_entry_without_a_place_among_the_others_has_no_share() {
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -370,7 +370,8 @@
         lease: None,
         gate: gate::Gate::default().ages(now_ms),
         evacuations: node.evacuations.told(now_ms),
-        limits: node.limits.told(),
+        limits: node.limits.told(now_ms),
+        limits_stamp: node.limits.newest_stamp(),
         departures: node.departures.told(now_ms),
     }
 }
