--- a/tests/gateway/warmup.rs
+++ b/tests/gateway/warmup.rs
@@ -188,3 +188,21 @@
     assert!(!sends.has_room(endpoint, &warming, 10_900));
     assert!(sends.has_room(endpoint, &warming, 12_000), "it said nothing of being cold");
 }
+
+/// Guards against keepers that add up while islands of entries form, freeze and come together again: a cold
+/// endpoint got 21 requests in a second.
+#[test]
+fn islands_that_come_together_again_keep_the_bound_of_cold_endpoints() {
+    let troubles = [
+        (Trouble::Split, 0.2138499146224673, 2_079),
+        (Trouble::Start, 0.13758011075345475, 1_833),
+        (Trouble::Freeze, 0.10105701120893512, 1_414),
+        (Trouble::Start, 0.8087050535340033, 3_132),
+        (Trouble::Heal, 0.8569412977169616, 435),
+        (Trouble::Split, 0.9446694854177541, 2_467),
+        (Trouble::Freeze, 0.17724805226470408, 1_407),
+        (Trouble::Heal, 0.9724002694868057, 2_731),
+    ];
+    let burst = play(22, 3, &troubles);
+    assert!(burst.most as f64 <= BOUND, "{} in a second", burst.most);
+}
