--- a/src/gateway/control/restrictions.rs
+++ b/src/gateway/control/restrictions.rs
@@ -82,7 +82,7 @@
     }
 
     /// The endpoints that are cold or may be, with what this entry may send to each.
-    pub(in crate::gateway) fn warming(
+    pub(super) fn warming(
         &self,
         table: Option<&route::Table>,
         directory: &directory::Directory,
--- a/tests/gateway/warmup.rs
+++ b/tests/gateway/warmup.rs
@@ -189,8 +189,7 @@
     assert!(sends.has_room(endpoint, &warming, 12_000), "it said nothing of being cold");
 }
 
-/// Guards against keepers that add up while islands of entries form, freeze and come together again: a cold
-/// endpoint got 21 requests in a second.
+/// Guards against keepers that add up while islands of entries form, freeze and come together again.
 #[test]
 fn islands_that_come_together_again_keep_the_bound_of_cold_endpoints() {
     let troubles = [
