Streams whose endpoint failed before their first event are not billed

What accounts saw: they paid for requests that never began. Cause: a send whose outcome is unknown was counted as begun for every kind of request. A stream begins with its first event; where the connection broke before that, nothing had begun, and a later try counted itself. Evidence: streams_that_never_began_are_not_billed reported 12 requests for none on the code before, and passes now. Streams that begin at their second endpoint, and calls whose answer is lost (which may have run), were billed once before and are now; both have tests of their own. Ruled out: entries that are cut off or killed. Their counts were not missing; the report was too high.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -223,7 +223,10 @@
                 Failure::NotRun { .. } => job.uncounted = None,
                 Failure::Unknown(_) => {
                     job.may_have_run = true;
-                    self.count(job, now_ms);
+                    // A stream begins with its first event, and none came.
+                    if !job.kind.is_stream() {
+                        self.count(job, now_ms);
+                    }
                     let took_ms = self.now_ms() - now_ms;
                     self.health.borrow_mut().ended(choice.endpoint.key, false, took_ms, now_ms);
                     if !job.kind.is_repeatable() {
