apply and keys end once several daemons hold the change

Cause: the tool ended when the store had written the text, while one process alone may have had it. The same held for granted and withdrawn keys. Evidence: applied_change_outlasts_the_store_and_its_first_reader brings the moment about (one reader, the others frozen). If they don't, the tool says so and ends with exit code 6.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -19,7 +19,8 @@
 /// Drives the fleet: the operators' text, keys, status.
 ///
 /// Exit codes: 0 done; 1 it failed; 2 the command line is wrong; 3 the text has a mistake;
-/// 4 somebody else changed it first; 5 the platform or a daemon does not answer.
+/// 4 somebody else changed it first; 5 the platform or a daemon does not answer; 6 the platform has
+/// accepted a change, and too few daemons are known to hold it.
 #[derive(Debug, Parser)]
 #[command(name = "briarwinch", version)]
 pub struct Operator {
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,5 +1,6 @@
 //! The operator's commands: check, diff, apply, keys, status, explain, story, duties, claims.
 
+mod confirm;
 mod resolve;
 mod tables;
 
@@ -23,6 +24,10 @@
     #[from(ignore)]
     #[display("{_0}")]
     NoAnswer(String),
+    /// The store has accepted a change, and too few daemons are known to hold it.
+    #[from(ignore)]
+    #[display("{_0}")]
+    Unconfirmed(String),
     #[display("{_0:#}")]
     Other(anyhow::Error),
 }
@@ -36,6 +41,7 @@
             Self::Mistake(_) => 3,
             Self::Raced(_) => 4,
             Self::NoAnswer(_) => 5,
+            Self::Unconfirmed(_) => 6,
         }
     }
 }
@@ -182,6 +188,7 @@
         }
         Err(failure) => return Err(failure.into()),
     };
+    confirm::wait_until_held(line, confirm::Change::Config(applied)).await?;
     let result = Applied { version: applied };
     Ok(print(line.output, &result, || format!("in force as version {applied}")))
 }
@@ -207,14 +214,20 @@
     let platform = open(line).await?;
     let object_key = format!("{}{}", store::KEYS_PREFIX, made.record.id);
     let value = serde_json::to_string(&made.record).map_err(anyhow::Error::from)?;
-    if let Err(failure) = platform.put(&object_key, value.clone(), Condition::Absent).await {
-        let stands = platform.get(&object_key).await?;
-        if stands.is_none_or(|object| object.value != value) {
-            return Err(failure.into());
-        }
-    }
+    let revision = match platform.put(&object_key, value.clone(), Condition::Absent).await {
+        Ok(revision) => revision,
+        // The answer may have been lost.
+        Err(failure) => match platform.get(&object_key).await? {
+            Some(object) if object.value == value => object.version,
+            _ => return Err(failure.into()),
+        },
+    };
     let granted =
         Granted { id: made.record.id.to_string(), account: account.to_owned(), key: made.text };
+    confirm::wait_until_held(line, confirm::Change::Keys(revision)).await.map_err(|problem| {
+        // The key is shown only once.
+        Problem::Unconfirmed(format!("{}\n{problem}", granted.key))
+    })?;
     Ok(print(line.output, &granted, || granted.key.clone()))
 }
 
@@ -228,16 +241,18 @@
             .ok_or_else(|| Problem::Other(anyhow::anyhow!("no key has the id {id}")))?;
         let mut record: keys::Record =
             serde_json::from_str(&object.value).map_err(anyhow::Error::from)?;
+        let mut revision = object.version;
         if !record.withdrawn {
             record.withdrawn = true;
             let value = serde_json::to_string(&record).map_err(anyhow::Error::from)?;
             match platform.put(&object_key, value, Condition::Version(object.version)).await {
-                Ok(_) => {}
+                Ok(written) => revision = written,
                 // Read again: it may be withdrawn by now, by this write or by another operator.
                 Err(Failure::Conflict | Failure::NoAnswer) => continue,
                 Err(failure) => return Err(failure.into()),
             }
         }
+        confirm::wait_until_held(line, confirm::Change::Keys(revision)).await?;
         let account = record.account.clone();
         return Ok(print(line.output, &record.id, || format!("withdrawn: {id} of {account}")));
     }
--- a/tests/processes/configuration.rs
+++ b/tests/processes/configuration.rs
@@ -1,6 +1,9 @@
 //! An accepted configuration is in force everywhere and never reverts.
 
+use std::time::Duration;
+
 use briarwinch::membership;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
 use crate::caller;
@@ -16,6 +19,12 @@
     config
 }
 
+/// Kills a daemon.
+fn remove(fleet: &mut Fleet, id: &str) {
+    fleet.entries.retain(|daemon| daemon.id != id);
+    fleet.sides.retain(|daemon| daemon.id != id);
+}
+
 fn all(fleet: &Fleet) -> impl Iterator<Item = &Daemon> {
     fleet.entries.iter().chain(&fleet.sides)
 }
@@ -42,6 +51,36 @@
     });
 }
 
+/// Guards against a change that the operator was told is in force, and that is lost with the only daemon that
+/// had read it when the store goes down.
+#[test]
+fn applied_change_outlasts_the_store_and_its_first_reader() {
+    const FROZEN: Duration = Duration::from_secs(2);
+    let mut fleet = Fleet::start(Shape { entries: 3, ..Shape::default() });
+    let before = version(&fleet.entries[0]);
+    let mut ids: Vec<String> = all(&fleet).map(|daemon| daemon.id.clone()).collect();
+    ids.sort_by_key(|id| std::cmp::Reverse(membership::reader_weight(id)));
+    let (reader, other_reader) = (ids[0].clone(), ids[1].clone());
+    remove(&mut fleet, &other_reader);
+    let frozen = || all(&fleet).filter(|daemon| daemon.id != reader);
+    frozen().for_each(|daemon| daemon.process.signal(Signal::SIGSTOP));
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            std::thread::sleep(FROZEN);
+            frozen().for_each(|daemon| daemon.process.signal(Signal::SIGCONT));
+        });
+        let (code, text) = fleet.apply(&changed(4321).to_string());
+        assert_eq!(code, 0, "{text}");
+        fleet.fail_platform(&json!({"down": true}));
+        let reader = all(&fleet).find(|daemon| daemon.id == reader).expect("the reader");
+        reader.process.signal(Signal::SIGKILL);
+    });
+    remove(&mut fleet, &reader);
+    fleet::wait_for("it is in force everywhere", || {
+        all(&fleet).all(|daemon| version(daemon) > before).then_some(())
+    });
+}
+
 /// A daemon is restarted while the store answers from an old state, as a lagging replica does. By
 /// the store alone it would put the former configuration in force again.
 #[test]
