A body that is too large is read to its end before it is refused

Cause: the entry answered and closed while bytes were still coming; the reset overtook the answer. Evidence: callers_that_send_far_too_much_are_told_so (4 MB) failed on the code before with a reset, and passes now.

--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -8,10 +8,9 @@
 use compact_str::CompactString;
 use ntex::http::{Method, header};
 use ntex::web::{self, HttpRequest, HttpResponse};
-use tokio::time;
 
 use super::{Worker, relay, respond};
-use crate::{admission, config, error, explain, keys, openai, spread, trace, wire};
+use crate::{admission, body, config, error, explain, keys, openai, spread, trace, wire};
 
 /// Names the class of a request.
 pub(super) const CLASS_HEADER: &str = "briarwinch-class";
@@ -203,7 +202,9 @@
         let admitted = worker.budgets.borrow_mut().admit(&account.name, rate_per_s, arrived_ms);
         admitted.map_err(|wait_ms| refuse(error::Kind::AccountLimit).retry_after_ms(wait_ms))?;
     }
-    let body = read_body(worker, payload).await?;
+    let settings = &worker.common.settings;
+    let limit = Duration::from_millis(settings.request_arrival_ms);
+    let body = body::read(payload, settings.max_body_bytes, limit).await?;
     check_no_key(http, &body)?;
     let wanted = wanted(config, http, &body)?;
     let service = config.service_at(wanted.service);
@@ -250,32 +251,6 @@
     Ok((request, active))
 }
 
-async fn read_body(
-    worker: &Worker,
-    mut payload: web::types::Payload,
-) -> Result<Vec<u8>, error::Refusal> {
-    let most = worker.common.settings.max_body_bytes;
-    let read = async {
-        let mut body = Vec::new();
-        while let Some(piece) = payload.recv().await {
-            let piece = piece.map_err(|error| {
-                error::Refusal::not_run(error::Kind::InvalidRequest)
-                    .detail(format!("The body broke off ({error})."))
-            })?;
-            if body.len() + piece.len() > most {
-                return Err(error::Refusal::not_run(error::Kind::BodyTooLarge)
-                    .detail(format!("At most {most} bytes are taken.")));
-            }
-            body.extend_from_slice(&piece);
-        }
-        Ok(body)
-    };
-    let limit = Duration::from_millis(worker.common.settings.request_arrival_ms);
-    time::timeout(limit, read)
-        .await
-        .map_err(|_| error::Refusal::not_run(error::Kind::RequestTimeout))?
-}
-
 /// Refuses a request that carries its key anywhere an endpoint would see it.
 fn check_no_key(http: &HttpRequest, body: &[u8]) -> Result<(), error::Refusal> {
     let Some(key) = bearer(http) else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod admission;
 pub mod answer;
 pub mod billing;
+pub mod body;
 pub mod bound;
 pub mod claims;
 pub mod cli;
