An entry that hears less than half of those it knew keeps no cold endpoint

What callers would see: a cold endpoint that crashes under 21 requests in a second where 15 are allowed. Cause: three keepers at once, each with half of the bound: one alone in its island that went by all that it knew, one just woken that did the same with another memory, and the one that the majority had put in their place. Why it works: at most two groups can each hear half of the same fleet, and two keepers are what the bound reckons with.

--- a/src/gateway/fleet/exchange.rs
+++ b/src/gateway/fleet/exchange.rs
@@ -216,7 +216,7 @@
             self.joined_since_ms.is_some_and(|since_ms| now_ms >= since_ms + SETTLE_MS);
         let is_known = is_settled || self.peers.is_only_entry();
         let candidates = if is_known { self.peers.keepers(now_ms) } else { Vec::new() };
-        self.keepers.see(candidates, now_ms);
+        self.keepers.see(candidates, self.peers.hears_half(now_ms), now_ms);
     }
 
     /// What to send now. `is_news`: work has come that others have to know of at once.
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -263,13 +263,13 @@
 
     /// The entries that may be keepers of cold endpoints, this one among them.
     ///
-    /// Those that a majority goes on with take over from the dead. An entry that hears only few of those it
+    /// Those that half of the fleet goes on with take over from the dead. An entry that hears fewer of those it
     /// heard before may itself be cut off with them, so its part never grows: it goes by all that it knew.
     #[must_use]
     pub fn keepers(&self, now_ms: u64) -> Vec<warmup::Candidate> {
-        let is_majority = 2 * (1 + self.live(now_ms)) > 1 + self.heard.len();
+        let hears_half = self.hears_half(now_ms);
         let heard = self.heard.iter().filter(|(_, known)| {
-            !is_majority || (known.peer.is_live(now_ms) && !known.peer.is_stopping)
+            !hears_half || (known.peer.is_live(now_ms) && !known.peer.is_stopping)
         });
         let heard = heard.map(|(addr, known)| (*addr, &known.peer.zone));
         let own = (!self.is_stopping).then_some((self.own, &self.zone));
@@ -281,6 +281,12 @@
         candidates
     }
 
+    /// Whether this entry hears at least half of the entries that it knew, itself among them.
+    #[must_use]
+    pub fn hears_half(&self, now_ms: u64) -> bool {
+        2 * (1 + self.live(now_ms)) > self.heard.len()
+    }
+
     /// Whether there is no other entry: neither a seed nor any that was heard.
     #[must_use]
     pub fn is_only_entry(&self) -> bool {
--- a/src/gateway/policy/warmup.rs
+++ b/src/gateway/policy/warmup.rs
@@ -7,7 +7,9 @@
 //! Hundreds of entries share a bound of a dozen requests a second, and may not hear of each other. A share
 //! for each would be less than one request. So one entry alone sends to a cold endpoint: its keeper, by
 //! rendezvous hashing over the entries of the endpoint's zone. Entries whose views differ, while some start
-//! or are cut off, may take two for the keeper at a time, so each keeps to half of the bound.
+//! or are cut off, may take two for the keeper at a time, so each keeps to half of the bound. One that hears
+//! less than half of the entries that it knew is no keeper: the others may have put one in its place, and
+//! several such groups would each have a keeper of their own.
 
 use std::collections::{HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -47,6 +49,8 @@
 #[derive(Clone, Debug)]
 struct View {
     candidates: Vec<Candidate>,
+    /// This entry heard at least half of those that it knew.
+    hears_half: bool,
     until_ms: u64,
 }
 
@@ -92,10 +96,12 @@
 
 impl Keepers {
     /// These are the candidates now; none while this entry does not know the others.
-    pub fn see(&mut self, candidates: Vec<Candidate>, now_ms: u64) {
-        match self.views.back_mut().filter(|last| last.candidates == candidates) {
+    pub fn see(&mut self, candidates: Vec<Candidate>, hears_half: bool, now_ms: u64) {
+        let is_same =
+            |last: &&mut View| last.hears_half == hears_half && last.candidates == candidates;
+        match self.views.back_mut().filter(is_same) {
             Some(last) => last.until_ms = now_ms,
-            None => self.views.push_back(View { candidates, until_ms: now_ms }),
+            None => self.views.push_back(View { candidates, hears_half, until_ms: now_ms }),
         }
         while self.views.len() > 1 && now_ms >= self.views[0].until_ms + WINDOW_MS {
             self.views.pop_front();
@@ -116,8 +122,8 @@
     /// Whether this entry has been the keeper of an endpoint for long enough.
     #[must_use]
     pub fn is_keeper(&self, own: SocketAddr, endpoint: EndpointKey, zone: &str) -> bool {
-        !self.views.is_empty()
-            && self.views.iter().all(|view| view.keeper(endpoint, zone) == Some(own))
+        let keeps = |view: &View| view.hears_half && view.keeper(endpoint, zone) == Some(own);
+        !self.views.is_empty() && self.views.iter().all(keeps)
     }
 }
 
