Fleets are told apart by a number in their store

What callers saw: a key just granted that an entry refused for good, and a change that never reached a zone whose readers had died (request_moves_to_another_endpoint_before_its_first_token, change_reaches_a_zone_whose_readers_died). Cause: two fleets with one secret. A daemon that is given an address that one of the other fleet has left is told what those believe who knew it; both take each other's state, and revisions of another store hide their own. Why it works: the first reader writes a number into the store; what bears another one is dropped and counted. A daemon that doesn't know its fleet yet goes by its store and its seeds. Ruled out: the busy machine.

--- a/src/control.rs
+++ b/src/control.rs
@@ -54,6 +54,8 @@
     pulls: RefCell<HashSet<SocketAddr>>,
     heard_peer: Cell<bool>,
     read_store: Cell<bool>,
+    /// A digest of another fleet has come: one of the two may have taken the wrong one for its own.
+    doubts_fleet: Cell<bool>,
     /// When a read of the store by any daemon was last heard of.
     reads_grew_ms: Cell<u64>,
 }
@@ -100,6 +102,7 @@
         pulls: RefCell::default(),
         heard_peer: Cell::new(false),
         read_store: Cell::new(false),
+        doubts_fleet: Cell::new(false),
         reads_grew_ms: Cell::new(0),
         platform: platform::Platform::open(&settings.platform_url).await?,
         boot: identity.boot,
@@ -198,6 +201,22 @@
         }
     }
 
+    /// Whether a peer may tell this daemon which fleet it belongs to: a seed, or anybody while the store can't.
+    fn is_trusted(&self, peer: SocketAddr) -> bool {
+        self.settings.seeds.contains(&peer) || !self.hub.store_up.load(Ordering::Relaxed)
+    }
+
+    fn set_fleet(&self, fleet_id: u64) {
+        self.shared.borrow_mut().fleet_id = Some(fleet_id);
+    }
+
+    /// Forgets what was learnt from peers of another fleet.
+    fn begin_anew(&self, fleet_id: u64) {
+        slog::error!(self.log, "peers of another fleet, all forgotten"; "fleet" => fleet_id);
+        *self.shared.borrow_mut() = spread::Shared::of_fleet(fleet_id);
+        self.write_own_record();
+    }
+
     fn take(&self, change: impl FnOnce(&mut spread::Shared) -> spread::Changed) {
         let changed = change(&mut self.shared.borrow_mut());
         if !changed.any() {
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -45,6 +45,24 @@
 }
 
 fn receive_digest(control: &Rc<Control>, digest: &membership::Digest) {
+    let fleet_id = control.with_shared(|shared| shared.fleet_id);
+    match (fleet_id, digest.fleet_id) {
+        (Some(mine), Some(theirs)) if mine != theirs => {
+            metric::count_reject(seal::Reject::Fleet);
+            control.doubts_fleet.set(true);
+            return;
+        }
+        // It knows nothing yet, perhaps not whose address it was given.
+        (Some(_), None) => {
+            if !digest.is_answer {
+                control.send_digest(digest.sender, true);
+            }
+            return;
+        }
+        // Whoever asks here may take this daemon for one that had its address before.
+        (None, Some(_)) if !control.is_trusted(digest.sender) => return,
+        _ => {}
+    }
     control.reads_grew(digest.reads);
     let (behind, ahead) = {
         let shared = control.shared.borrow();
@@ -117,6 +135,10 @@
 async fn serve_pull(control: &Control, stream: tokio::net::TcpStream) -> std::io::Result<()> {
     let mut link = link::accept(stream, &control.secret, &control.settings.id).await?;
     while let Some(pull) = link.inbox.next::<wire::Pull>().await? {
+        if control.with_shared(|shared| shared.is_foreign(pull.fleet_id)) {
+            metric::count_reject(seal::Reject::Fleet);
+            break;
+        }
         let news = control.shared.borrow().news_for(&pull);
         link.outbox.send(&news);
         let sent = link.outbox.backlog_bytes() as u64;
--- a/src/control/reader.rs
+++ b/src/control/reader.rs
@@ -30,7 +30,11 @@
     }
     time::sleep(Duration::from_millis(PEERS_FIRST_MS)).await;
     loop {
-        if control.is_reader() || !control.hub.ready.load(Ordering::Acquire) {
+        let knows_fleet = control.with_shared(|shared| shared.fleet_id.is_some());
+        let is_needed = !control.hub.ready.load(Ordering::Acquire)
+            || !knows_fleet
+            || control.doubts_fleet.take();
+        if control.is_reader() || is_needed {
             read_store(&control).await;
         } else {
             time::sleep(Duration::from_millis(RECHECK_MS)).await;
@@ -48,6 +52,7 @@
     control.store_answered(&listed);
     let Ok(listing) = listed else { return wait_for_store().await };
     control.read_store.set(true);
+    know_fleet(control, &listing).await;
     let mut after = listing.revision;
     let mut counted = take(control, listing);
     control.update_ready();
@@ -72,6 +77,44 @@
     }
 }
 
+/// Believes the store on which fleet this is, and writes the fleet's number if there is none yet.
+async fn know_fleet(control: &Control, listing: &store::Listing) {
+    let listed = listing.objects.iter().find(|object| object.key == store::FLEET_KEY);
+    let named = match listed {
+        Some(object) => Ok(object.value.clone()),
+        None => name_fleet(control).await,
+    };
+    let fleet_id = match named.map(|text| text.parse::<u64>()) {
+        Ok(Ok(fleet_id)) => fleet_id,
+        Ok(Err(error)) => {
+            slog::error!(control.log, "fleet's number not readable"; "error" => error.to_string());
+            return;
+        }
+        Err(failure) => {
+            slog::info!(control.log, "fleet's number not written"; "failure" => failure.to_string());
+            return;
+        }
+    };
+    if control.with_shared(|shared| shared.is_foreign(Some(fleet_id))) {
+        control.begin_anew(fleet_id);
+    }
+    control.set_fleet(fleet_id);
+}
+
+/// Writes the fleet's number, or reads what another daemon wrote first.
+async fn name_fleet(control: &Control) -> Result<String, store::Failure> {
+    let number = rand::random::<u64>().to_string();
+    let condition = store::Condition::Absent;
+    match control.platform.put(store::FLEET_KEY, number.clone(), condition).await {
+        Ok(_) => Ok(number),
+        Err(store::Failure::Conflict) => {
+            let object = control.platform.get(store::FLEET_KEY).await?;
+            object.map(|object| object.value).ok_or(store::Failure::Conflict)
+        }
+        Err(failure) => Err(failure),
+    }
+}
+
 /// Takes in what was read, and counts the read for all to hear of; gives the count.
 fn take(control: &Control, listing: store::Listing) -> u64 {
     // All watches answer to the same change at the same moment. Were each to count one, all would
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -96,6 +96,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
     pub sender: SocketAddr,
+    /// The sender's fleet, once it knows.
+    pub fleet_id: Option<u64>,
     pub config_version: u64,
     pub keys_revision: u64,
     pub roster_revision: u64,
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -24,6 +24,7 @@
         seal::Reject::Size => "size",
         seal::Reject::Seal => "seal",
         seal::Reject::Message => "message",
+        seal::Reject::Fleet => "fleet",
     };
     metrics::counter!("briarwinch_rejected_messages_total", "reason" => reason).increment(1);
 }
--- a/src/seal.rs
+++ b/src/seal.rs
@@ -24,6 +24,9 @@
     Seal,
     #[display("not a message")]
     Message,
+    /// Fleets with one secret are told apart by their stores.
+    #[display("from another fleet")]
+    Fleet,
 }
 
 impl std::error::Error for Reject {}
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -59,6 +59,8 @@
 /// One daemon's copy of what all share.
 #[derive(Clone, Debug, Default)]
 pub struct Shared {
+    /// The number in the fleet's store, once known.
+    pub fleet_id: Option<u64>,
     pub config: Option<InForce>,
     /// The newest text seen, good or not; a bad one is passed on so that all agree to refuse it.
     newest: Option<wire::ConfigText>,
@@ -71,6 +73,12 @@
 }
 
 impl Shared {
+    /// Nothing is known but the fleet's number.
+    #[must_use]
+    pub fn of_fleet(fleet_id: u64) -> Self {
+        Self { fleet_id: Some(fleet_id), ..Self::default() }
+    }
+
     fn config_version(&self) -> u64 {
         self.newest.as_ref().map_or(0, |newest| newest.version)
     }
@@ -80,6 +88,7 @@
     pub fn digest(&self, sender: SocketAddr, is_answer: bool) -> membership::Digest {
         membership::Digest {
             sender,
+            fleet_id: self.fleet_id,
             config_version: self.config_version(),
             keys_revision: self.keys.revision(),
             roster_revision: self.roster.revision,
@@ -111,6 +120,7 @@
     #[must_use]
     pub fn pull(&self) -> wire::Pull {
         wire::Pull {
+            fleet_id: self.fleet_id,
             config_version: self.config_version(),
             keys_revision: self.keys.revision(),
             roster_revision: self.roster.revision,
@@ -126,6 +136,7 @@
         keys.truncate(KEYS_PER_NEWS);
         let newest = self.newest.as_ref();
         wire::News {
+            fleet_id: self.fleet_id,
             config: newest.filter(|text| text.version > pull.config_version).cloned(),
             keys,
             more_keys,
@@ -134,9 +145,23 @@
         }
     }
 
+    /// Whether what bears this number is of another fleet.
+    ///
+    /// A daemon may be given an address that one of another fleet has left, and be told what those who still
+    /// know the address believe. Versions of another store say nothing here: its text would be put in force, and
+    /// keys of this fleet would be passed over as old.
+    #[must_use]
+    pub fn is_foreign(&self, fleet_id: Option<u64>) -> bool {
+        self.fleet_id.zip(fleet_id).is_some_and(|(mine, theirs)| mine != theirs)
+    }
+
     /// Takes in a peer's news.
     pub fn take_news(&mut self, news: wire::News) -> Changed {
         let mut changed = Changed::default();
+        if self.is_foreign(news.fleet_id) {
+            return changed;
+        }
+        self.fleet_id = self.fleet_id.or(news.fleet_id);
         if let Some(text) = news.config {
             changed.config = self.take_config(text);
         }
@@ -160,7 +185,9 @@
         objects.sort_by_key(|object| object.version);
         let mut changed = Changed::default();
         for object in objects {
-            if object.key == store::CONFIG_KEY {
+            if object.key == store::FLEET_KEY {
+                self.fleet_id = object.value.parse().ok().or(self.fleet_id);
+            } else if object.key == store::CONFIG_KEY {
                 let text = wire::ConfigText { version: object.version, text: object.value };
                 changed.config |= self.take_config(text);
             } else if object.key.starts_with(store::KEYS_PREFIX) {
--- a/src/store.rs
+++ b/src/store.rs
@@ -10,6 +10,8 @@
 pub const SHARED_PREFIX: &str = "shared/";
 /// The operators' text.
 pub const CONFIG_KEY: &str = "shared/config";
+/// A number that tells the fleet of this store from others, written once by whoever reads it first.
+pub const FLEET_KEY: &str = "shared/fleet";
 /// Records of keys, one object each.
 pub const KEYS_PREFIX: &str = "shared/keys/";
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -79,7 +79,7 @@
 }
 
 /// Version of the messages in this module.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 
 /// What a request asks an endpoint to do.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -197,6 +197,7 @@
 /// What one peer asks another for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Pull {
+    pub fleet_id: Option<u64>,
     pub config_version: u64,
     pub keys_revision: u64,
     pub roster_revision: u64,
@@ -206,6 +207,7 @@
 /// What the asked peer has beyond that.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
+    pub fleet_id: Option<u64>,
     pub config: Option<ConfigText>,
     pub keys: Vec<keys::Versioned>,
     /// More keys follow; pull again.
--- a/tests/processes/configuration.rs
+++ b/tests/processes/configuration.rs
@@ -176,6 +176,41 @@
     });
 }
 
+/// Guards against two fleets with one secret that take each other's daemons for their own when one is given an
+/// address that the other has left: no change would reach the fleet, and its new keys would be unknown.
+#[test]
+fn daemons_of_another_fleet_at_known_addresses_are_left_alone() {
+    let secret = format!("one secret of two fleets, {:x}", rand::random::<u64>());
+    let mut fleet =
+        Fleet::start_with(Shape { entries: 1, engines: 6, ..Shape::default() }, secret.clone());
+    let mut other = Fleet::start_with(Shape { entries: 1, engines: 1, ..Shape::default() }, secret);
+    // The other fleet's text is the newer one by its version, its readers read on, and its keys are newer.
+    for target_ms in 501..506 {
+        assert_eq!(other.apply(&changed(target_ms).to_string()).0, 0);
+    }
+    other.grant("press");
+    fleet.sides.sort_by_key(|side| std::cmp::Reverse(membership::reader_weight(&side.id)));
+    let left: Vec<String> = fleet.sides.drain(..2).map(|side| side.peer_addr.clone()).collect();
+    for (number, addr) in left.iter().enumerate() {
+        let stranger = other.spawn_side_at(&format!("stranger-{number}"), addr);
+        other.sides.push(stranger);
+    }
+    other.wait_until_whole();
+    let old = version(&fleet.entries[0]);
+    let (code, text) = fleet.apply(&changed(888).to_string());
+    assert_eq!(code, 0, "{text}");
+    fleet.grant("court");
+    fleet::wait_for("it is in force in all that live", || {
+        all(&fleet).all(|daemon| version(daemon) > old).then_some(())
+    });
+    for daemon in all(&fleet) {
+        let status = daemon.status();
+        assert_eq!(status["keys"], 1, "keys of the other fleet: {status}");
+        let members = status["members"].as_array().expect("members");
+        assert!(members.iter().all(|one| one["id"] != "stranger-0"), "{status}");
+    }
+}
+
 /// Two operators change the text at the same time. The later one must be told, not overwrite what
 /// it has not seen.
 #[test]
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -244,6 +244,11 @@
 impl Fleet {
     /// Starts a fleet and waits until it serves.
     pub fn start(shape: Shape) -> Self {
+        Self::start_with(shape, format!("a secret of the tests, {:x}", rand::random::<u64>()))
+    }
+
+    /// Starts a fleet whose secret may be another fleet's too.
+    pub fn start_with(shape: Shape, secret: String) -> Self {
         let lag = shape.lag_ms.to_string();
         let platform = Standin::spawn(&["platform", "--lag-ms", &lag]);
         let token_ms = shape.token_ms.to_string();
@@ -258,7 +263,7 @@
             entries: Vec::new(),
             shape,
             seeds: Vec::new(),
-            secret: format!("a secret of the tests, {:x}", rand::random::<u64>()),
+            secret,
         };
         for number in 0..fleet.shape.entries {
             let entry = fleet.spawn_entry(&format!("entry-{number}"));
@@ -308,6 +313,13 @@
         self.spawn_entry_with(&self.daemon_settings(id))
     }
 
+    /// A side at a peer address that another daemon has left.
+    pub fn spawn_side_at(&self, id: &str, peer_addr: &str) -> Daemon {
+        let mut daemon = self.daemon_settings(id);
+        daemon["peer_addr"] = peer_addr.into();
+        self.spawn_side_with(&daemon, "loket", &self.service.url)
+    }
+
     /// An entry whose platform address leads nowhere.
     pub fn spawn_entry_without_store(&self, id: &str) -> Daemon {
         let mut daemon = self.daemon_settings(id);
@@ -326,8 +338,13 @@
     }
 
     pub fn spawn_side(&self, id: &str, service: &str, url: &str) -> Daemon {
+        self.spawn_side_with(&self.daemon_settings(id), service, url)
+    }
+
+    fn spawn_side_with(&self, daemon: &Value, service: &str, url: &str) -> Daemon {
+        let id = daemon["id"].as_str().expect("an id");
         let settings = json!({
-            "daemon": self.daemon_settings(id),
+            "daemon": daemon,
             "work_addr": "127.0.0.1:0",
             "linger_ms": self.shape.linger_ms,
             "endpoints": [{"id": format!("{service}-of-{id}"), "service": service, "url": url}],
