A new holder of the duties gathers the counts that others keep

Cause: counts of an entry that has ended stay with those who keep them, the holder of the time and the next in line. While the store is away nothing is saved; a holder that was not one of them sealed the window without asking. Why it works: before it seals, a new holder asks the four strongest live peers for all counts that they keep; counts only grow, so what comes twice changes nothing.

--- a/src/gateway/duties/billing.rs
+++ b/src/gateway/duties/billing.rs
@@ -9,12 +9,16 @@
 
 use crate::gateway::control::{Control, Holder, Platform};
 use crate::gateway::duties::duty;
+use crate::gateway::fleet::pulls;
 use crate::lease;
 use crate::store::Condition;
 
 const SEALS_KEY: &str = "briarwinch-usage/sealed";
 /// A call under a duty takes at most this; so much of the term has to be left.
 const CALL_MS: u64 = 1_300;
+/// Peers that a new holder asks for counts: entries that have ended sent theirs to the holder of their time and
+/// the next in line, and while the store is away nobody else has them.
+const KEEPERS: usize = 4;
 /// Seals kept in the store; a report is due two windows after a window's end.
 const KEPT_SEALS: usize = 8;
 
@@ -54,6 +58,8 @@
     /// What the store holds, once read, with its version.
     seals: Option<(u64, Vec<Sealed>)>,
     reported: BTreeSet<u64>,
+    /// Those that kept counts before this holder did were asked for them.
+    has_gathered: bool,
     /// When this holder began to bill.
     since_ms: Option<u64>,
 }
@@ -79,6 +85,12 @@
             self.retry_ms = now_ms + RETRY_MS;
             return duty::Tick::Done;
         }
+        if !self.has_gathered {
+            self.has_gathered = true;
+            let peers = control.exchange.borrow().peers.strongest(KEEPERS, now_ms);
+            pulls::gather_counts(control, &peers).await;
+            return duty::Tick::Done;
+        }
         self.save(control).await;
         if let Some(sealed) = self.due(control) {
             self.seal(control, sealed).await;
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -241,6 +241,12 @@
         first(self.live_peers(now_ms).filter(|(_, peer)| !peer.is_stopping), most)
     }
 
+    /// The strongest live peers, also those that are stopping.
+    #[must_use]
+    pub fn strongest(&self, most: usize, now_ms: u64) -> Vec<SocketAddr> {
+        first(self.live_peers(now_ms), most)
+    }
+
     /// Live peers of this zone that would read the store before this entry.
     fn before(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
         let before = self.live_peers(now_ms).filter(|(addr, peer)| {
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -57,7 +58,16 @@
 struct Wanted {
     config_version: u64,
     directory_revision: u64,
-    memory: bool,
+    recall: Recall,
+}
+
+/// What is asked of a peer's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Recall {
+    Nothing,
+    /// The counts for billing alone.
+    Counts,
+    All,
 }
 
 /// What another entry says it has.
@@ -68,6 +78,12 @@
     pub(in crate::gateway) directory_revision: u64,
 }
 
+impl Wanted {
+    fn only(recall: Recall) -> Self {
+        Self { config_version: u64::MAX, directory_revision: u64::MAX, recall }
+    }
+}
+
 impl Offered {
     /// Whether any of it is newer than what is known here.
     pub(in crate::gateway) fn is_newer<P>(&self, control: &Control<P>) -> bool {
@@ -83,7 +99,7 @@
         let wanted = Wanted {
             config_version: control.config_version(),
             directory_revision: control.directory.borrow().revision(),
-            memory: false,
+            recall: Recall::Nothing,
         };
         match read_state(&control, offered.from, wanted).await {
             Ok(state) => {
@@ -142,8 +158,7 @@
     control: Rc<Control<P>>,
     from: SocketAddr,
 ) {
-    let wanted = Wanted { config_version: u64::MAX, directory_revision: u64::MAX, memory: true };
-    let is_told = match read_state(&control, from, wanted).await {
+    let is_told = match read_state(&control, from, Wanted::only(Recall::All)).await {
         Ok(State { memory: Some(memory), .. }) => {
             remember(&control, memory, from);
             true
@@ -157,6 +172,25 @@
     control.remembered.borrow_mut().answered(is_told);
 }
 
+/// Takes over the counts that peers keep of all entries, as far as they answer in time.
+pub(in crate::gateway) async fn gather_counts<P: Platform>(
+    control: &Control<P>,
+    peers: &[SocketAddr],
+) {
+    let asked = peers.iter().map(async |from| {
+        match read_state(control, *from, Wanted::only(Recall::Counts)).await {
+            Ok(State { memory: Some(memory), .. }) => {
+                slog::info!(control.log, "counts gathered"; "peer" => from.to_string(),
+                    "starts" => memory.counts.len());
+                control.shared.tally().take_saved(memory.counts);
+            }
+            Ok(State { memory: None, .. }) => {}
+            Err(error) => note_failed(control, *from, &error),
+        }
+    });
+    future::join_all(asked).await;
+}
+
 fn remember<P>(control: &Control<P>, memory: Memory, from: SocketAddr) {
     let now_ms = control.now_ms();
     slog::info!(control.log, "memory pulled"; "peer" => from.to_string(),
@@ -223,9 +257,14 @@
     }
 }
 
-fn memory<P>(control: &Control<P>) -> Memory {
-    let placed = control.shared.homes().latest(MAX_PLACED);
-    Memory { placed, counts: control.shared.tally().newest(tally::KEPT_WINDOWS as usize) }
+fn memory<P>(control: &Control<P>, recall: Recall) -> Option<Memory> {
+    let placed = match recall {
+        Recall::Nothing => return None,
+        Recall::Counts => Vec::new(),
+        Recall::All => control.shared.homes().latest(MAX_PLACED),
+    };
+    let counts = control.shared.tally().newest(tally::KEPT_WINDOWS as usize);
+    Some(Memory { placed, counts })
 }
 
 async fn write_state<P>(control: &Control<P>, mut stream: TcpStream) -> anyhow::Result<()> {
@@ -240,7 +279,7 @@
                 .then(|| directory.clone()),
             lapsed: directory.lapsed(control.now_ms()),
             cold: directory.cold(control.now_ms()),
-            memory: wanted.memory.then(|| memory(control)),
+            memory: memory(control, wanted.recall),
         }
     };
     let bytes = seal::bytes(&control.secret, &state)?;
