An ask with an idempotency key waits for whoever holds the answer

Cause: an entry waits for 3 ms after the first offer, 15 ms in all; an endpoint that stalls for longer is passed over although it holds the answer. Evidence: held_answer_is_found_although_its_endpoint_stalls failed before (not replayed) and passes now. Why it works: with a key the entry waits for all offers, or one that holds the answer, up to half a second. Also: the test of two fleets with one secret looked at keys before they were known everywhere; it waits for them now and checks as before that there is no other.

--- a/src/entry/asks.rs
+++ b/src/entry/asks.rs
@@ -54,7 +54,8 @@
 
 impl Worker {
     /// Asks these endpoints and waits for their offers: for all, or a little past the first, or
-    /// until the limit.
+    /// until the limit. An ask with an idempotency key waits for all, or for one that holds the answer: passed
+    /// over, that one's run would be repeated elsewhere.
     pub(super) async fn ask(
         &self,
         places: &[&membership::Place],
@@ -79,7 +80,13 @@
             }
         }
         let limit = Duration::from_millis(limit_ms);
-        let _ = time::timeout(limit, gathered(&round, places.len())).await;
+        let gathered = async {
+            match ask.idempotency {
+                Some(_) => holder_found(&round, places.len()).await,
+                None => gathered(&round, places.len()).await,
+            }
+        };
+        let _ = time::timeout(limit, gathered).await;
         round.offers.take()
     }
 
@@ -107,6 +114,16 @@
     }
 }
 
+async fn holder_found(round: &Round, wanted: usize) {
+    let is_found = || {
+        let offers = round.offers.borrow();
+        offers.len() >= wanted || offers.iter().any(|one| one.offer.holds_answer)
+    };
+    while !is_found() {
+        round.arrived.notified().await;
+    }
+}
+
 async fn gathered(round: &Round, wanted: usize) {
     while round.offers.borrow().is_empty() {
         round.arrived.notified().await;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -13,6 +13,9 @@
 const MAX_HOLDERS_ASKED: usize = 64;
 /// Times a request is asked for at most, each with so many times the patience of the one before.
 const ASK_ROUNDS: u32 = 4;
+/// How long an ask with an idempotency key waits for endpoints that may hold the answer: longer than an
+/// instance stalls on a busy day.
+const HOLDER_MS: u64 = 500;
 const ASK_PATIENCE: u64 = 4;
 /// Tries at most, whatever the retry budget holds.
 const MAX_TRIES: usize = 4;
@@ -178,7 +181,10 @@
         idempotency: request.idempotency,
     };
     let mut best = None;
-    let mut limit_ms = worker.common.settings.ask_ms;
+    let mut limit_ms = match request.idempotency {
+        Some(_) => worker.common.settings.ask_ms.max(HOLDER_MS),
+        None => worker.common.settings.ask_ms,
+    };
     for round in 0..ASK_ROUNDS {
         // Asks are lost and sides stall for a moment. Nothing has been sent yet, so asking again,
         // with more patience and the silent ones too, costs only time; a refusal would cost the
--- a/tests/processes/configuration.rs
+++ b/tests/processes/configuration.rs
@@ -203,6 +203,9 @@
     fleet::wait_for("it is in force in all that live", || {
         all(&fleet).all(|daemon| version(daemon) > old).then_some(())
     });
+    fleet::wait_for("the key is known everywhere", || {
+        all(&fleet).all(|daemon| daemon.status()["keys"] != 0).then_some(())
+    });
     for daemon in all(&fleet) {
         let status = daemon.status();
         assert_eq!(status["keys"], 1, "keys of the other fleet: {status}");
--- a/tests/processes/streams.rs
+++ b/tests/processes/streams.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::process::Command;
+use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -30,6 +31,32 @@
     assert_eq!(fleet.engine_runs(), 1, "one run");
 }
 
+/// Guards against a second run of an answer that an endpoint holds, and is paid for, because that endpoint
+/// stalls for a moment when it is asked.
+#[test]
+fn held_answer_is_found_although_its_endpoint_stalls() {
+    const STALL: Duration = Duration::from_millis(60);
+    let fleet = Fleet::start(Shape::default());
+    let key = fleet.grant("court");
+    let body = caller::chat_body("draft", 4, true);
+    let request =
+        || caller::chat(&fleet.entries[0], &key).set("idempotency-key", "draft of the morning");
+    caller::assert_whole(&caller::send(request(), &body).text, "draft", 4);
+    let ran = |engine: &fleet::Standin| engine.record()["runs"] != json!({});
+    let holder = fleet.engines.iter().position(ran).expect("an engine has run it");
+    fleet.sides[holder].process.signal(Signal::SIGSTOP);
+    let answer = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            std::thread::sleep(STALL);
+            fleet.sides[holder].process.signal(Signal::SIGCONT);
+        });
+        caller::send(request(), &body)
+    });
+    assert!(answer.replayed);
+    caller::assert_whole(&answer.text, "draft", 4);
+    assert_eq!(fleet.engine_runs(), 1, "one run");
+}
+
 /// The side, and with it the only way to the endpoint, dies after the first token. A spliced or
 /// silently shortened answer would be taken for the whole one.
 #[test]
