--- a/src/gateway/policy/gate.rs
+++ b/src/gateway/policy/gate.rs
@@ -4,11 +4,6 @@
 //! order of arrival whatever a request's rank, so each long prompt delays all that come after it,
 //! and soon nobody's first event is in time. While hardly any engine is free, what is less urgent is
 //! turned away at once, with when to come back; the most urgent is always sent.
-//!
-//! A second pattern: most engines name how few requests a second they take, and these places fall due one by
-//! one. Each goes to whichever request is there at that moment, mostly a less urgent one, whose latency target
-//! lets it wait longer. So a request that found no place holds off what is less urgent, as one that was turned
-//! away does.
 
 use std::sync::{Mutex, PoisonError};
 
@@ -103,13 +98,6 @@
         false
     }
 
-    /// Notes a request that is given up because its engines take no more requests a second.
-    pub fn found_no_place(&self, priority: u8, now_ms: u64) {
-        let rank = usize::from(priority).min(RANKS - 1);
-        let mut ranks = self.ranks.lock().unwrap_or_else(PoisonError::into_inner);
-        ranks[rank].turned_away_ms = now_ms;
-    }
-
     /// What the other entries have to know of this one.
     #[must_use]
     pub fn ages(&self, now_ms: u64) -> Ages {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -159,9 +159,6 @@
             let snapshot = self.shared.snapshot.load_full();
             let Some(choice) = self.choose(&snapshot, job) else {
                 if now_ms > job.arrived_ms + hold_ms {
-                    if job.request.prompt.is_some() && self.is_limited(&snapshot, job) {
-                        self.shared.gate.found_no_place(job.priority, now_ms);
-                    }
                     return Err(self.given_up(job, error::Kind::NoEndpoint));
                 }
                 time::sleep(LOOK_AGAIN).await;
@@ -251,13 +248,6 @@
             && self.budgets.borrow_mut().spend(&job.service().name, sharers, now_ms)
     }
 
-    /// Whether an endpoint of the request's service has named how many requests a second it takes.
-    fn is_limited(&self, snapshot: &shared::Snapshot, job: &Job) -> bool {
-        let limits = self.shared.limits();
-        let mut endpoints = snapshot.directory.taking(&job.service().name);
-        endpoints.any(|endpoint| limits.of(endpoint.key).is_some())
-    }
-
     fn choose<'a>(&self, snapshot: &'a shared::Snapshot, job: &Job) -> Option<choose::Choice<'a>> {
         let service = job.service();
         let now_ms = self.now_ms();
