A daemon that the store has told its fleet doubts it no more

Digests of another fleet may come for as long as it knows an address. Each made a daemon that is no reader list the store once more, at most once a second.

--- a/src/control.rs
+++ b/src/control.rs
@@ -56,6 +56,8 @@
     read_store: Cell<bool>,
     /// A digest of another fleet has come: one of the two may have taken the wrong one for its own.
     doubts_fleet: Cell<bool>,
+    /// The store itself has told which fleet this is.
+    read_fleet: Cell<bool>,
     /// When a read of the store by any daemon was last heard of.
     reads_grew_ms: Cell<u64>,
 }
@@ -103,6 +105,7 @@
         heard_peer: Cell::new(false),
         read_store: Cell::new(false),
         doubts_fleet: Cell::new(false),
+        read_fleet: Cell::new(false),
         reads_grew_ms: Cell::new(0),
         platform: platform::Platform::open(&settings.platform_url).await?,
         boot: identity.boot,
@@ -206,8 +209,10 @@
         self.settings.seeds.contains(&peer) || !self.hub.store_up.load(Ordering::Relaxed)
     }
 
+    /// The store tells which fleet this is.
     fn set_fleet(&self, fleet_id: u64) {
         self.shared.borrow_mut().fleet_id = Some(fleet_id);
+        self.read_fleet.set(true);
     }
 
     /// Forgets what was learnt from peers of another fleet.
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -49,7 +49,7 @@
     match (fleet_id, digest.fleet_id) {
         (Some(mine), Some(theirs)) if mine != theirs => {
             metric::count_reject(seal::Reject::Fleet);
-            control.doubts_fleet.set(true);
+            control.doubts_fleet.set(!control.read_fleet.get());
             return;
         }
         // It knows nothing yet, perhaps not whose address it was given.
