A lapse that a peer's list has outdated takes no endpoint out

Cause: the store was away, all entries of endpoints lapsed and came back. A watch that goes on behind the outage brings the lapse and the return. A peer's newer list told the return already, so it was left out as old; the lapse before it was not, since a removal bears the revision of the last beat. The endpoint was kept for its grace time and then given up for good, by the reader and by all that pulled from it. Evidence: the entries' lines (endpoint gone, source 'grace time over', revision 79, seven endpoints that the store had at revision 70); old_lapses_after_an_outage_do_not_take_out_what_peers_know_to_be_back fails on the code before. Why it works: what a batch brings up to a revision that is known already is left out whole, and in a later batch a removal is left out if an old return stands behind it.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -4,7 +4,7 @@
 //! soon after the store does. So what vanishes around the store's return is kept for a grace time,
 //! and taken out when it is still missing then. What says that it is leaving goes at once.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
@@ -145,7 +145,8 @@
     ///
     /// A watch that goes on after an outage brings old changes first. What a peer's newer list has
     /// told already is left out: an endpoint that is known to be gone would come back by its last
-    /// beat, and its removal behind that would look like a lapse.
+    /// beat, and its removal behind that would look like a lapse. One that lapsed and came back would be
+    /// given up after its grace time, since its return is left out as old.
     pub fn follow(
         &mut self,
         events: impl Iterator<Item = Event>,
@@ -154,9 +155,10 @@
         now_ms: u64,
     ) -> bool {
         let known = self.revision;
-        let is_old =
-            |event: &Event| matches!(event.change, Change::Present(_)) && event.revision <= known;
-        let events: Vec<Event> = events.filter(|event| !is_old(event)).collect();
+        if revision <= known {
+            return false;
+        }
+        let events = newer(events.collect(), known);
         let mut is_changed = self.note_cold(&events, revision, now_ms);
         for event in events {
             is_changed |= self.apply(event.change, revision.max(known), keep_until_ms);
@@ -276,3 +278,23 @@
         true
     }
 }
+
+/// The changes that a list as of revision `known` does not tell yet.
+///
+/// A removal bears the revision of the endpoint's last beat, so only a return behind it that the list tells
+/// shows that it is old as well.
+fn newer(events: Vec<Event>, known: u64) -> Vec<Event> {
+    let mut returned = HashSet::new();
+    let mut newer: Vec<Event> = Vec::with_capacity(events.len());
+    for event in events.into_iter().rev() {
+        match &event.change {
+            Change::Present(endpoint) if event.revision <= known => {
+                returned.insert(endpoint.key);
+            }
+            Change::Gone(id) if returned.contains(&EndpointKey::of(id)) => {}
+            Change::Present(_) | Change::Gone(_) => newer.push(event),
+        }
+    }
+    newer.reverse();
+    newer
+}
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -111,3 +111,43 @@
     assert_eq!(taking(&directory), ["three", "two"]);
     assert!(directory.lapsed(0).is_empty());
 }
+
+fn gone(id: &str, revision: u64) -> Event {
+    Event { change: Change::Gone(id.into()), revision, cold_ms: 0 }
+}
+
+fn present(id: &str, revision: u64) -> Event {
+    Event { change: Change::Present(endpoint(id)), revision, cold_ms: 0 }
+}
+
+/// Guards against living endpoints that an entry gives up for good, because its watch brings their lapse but not
+/// their return, which a peer's list has told already.
+#[test]
+fn old_lapses_after_an_outage_do_not_take_out_what_peers_know_to_be_back() {
+    let mut directory = listed();
+    let mut newer = listed();
+    newer.apply(Change::Gone("two".into()), 70, None);
+    assert!(directory.adopt(newer, &[], &[], 0));
+    // All of it is older than the peer's list.
+    directory.follow([gone("one", 12)].into_iter(), 64, Some(5_000), 0);
+    // Some of it is.
+    let mixed = [gone("one", 12), present("one", 68), present("three", 72)];
+    directory.follow(mixed.into_iter(), 72, Some(5_000), 0);
+    assert!(directory.lapsed(0).is_empty());
+    directory.expire(9_000);
+    assert_eq!(taking(&directory), ["one", "three"]);
+}
+
+/// Guards against lapses that are taken for old ones: the endpoint would get requests for as long as its entry
+/// stays away.
+#[test]
+fn lapses_after_the_return_that_a_peer_knows_count() {
+    let mut directory = listed();
+    let mut newer = listed();
+    newer.apply(Change::Gone("two".into()), 70, None);
+    assert!(directory.adopt(newer, &[], &[], 0));
+    let lapse = [gone("one", 12), present("one", 68), gone("one", 68)];
+    directory.follow(lapse.into_iter(), 75, Some(5_000), 0);
+    assert!(directory.expire(9_000));
+    assert!(taking(&directory).is_empty());
+}
