Daemons listen for signals before they say that they have started

What callers saw: an entry that was told to read its settings again while it started was gone. Cause: handlers of signals were installed when the tasks first ran, after the line that says that it has started; before that a hang-up ends the process, and so does a request to stop that should drain. Why it works: the listeners are made before sockets are bound. The same in entries and sides.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -72,6 +72,7 @@
 /// # Errors
 /// When an address cannot be bound.
 pub async fn run(mut settings: settings::Entry, log: slog::Logger) -> anyhow::Result<()> {
+    let stop = logging::stop_signal();
     let hub = Arc::new(hub::Hub::default());
     let metrics = metric::install()?;
     let ring = Arc::new(explain::Ring::default());
@@ -98,7 +99,7 @@
         active: AtomicUsize::new(0),
     });
     let server = serve(&common, listener)?;
-    logging::stop_signal().await;
+    stop.await;
     drain(&common).await;
     server.stop(true).await;
     Ok(())
--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time;
 
 use super::{settings, shared};
@@ -14,15 +14,22 @@
 /// How often the file is read without a signal.
 const LOOK: Duration = Duration::from_secs(2);
 
-/// Follows the file for as long as the process lives.
-pub async fn follow(shared: Arc<shared::Shared>, file: PathBuf, log: slog::Logger) {
-    let mut hangups = match signal(SignalKind::hangup()) {
-        Ok(hangups) => Some(hangups),
-        Err(error) => {
+/// Listens for hang-up signals from now on: until then one ends the process.
+pub fn hangups(log: &slog::Logger) -> Option<Signal> {
+    signal(SignalKind::hangup())
+        .inspect_err(|error| {
             slog::error!(log, "hang-up signals are not seen"; "error" => error.to_string());
-            None
-        }
-    };
+        })
+        .ok()
+}
+
+/// Follows the file for as long as the process lives.
+pub async fn follow(
+    shared: Arc<shared::Shared>,
+    file: PathBuf,
+    mut hangups: Option<Signal>,
+    log: slog::Logger,
+) {
     let mut known = shared.settings.clone();
     loop {
         let hung_up = match &mut hangups {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -183,17 +183,18 @@
     trace::Sink { on: settings.traces == settings::Traces::Lines, daemon: settings.id.to_string() }
 }
 
-/// Waits until the process is asked to stop.
-pub async fn stop_signal() {
+/// Waits until the process is asked to stop. Listens from the call on: until then a signal ends the process.
+pub fn stop_signal() -> impl Future<Output = ()> {
     use tokio::signal::unix::{SignalKind, signal};
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        // Without handlers the process still ends by the signals themselves, only not gently.
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let listening = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    async move {
+        let (Ok(mut terminate), Ok(mut interrupt)) = listening else {
+            // Without handlers the process still ends by the signals themselves, only not gently.
+            return std::future::pending().await;
+        };
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
     }
 }
--- a/src/side/mod.rs
+++ b/src/side/mod.rs
@@ -67,6 +67,7 @@
 /// # Errors
 /// When an address cannot be bound or a client cannot be made.
 pub async fn run(mut settings: settings::Side, log: slog::Logger) -> anyhow::Result<()> {
+    let stop = logging::stop_signal();
     let hub = Arc::new(hub::Hub::default());
     let metrics = metric::install()?;
     let work = bound::Pair::bind(&mut settings.work_addr)?;
@@ -93,7 +94,7 @@
     task::spawn_local(asks::serve(Rc::clone(&side), UdpSocket::from_std(work.udp)?));
     task::spawn_local(entries::serve(Rc::clone(&side), TcpListener::from_std(work.tcp)?));
     task::spawn_local(sweep::run(Rc::clone(&side)));
-    logging::stop_signal().await;
+    stop.await;
     side.drain().await;
     Ok(())
 }
