--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -45,13 +45,12 @@
 }
 
 fn receive_digest(control: &Rc<Control>, digest: &membership::Digest) {
-    let fleet_id = control.with_shared(|shared| shared.fleet_id);
-    match (fleet_id, digest.fleet_id) {
-        (Some(mine), Some(theirs)) if mine != theirs => {
-            metric::count_reject(seal::Reject::Fleet);
-            control.doubts_fleet.set(!control.read_fleet.get());
-            return;
-        }
+    if control.with_shared(|shared| shared.is_foreign(digest.fleet_id)) {
+        metric::count_reject(seal::Reject::Fleet);
+        control.doubts_fleet.set(!control.read_fleet.get());
+        return;
+    }
+    match (control.with_shared(|shared| shared.fleet_id), digest.fleet_id) {
         // It knows nothing yet, perhaps not whose address it was given.
         (Some(_), None) => {
             if !digest.is_answer {
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -272,8 +272,7 @@
     /// Those that half of the fleet goes on with take over from the dead. An entry that hears fewer of those it
     /// heard before may itself be cut off with them, so its part never grows: it goes by all that it knew.
     #[must_use]
-    pub fn keepers(&self, now_ms: u64) -> Vec<warmup::Candidate> {
-        let hears_half = self.hears_half(now_ms);
+    pub fn keepers(&self, hears_half: bool, now_ms: u64) -> Vec<warmup::Candidate> {
         let heard = self.heard.iter().filter(|(_, known)| {
             !hears_half || (known.peer.is_live(now_ms) && !known.peer.is_stopping)
         });
