Tell an undelivered request from an unanswered one in the log

'send failed' with outcome unknown now has the time since the send, the bytes that the endpoint's machine has not acknowledged, whether the connection was reused and for how long the endpoint has been quiet. 'send abandoned' says the same of a send whose caller left; 'endpoint kept without a record' names the endpoints that a grace time keeps. No decision changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -90,7 +90,21 @@
     /// The endpoint stopped accepting requests after it was chosen. Nothing was sent.
     NoLongerEligible,
     /// The request may have run.
-    Unknown(http1::Error),
+    Unknown { error: http1::Error, evidence: Evidence },
+}
+
+/// What is known about a request that was sent and not answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    /// Time since the send.
+    pub sent_ms_ago: u64,
+    /// Bytes that the endpoint's machine has not acknowledged; `None` if unknown. If it is zero, the
+    /// endpoint has the request.
+    pub unacked_bytes: Option<u32>,
+    /// Whether the connection had carried another request before.
+    pub was_reused: bool,
+    /// Time since the endpoint last sent data on any connection; `None` if it never has.
+    pub quiet_ms: Option<u64>,
 }
 
 impl Failure {
@@ -99,7 +113,73 @@
     pub fn reached_endpoint(&self) -> bool {
         match self {
             Self::NotSent(_) | Self::NoLongerEligible => false,
-            Self::NotRun { .. } | Self::WrongEndpoint | Self::Unknown(_) => true,
+            Self::NotRun { .. } | Self::WrongEndpoint | Self::Unknown { .. } => true,
+        }
+    }
+}
+
+/// A request that was sent and whose response has not begun. If it is dropped before the wait has ended,
+/// the caller has disconnected; this is logged.
+struct PendingSend<'a> {
+    gateway: &'a Gateway,
+    job: &'a job::Job,
+    endpoint: &'a directory::Endpoint,
+    connection: &'a mut http1::Connection,
+    sent_ms: u64,
+    has_ended: bool,
+}
+
+impl PendingSend<'_> {
+    /// Sends the request and waits for the head of its response.
+    async fn exchange(
+        mut self,
+        bytes: &[u8],
+        timeout: ResponseTimeout,
+    ) -> Result<(http1::Head, request::ResponseInfo), Failure> {
+        let result = self.wait_for_head(bytes, timeout).await;
+        self.has_ended = true;
+        result.map_err(|error| Failure::Unknown { error, evidence: self.evidence() })
+    }
+
+    async fn wait_for_head(
+        &mut self,
+        bytes: &[u8],
+        timeout: ResponseTimeout,
+    ) -> Result<(http1::Head, request::ResponseInfo), http1::Error> {
+        let head = self.gateway.exchange_matching(self.connection, bytes, self.job);
+        tokio::pin!(head);
+        let mut limit_ms = timeout.silent_ms.min(timeout.max_ms);
+        loop {
+            let left_ms = (self.sent_ms + limit_ms).saturating_sub(self.gateway.now_ms());
+            match time::timeout(Duration::from_millis(left_ms), &mut head).await {
+                Ok(result) => return result,
+                Err(_)
+                    if limit_ms < timeout.max_ms
+                        && self.gateway.is_alive(self.endpoint.key, self.sent_ms) =>
+                {
+                    limit_ms = (limit_ms + health::ALIVE_MS).min(timeout.max_ms);
+                }
+                Err(_) => return Err(http1::Error::TimedOut),
+            }
+        }
+    }
+
+    fn evidence(&self) -> Evidence {
+        let now_ms = self.gateway.now_ms();
+        let last_bytes_ms = self.gateway.health.borrow().last_bytes_ms(self.endpoint.key);
+        Evidence {
+            sent_ms_ago: now_ms - self.sent_ms,
+            unacked_bytes: self.connection.unacked_bytes(),
+            was_reused: self.connection.was_reused(),
+            quiet_ms: (last_bytes_ms > 0).then(|| now_ms - last_bytes_ms),
+        }
+    }
+}
+
+impl Drop for PendingSend<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.gateway.log_abandoned(self.job, self.endpoint, self.evidence());
         }
     }
 }
@@ -137,21 +217,15 @@
             }
         }
         let bytes = self.protocol.encode(&job.endpoint_request(&endpoint.id, now_ms));
-        let result = {
-            let head = self.exchange_matching(&mut connection, &bytes, job);
-            tokio::pin!(head);
-            let mut limit_ms = timeout.silent_ms.min(timeout.max_ms);
-            loop {
-                let left_ms = (now_ms + limit_ms).saturating_sub(self.now_ms());
-                match time::timeout(Duration::from_millis(left_ms), &mut head).await {
-                    Ok(result) => break result,
-                    Err(_) if limit_ms < timeout.max_ms && self.is_alive(endpoint.key, now_ms) => {
-                        limit_ms = (limit_ms + health::ALIVE_MS).min(timeout.max_ms);
-                    }
-                    Err(_) => break Err(http1::Error::TimedOut),
-                }
-            }
+        let pending = PendingSend {
+            gateway: self,
+            job,
+            endpoint: &endpoint,
+            connection: &mut connection,
+            sent_ms: now_ms,
+            has_ended: false,
         };
+        let result = pending.exchange(&bytes, timeout).await;
         match result {
             Ok((head, info)) => {
                 if info.is_other_endpoint {
@@ -168,9 +242,9 @@
                 }
                 Ok(OpenResponse { endpoint, connection, head, info, load_guard, sent_ms: now_ms })
             }
-            Err(error) => {
+            Err(failure) => {
                 self.mark_unreachable(&endpoint);
-                Err(Failure::Unknown(error))
+                Err(failure)
             }
         }
     }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -313,6 +313,7 @@
         let before = self.directory.borrow().clone();
         let is_changed = change(&mut self.directory.borrow_mut());
         self.has_endpoint_list.set(true);
+        self.log_kept_endpoints(&before, source);
         if is_changed {
             self.log_directory(&before, source);
         }
@@ -321,6 +322,22 @@
         }
     }
 
+    /// Logs endpoints whose record has disappeared and that are kept for a grace period.
+    fn log_kept_endpoints(&self, before: &directory::Directory, source: &'static str) {
+        let directory = self.directory.borrow();
+        let now_ms = self.now_ms();
+        let known = before.lapsed(now_ms);
+        for lapsed in directory.lapsed(now_ms) {
+            if known.iter().any(|one| one.endpoint == lapsed.endpoint) {
+                continue;
+            }
+            let id = directory.find(lapsed.endpoint).map(|endpoint| endpoint.id.as_str());
+            slog::info!(self.log, "endpoint kept without a record"; "endpoint" => id,
+                "left_ms" => lapsed.remaining_ms, "revision" => directory.revision(),
+                "source" => source);
+        }
+    }
+
     fn log_directory(&self, before: &directory::Directory, source: &'static str) {
         let directory = self.directory.borrow();
         for endpoint in directory.endpoints() {
--- a/src/gateway/http1.rs
+++ b/src/gateway/http1.rs
@@ -5,12 +5,14 @@
 //! length was ended or reset. This module therefore manages the connection itself; `httparse` parses the
 //! heads.
 
+use std::ffi::c_int;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use compact_str::CompactString;
+use rustix::ioctl;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time;
@@ -21,6 +23,8 @@
 /// Maximum length of a chunk size line.
 const MAX_SIZE_LINE_BYTES: usize = 64;
 const READ_BYTES: usize = 4 << 10;
+/// `TIOCOUTQ` of Linux: the number of bytes that the peer has not acknowledged.
+const UNACKED_BYTES: ioctl::Opcode = 0x5411;
 
 /// Errors of a connection.
 #[derive(Debug, derive_more::Display)]
@@ -97,6 +101,8 @@
     /// Seconds for which the peer keeps an idle connection open, from its `Keep-Alive` header.
     keep_alive_s: Option<u64>,
     request_fully_sent: bool,
+    /// Number of requests sent on this connection.
+    requests: u32,
 }
 
 impl Connection {
@@ -118,6 +124,7 @@
             closes_after: false,
             keep_alive_s: None,
             request_fully_sent: true,
+            requests: 0,
         })
     }
 
@@ -155,8 +162,29 @@
         self.next_head().await
     }
 
+    /// Whether the connection has carried a request before the last one.
+    #[must_use]
+    pub fn was_reused(&self) -> bool {
+        self.requests > 1
+    }
+
+    /// Bytes sent that the peer's machine has not acknowledged; `None` if the system does not report it.
+    ///
+    /// This distinguishes a request that has not reached the peer's machine from one that the peer has
+    /// received and not answered.
+    #[must_use]
+    pub fn unacked_bytes(&self) -> Option<u32> {
+        // SAFETY: the request writes one `c_int`, which is the output type of the getter.
+        let bytes = unsafe {
+            let request = ioctl::Getter::<UNACKED_BYTES, c_int>::new();
+            ioctl::ioctl(&self.stream, request)
+        };
+        bytes.ok().and_then(|bytes| u32::try_from(bytes).ok())
+    }
+
     async fn send(&mut self, request: &[u8]) -> Result<(), Error> {
         self.request_fully_sent = false;
+        self.requests = self.requests.saturating_add(1);
         let (read, mut write) = self.stream.split();
         tokio::select! {
             biased;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -228,7 +228,7 @@
                     self.mark_misdirected(choice.endpoint);
                 }
                 Failure::NotRun { .. } => job.pending_count = None,
-                Failure::Unknown(_) => {
+                Failure::Unknown { .. } => {
                     job.may_have_run = true;
                     // A stream is billed from its first event on, and none has arrived.
                     if !job.kind.is_stream() {
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 
-use super::attempt::Failure;
+use super::attempt::{Evidence, Failure};
 use super::job::Job;
 use super::policy::{choose, limits};
 use super::request::{Request, Response};
@@ -143,7 +143,11 @@
             Failure::NotRun { status, .. } => ("not_run", status.to_string()),
             Failure::WrongEndpoint => ("wrong_endpoint", String::new()),
             Failure::NoLongerEligible => ("closed", String::new()),
-            Failure::Unknown(error) => ("unknown", error.to_string()),
+            Failure::Unknown { error, .. } => ("unknown", error.to_string()),
+        };
+        let evidence = match failure {
+            Failure::Unknown { evidence, .. } => Some(*evidence),
+            _ => None,
         };
         let retry_after_ms = match failure {
             Failure::NotRun { retry_after_ms, .. } => *retry_after_ms,
@@ -153,6 +157,24 @@
         slog::info!(self.log, "send failed"; "request" => job.request.id.as_str(),
             "endpoint" => choice.endpoint.id.as_str(), "outcome" => outcome, "detail" => detail,
             "retry_after_ms" => retry_after_ms,
-            "attempt" => job.attempts, "waited_ms" => self.now_ms() - job.arrived_ms);
+            "attempt" => job.attempts, "waited_ms" => self.now_ms() - job.arrived_ms,
+            "sent_ms_ago" => evidence.map(|one| one.sent_ms_ago),
+            "unacked_bytes" => evidence.and_then(|one| one.unacked_bytes),
+            "reused" => evidence.map(|one| one.was_reused),
+            "quiet_ms" => evidence.and_then(|one| one.quiet_ms));
+    }
+
+    /// Logs a send whose caller disconnected before the endpoint responded.
+    pub(super) fn log_abandoned(
+        &self,
+        job: &Job,
+        endpoint: &directory::Endpoint,
+        evidence: Evidence,
+    ) {
+        metrics::send_outcome(&job.service().name, "abandoned");
+        slog::info!(self.log, "send abandoned"; "request" => job.request.id.as_str(),
+            "endpoint" => endpoint.id.as_str(), "sent_ms_ago" => evidence.sent_ms_ago,
+            "unacked_bytes" => evidence.unacked_bytes, "reused" => evidence.was_reused,
+            "quiet_ms" => evidence.quiet_ms);
     }
 }
