Reset connections that are closed before their response is complete

Cause: the path to an endpoint falls silent without a reset. The entry gives the request up after its time limit and closes the connection in order. The kernel keeps the bytes of a closed connection and retransmits them for minutes, so the request is delivered when the path is back. The same happens to the connections of an entry that is killed.

Fix: connections are opened with a linger time of zero, which makes every close a reset that discards what was not acknowledged, also at the end of the process; it is lifted when nothing is outstanding, so that idle connections end in order. The framing has a state for a head that is due, since a connection that waits for one looked complete before. The store's writes and the duty holder's calls use the same connections.

--- a/src/gateway/http1.rs
+++ b/src/gateway/http1.rs
@@ -4,6 +4,10 @@
 //! has been sent, whether unexpected bytes are left in the connection, and whether a response without a
 //! length was ended or reset. This module therefore manages the connection itself; `httparse` parses the
 //! heads.
+//!
+//! A connection that is closed before its response is complete is reset. After an orderly close the kernel
+//! would go on transmitting what the peer has not acknowledged, so that a request could run long after it
+//! was given up. This holds at the end of the process as well.
 
 use std::ffi::c_int;
 use std::io;
@@ -13,6 +17,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use compact_str::CompactString;
 use rustix::ioctl;
+use rustix::net::sockopt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time;
@@ -81,6 +86,8 @@
 /// How the end of the body is determined, and how far it has been read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
+    /// The head of the response is due.
+    Head,
     Length(u64),
     ChunkSize,
     ChunkData(u64),
@@ -117,6 +124,8 @@
             .map_err(Error::Connect)?;
         // Events are small and have to be sent without delay.
         stream.set_nodelay(true).map_err(Error::Connect)?;
+        sockopt::set_socket_linger(&stream, Some(Duration::ZERO))
+            .map_err(|errno| Error::Connect(errno.into()))?;
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
@@ -184,6 +193,7 @@
 
     async fn send(&mut self, request: &[u8]) -> Result<(), Error> {
         self.request_fully_sent = false;
+        self.framing = Framing::Head;
         self.requests = self.requests.saturating_add(1);
         let (read, mut write) = self.stream.split();
         tokio::select! {
@@ -202,6 +212,7 @@
     /// # Errors
     /// As [`Connection::exchange`].
     pub async fn next_head(&mut self) -> Result<Head, Error> {
+        self.framing = Framing::Head;
         loop {
             if let Some(head) = self.parse_head()? {
                 if (100..200).contains(&head.status) {
@@ -246,7 +257,9 @@
         let is_chunked = head
             .header("transfer-encoding")
             .is_some_and(|coding| coding.to_ascii_lowercase().contains("chunked"));
-        self.framing = if (100..200).contains(&head.status) || matches!(head.status, 204 | 304) {
+        self.framing = if (100..200).contains(&head.status) {
+            Framing::Head
+        } else if matches!(head.status, 204 | 304) {
             Framing::Done
         } else if is_chunked {
             Framing::ChunkSize
@@ -298,7 +311,7 @@
     fn decode_buffered(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
             match self.framing {
-                Framing::Done => return Ok(None),
+                Framing::Head | Framing::Done => return Ok(None),
                 Framing::UntilClose => {
                     let piece = self.buffer.split().freeze();
                     return Ok((!piece.is_empty()).then_some(piece));
@@ -379,6 +392,16 @@
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        let is_idle = self.framing == Framing::Done && self.request_fully_sent;
+        if is_idle {
+            // If this fails, the peer sees a reset of an idle connection, which loses nothing.
+            let _ = sockopt::set_socket_linger(&self.stream, None);
+        }
+    }
+}
+
 /// The `timeout` of a `Keep-Alive` header.
 fn keep_alive_s(value: &str) -> Option<u64> {
     value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse().ok())
--- a/tests/gateway/connections.rs
+++ b/tests/gateway/connections.rs
@@ -137,3 +137,55 @@
     let opened = run(Connection::open(addr, LIMIT));
     assert!(matches!(opened, Err(Error::Connect(_))));
 }
+
+/// Starts an endpoint that accepts one connection, reads a request head, sends this response and returns how
+/// the connection then ends.
+fn endpoint_reporting_end(
+    response: &'static [u8],
+) -> (SocketAddr, thread::JoinHandle<std::io::Result<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let end = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.set_read_timeout(Some(LIMIT)).expect("the read time-out is set");
+        read_head(&mut stream);
+        stream.write_all(response).expect("the response is sent");
+        stream.read(&mut [0; 64])
+    });
+    (addr, end)
+}
+
+fn is_reset(end: std::io::Result<usize>) -> bool {
+    end.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionReset)
+}
+
+/// Guards against a request that the kernel delivers after it was given up: only a reset withdraws it. The
+/// responses are none, a part of one, and one to another request.
+#[test]
+fn a_connection_with_an_incomplete_exchange_is_reset() {
+    let stray = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na";
+    for response in [b"".as_slice(), b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc", stray] {
+        let (addr, end) = endpoint_reporting_end(response);
+        run(async {
+            let mut connection = Connection::open(addr, LIMIT).await.expect("open");
+            let wait = Duration::from_millis(100);
+            let _ = tokio::time::timeout(wait, async {
+                exchange(&mut connection).await?;
+                connection.next_head().await
+            })
+            .await;
+        });
+        assert!(is_reset(end.join().expect("the endpoint ends")), "closed without a reset");
+    }
+}
+
+/// Guards against resets of connections on which nothing is outstanding; servers log them as errors.
+#[test]
+fn an_idle_connection_is_closed_in_order() {
+    let (addr, end) = endpoint_reporting_end(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na");
+    run(async {
+        let mut connection = Connection::open(addr, LIMIT).await.expect("open");
+        exchange(&mut connection).await.expect("a complete response");
+    });
+    assert!(matches!(end.join().expect("the endpoint ends"), Ok(0)));
+}
