Withdraw requests that stay undelivered for half the drain time

What was seen: a request whose caller still waits reached an endpoint more than two seconds after the store had acknowledged its leaving, and ran there.

The path is silent, and while the connection is open the kernel retransmits for minutes. Streams wait up to ten seconds and requests that may run once for all of their time, so the path may be back meanwhile.

Fix: TCP_USER_TIMEOUT of half the drain time on connections to endpoints; the other half is left for the news of the leaving. The send then fails as 'connection broke' after a second: a request that may be repeated goes to another endpoint, and one that may not is answered then. An endpoint that has acknowledged the request is waited for as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -264,7 +264,7 @@
                 return Ok(connection);
             }
         }
-        pool::connect(endpoint.addr).await.map_err(|error| {
+        pool::connect(endpoint.addr, self.shared.settings.leave_ms).await.map_err(|error| {
             self.mark_unreachable(endpoint);
             self.cold_sends.borrow_mut().record_refused(endpoint.key, self.now_ms());
             Failure::NotSent(error)
--- a/src/gateway/http1.rs
+++ b/src/gateway/http1.rs
@@ -137,6 +137,17 @@
         })
     }
 
+    /// Breaks the connection when sent bytes stay unacknowledged for longer than `limit`. Otherwise the kernel
+    /// transmits them for minutes.
+    ///
+    /// # Errors
+    /// [`Error::Connect`] if the system refuses the option; nothing has been sent.
+    pub fn limit_delivery(&self, limit: Duration) -> Result<(), Error> {
+        let limit_ms = u32::try_from(limit.as_millis()).unwrap_or(u32::MAX);
+        sockopt::set_tcp_user_timeout(&self.stream, limit_ms)
+            .map_err(|errno| Error::Connect(errno.into()))
+    }
+
     /// Whether the connection is open, has no unread bytes and can carry another request.
     ///
     /// This detects a peer that has sent a second response after the first or has closed the idle
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -21,6 +21,10 @@
 /// to it at the same time.
 const MAX_IDLE: usize = 32;
 
+/// Part of the drain time of a leaving endpoint within which a request has to be delivered. The rest is left
+/// for the news of its leaving to reach this entry.
+const DELIVERY_DIVISOR: u64 = 2;
+
 #[derive(Debug)]
 struct Idle {
     connection: http1::Connection,
@@ -74,10 +78,13 @@
     }
 }
 
-/// Opens a new connection.
+/// Opens a new connection to an endpoint that takes requests for `leave_ms` after it has announced that it
+/// is leaving.
 ///
 /// # Errors
 /// As [`http1::Connection::open`].
-pub async fn connect(addr: SocketAddr) -> Result<http1::Connection, http1::Error> {
-    http1::Connection::open(addr, CONNECT_TIMEOUT).await
+pub async fn connect(addr: SocketAddr, leave_ms: u64) -> Result<http1::Connection, http1::Error> {
+    let connection = http1::Connection::open(addr, CONNECT_TIMEOUT).await?;
+    connection.limit_delivery(Duration::from_millis(leave_ms / DELIVERY_DIVISOR))?;
+    Ok(connection)
 }
