Cap a peer's grace period for an endpoint that this entry has removed

What callers and endpoints would see: an entry that reaches the store without a break and has removed an endpoint sends to it again, for up to the whole grace time of a peer, counted from when that peer saw the removal.

Cause: a peer that was cut off from the store takes the removal for a record that expired in an outage and keeps the endpoint. If its list is newer by any other change, the others adopt it as it is, with its grace period.

Fix: the directory remembers removals for ten seconds, and a grace period that comes with a peer's list ends no later than the time for which a leaving endpoint serves, counted from the removal here. Refusing the peer's grace outright was weighed: an entry that removed live endpoints too early during an outage could then not be corrected by its peers.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -17,7 +17,7 @@
 
 use super::duties::{billing, delivery, election, scaling, tally};
 use super::fleet::{datagrams, exchange, members, peers, prefix_recovery, pulls};
-use super::policy::budget;
+use super::policy::{budget, outage};
 use super::{directory, evacuation, request, route, shared, watch};
 use crate::{clock, lease, seal, sockets, store};
 
@@ -190,7 +190,9 @@
         fleet_size: Cell::default(),
         platform: platform(),
         table: RefCell::default(),
-        directory: RefCell::default(),
+        directory: RefCell::new(directory::Directory::new(outage::leave_grace_ms(
+            shared.settings.leave_ms,
+        ))),
         evacuations: RefCell::default(),
         restored_at_ms: RefCell::default(),
         store_silent: Notify::new(),
@@ -315,6 +317,7 @@
         self.has_endpoint_list.set(true);
         self.log_kept_endpoints(&before, source);
         if is_changed {
+            self.directory.borrow_mut().record_removals(&before, self.now_ms());
             self.log_directory(&before, source);
         }
         if is_changed || !self.shared.is_ready.load(Ordering::Acquire) {
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -81,6 +81,16 @@
     pub remaining_ms: u64,
 }
 
+/// A process of an endpoint that was removed, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Removed {
+    started_unix_ms: u64,
+    at_ms: u64,
+}
+
+/// How long a removal is remembered: longer than any grace period that a peer may send.
+const REMOVED_RETENTION_MS: u64 = 10_000;
+
 /// All endpoints, with the revision of the store at which the list last changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Directory {
@@ -92,9 +102,22 @@
     /// Cold endpoints, and the end of each one's cold period.
     #[serde(skip)]
     cold: HashMap<EndpointKey, u64>,
+    /// Endpoints that this entry has removed.
+    #[serde(skip)]
+    removed: HashMap<EndpointKey, Removed>,
+    /// Longest time after its removal for which an endpoint may be used again because a peer keeps it.
+    #[serde(skip)]
+    readmission_ms: u64,
 }
 
 impl Directory {
+    /// Creates an empty directory. An endpoint that it has removed is used again for at most
+    /// `readmission_ms` after that because a peer keeps it for a grace period.
+    #[must_use]
+    pub fn new(readmission_ms: u64) -> Self {
+        Self { readmission_ms, ..Self::default() }
+    }
+
     /// Revision of the store at which the list last changed.
     #[must_use]
     pub fn revision(&self) -> u64 {
@@ -130,6 +153,7 @@
         if revision < self.revision {
             return false;
         }
+        self.removed.retain(|key, _| listed.iter().all(|one| one.key != *key));
         let mut endpoints = listed;
         for old in &self.endpoints {
             if endpoints.iter().any(|one| one.key == old.key) {
@@ -223,6 +247,7 @@
         match change {
             Change::Present(endpoint) => {
                 self.lapsed.remove(&endpoint.key);
+                self.removed.remove(&endpoint.key);
                 endpoints.retain(|one| one.key != endpoint.key);
                 endpoints.push(endpoint);
             }
@@ -262,17 +287,45 @@
     }
 
     /// Replaces this directory with a peer's directory if that is newer, and returns whether it was. Grace
-    /// periods end here when they end at the peer.
+    /// periods end here when they end at the peer, or earlier for endpoints that this entry has removed: a
+    /// peer that has just reached the store again sees a removal later than this entry did.
     pub fn adopt(&mut self, other: Self, lapsed: &[Lapsed], cold: &[Cold], now_ms: u64) -> bool {
         if other.revision <= self.revision {
             return false;
         }
-        *self = other;
-        self.lapsed = lapsed.iter().map(|one| (one.endpoint, now_ms + one.remaining_ms)).collect();
+        self.revision = other.revision;
+        self.endpoints = other.endpoints;
+        self.lapsed = lapsed
+            .iter()
+            .map(|one| (one.endpoint, self.grace_end_ms(one.endpoint, now_ms + one.remaining_ms)))
+            .collect();
         self.cold = cold.iter().map(|one| (one.endpoint, now_ms + one.remaining_ms)).collect();
+        self.expire(now_ms);
         true
     }
 
+    /// Returns the end of a grace period that lasts until `until_ms` at a peer.
+    fn grace_end_ms(&self, endpoint: EndpointKey, until_ms: u64) -> u64 {
+        let started_unix_ms = self.find(endpoint).map(|one| one.started_unix_ms);
+        let removed = self.removed.get(&endpoint);
+        let removed = removed.filter(|one| Some(one.started_unix_ms) == started_unix_ms);
+        removed.map_or(until_ms, |one| until_ms.min(one.at_ms + self.readmission_ms))
+    }
+
+    /// Records which endpoints of an earlier state are removed in this one.
+    pub fn record_removals(&mut self, before: &Self, now_ms: u64) {
+        self.removed.retain(|_, one| now_ms < one.at_ms + REMOVED_RETENTION_MS);
+        for old in &before.endpoints {
+            if self.find(old.key).is_none() {
+                let removed = Removed { started_unix_ms: old.started_unix_ms, at_ms: now_ms };
+                let known = self.removed.entry(old.key).or_insert(removed);
+                if known.started_unix_ms != removed.started_unix_ms {
+                    *known = removed;
+                }
+            }
+        }
+    }
+
     fn set(&mut self, mut endpoints: Vec<Endpoint>, revision: u64) -> bool {
         endpoints.sort_by(|a, b| a.id.cmp(&b.id));
         if endpoints == self.endpoints && self.revision != 0 {
--- a/src/gateway/policy/outage.rs
+++ b/src/gateway/policy/outage.rs
@@ -95,7 +95,14 @@
     #[must_use]
     pub fn keep_missing_until_ms(&self, now_ms: u64) -> Option<u64> {
         let grace_ms = self.recovered_ms? + LAPSE_GRACE_MS;
-        let leave_ms = now_ms + self.leave_ms.saturating_sub(LEAVE_MARGIN_MS);
+        let leave_ms = now_ms + leave_grace_ms(self.leave_ms);
         (now_ms < grace_ms).then(|| grace_ms.min(leave_ms))
     }
 }
+
+/// Returns for how long after its removal was seen an endpoint may be used, if it goes on taking requests for
+/// `leave_ms` when it leaves.
+#[must_use]
+pub fn leave_grace_ms(leave_ms: u64) -> u64 {
+    leave_ms.saturating_sub(LEAVE_MARGIN_MS)
+}
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -94,6 +94,38 @@
     assert_eq!(accepting(&pulling), ["three", "two"]);
 }
 
+/// Guards against requests to an endpoint that this entry has removed: a peer that has just reached the store
+/// again takes the removal for an expired record, keeps the endpoint, and sends its newer list.
+#[test]
+fn a_grace_period_at_a_peer_does_not_outlast_the_removal_here() {
+    let mut keeping = listed();
+    keeping.apply(Change::Gone("one".into()), 20, Some(5_000));
+    keeping.apply(Change::Present(endpoint("three")), 21, Some(5_000));
+    let lapsed = keeping.lapsed(3_300);
+    let known = |now_ms| {
+        let mut knowing = Directory::new(1_700);
+        knowing.replace(vec![endpoint("one"), endpoint("two")], 10, None);
+        let before = knowing.clone();
+        knowing.apply(Change::Gone("one".into()), 20, None);
+        knowing.record_removals(&before, 70_000);
+        assert!(knowing.adopt(keeping.clone(), &lapsed, &[], now_ms));
+        knowing
+    };
+    let mut early = known(70_500);
+    assert_eq!(accepting(&early), ["one", "three", "two"]);
+    assert!(!early.expire(71_699));
+    let before = early.clone();
+    assert!(early.expire(71_700));
+    early.record_removals(&before, 71_700);
+    let mut newer = keeping.clone();
+    newer.apply(Change::Present(endpoint("four")), 22, Some(5_000));
+    assert!(early.adopt(newer, &lapsed, &[], 71_700));
+    assert_eq!(accepting(&early), ["four", "three", "two"]);
+    let mut late = known(72_000);
+    assert_eq!(accepting(&late), ["three", "two"]);
+    assert!(!late.expire(75_000));
+}
+
 /// Guards against requests to an endpoint that left seconds ago. The store was unavailable to this entry for
 /// a while, and a peer has reported that the endpoint is gone. The watch resumes from before the outage and
 /// delivers the endpoint's last heartbeat and its removal. Applied as they come, they bring the endpoint
