End links between daemons when written messages stay unacknowledged

What was seen: on a silent path a link between an entry and a side looked open, its streams waited, and a message that had been given up was delivered once the path was back.

The time-out for writing covers only what the kernel has not taken; small messages are taken at once and transmitted for minutes.

Fix: TCP_USER_TIMEOUT of the same five seconds. Links are not reset on close: what a stopping daemon has written has to arrive.

--- a/src/link.rs
+++ b/src/link.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use rustix::net::sockopt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -17,8 +18,10 @@
 
 /// Timeout for connecting and the exchange of greetings.
 pub const OPEN_MS: u64 = 1_000;
-/// Timeout for writing one batch of messages to a peer.
-const WRITE_TIMEOUT_MS: u64 = 5_000;
+/// Timeout for writing one batch of messages to a peer, and for the peer's machine to acknowledge what was
+/// written. Without the latter a silent path would be noticed only after minutes, and messages that were
+/// given up would still be delivered.
+const WRITE_TIMEOUT_MS: u32 = 5_000;
 const READ_BYTES: usize = 64 << 10;
 
 fn broken(reject: seal::Reject) -> io::Error {
@@ -125,7 +128,7 @@
             }
             // A frozen peer neither reads nor closes the connection. Without a timeout the link would
             // look open for as long as the kernel retransmits, and its streams would hang.
-            let limit = Duration::from_millis(WRITE_TIMEOUT_MS);
+            let limit = Duration::from_millis(u64::from(WRITE_TIMEOUT_MS));
             tokio::time::timeout(limit, stream.write_all(&batch))
                 .await
                 .map_err(|_| timed_out())??;
@@ -186,6 +189,7 @@
     end: End,
 ) -> io::Result<Link> {
     stream.set_nodelay(true)?;
+    sockopt::set_tcp_user_timeout(&stream, WRITE_TIMEOUT_MS)?;
     let (read, mut write) = stream.into_split();
     let mine = wire::Greeting { daemon: me.clone(), nonce: rand::random(), version: wire::VERSION };
     let mut bytes = Vec::new();
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod fleet;
 mod keys;
+mod links;
 mod orders;
 mod overload;
 mod path;
