Add a failing test of a plain endpoint that is never tried again

Found while silent endpoints were looked at: an endpoint whose first responses were slow got 0 of 200 requests, since its average changes only with responses and another endpoint looks faster. Callers lose its capacity until the others are overloaded.

--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -435,6 +435,30 @@
     assert!(entry.health.failed_share(endpoints[0].key, NOW_MS + 20_000) < 0.01);
 }
 
+/// Guards against an endpoint that is never used again because its last responses were slow: while another
+/// one is faster, nothing changes the average.
+#[test]
+fn an_endpoint_whose_responses_were_slow_is_tried_again() {
+    let endpoints = endpoints(2);
+    let mut entry = Entry::default();
+    let mut random = StdRng::seed_from_u64(7);
+    let mut arrivals = [0, 0];
+    for second in 0..20 {
+        for step in 0..10 {
+            let now_ms = NOW_MS + second * 1_000 + step * 100;
+            let inputs = Inputs { now_ms, ..entry.inputs() };
+            let choice = choose::choose(endpoints.iter(), None, None, &inputs, &mut random)
+                .expect("a choice");
+            let index = usize::from(choice.endpoint.key == endpoints[1].key);
+            arrivals[index] += 1;
+            // The first endpoint is slow in the first second only.
+            let took_ms = if index == 0 && second == 0 { 500 } else { 5 };
+            entry.health.record_response(endpoints[index].key, true, took_ms, now_ms);
+        }
+    }
+    assert!(arrivals.iter().all(|count| *count > 20), "{arrivals:?}");
+}
+
 /// One engine of three is slower. Beside long prompts its events come 130 ms apart, those of the
 /// others 100 ms apart, and the limit of the user is 120 ms. No queue shows it. Guards against
 /// responses with late events that the other engines could have delivered in time.
