Log the software version of endpoints and the stream that a request goes on with

No line named the version of an endpoint, and a request that goes on with an earlier one looked like a new one, so streams of mixed versions could not be seen, nor told apart by how they came about. `endpoint known`, `sent`, `stream lost` and `stream taken up` say `endpoint_version`; `sent` says `after_event` and `resumes`. Behaviour is unchanged.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -353,6 +353,7 @@
                     "service" => endpoint.service.as_str(), "addr" => endpoint.addr.to_string(),
                     "zone" => endpoint.zone.as_str(), "leaving" => endpoint.is_leaving,
                     "started" => endpoint.started_unix_ms,
+                    "endpoint_version" => endpoint.version.as_str(),
                     "revision" => directory.revision(), "source" => source);
             }
         }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -40,6 +40,8 @@
     /// Start time of this endpoint process on the platform's clock, in Unix milliseconds. It distinguishes
     /// the process from earlier ones under the same id, whose memory is lost.
     pub started_unix_ms: u64,
+    /// Version of its software; empty if its record does not name one.
+    pub version: CompactString,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// It completes its running requests and accepts no new ones.
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -300,7 +300,8 @@
             gateway.mark_unreachable(endpoint);
         }
         slog::info!(gateway.log, "stream lost"; "request" => self.job.request.id.as_str(),
-            "endpoint" => endpoint.id.as_str(), "event" => self.last_event_id,
+            "endpoint" => endpoint.id.as_str(),
+            "endpoint_version" => endpoint.version.as_str(), "event" => self.last_event_id,
             "detail" => error.to_string(), "attempt" => self.job.attempts);
     }
 
@@ -317,8 +318,9 @@
         let is_stream = (200..300).contains(&response.head.status);
         metrics::stream_ended(&self.job.service().name, "taken_up");
         slog::info!(self.gateway.log, "stream taken up"; "request" => self.job.request.id.as_str(),
-            "endpoint" => response.endpoint.id.as_str(), "event" => self.last_event_id,
-            "status" => response.head.status);
+            "endpoint" => response.endpoint.id.as_str(),
+            "endpoint_version" => response.endpoint.version.as_str(),
+            "event" => self.last_event_id, "status" => response.head.status);
         self.response = Some(response);
         self.splitter = event_splitter::EventSplitter::default();
         is_stream
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -51,6 +51,8 @@
     pub prompt: Option<Prompt>,
     /// Last event of the stream that the caller has received.
     pub last_event_id: Option<u64>,
+    /// The caller's attempt that brought the first event of the stream that this request continues.
+    pub resumes: Option<CompactString>,
 }
 
 impl Request {
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -127,6 +127,8 @@
         slog::debug!(self.log, "sent"; "request" => job.request.id.as_str(),
             "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
             "version" => job.table.version(), "endpoint" => choice.endpoint.id.as_str(),
+            "endpoint_version" => choice.endpoint.version.as_str(),
+            "after_event" => job.request.last_event_id, "resumes" => job.request.resumes.as_deref(),
             "priority" => job.priority, "rank" => job.rank().position,
             "attempt" => job.attempts, "cost_ms" => choice.cost_ms as u64,
             "first_ms" => choice.first_ms as u64, "unread_tokens" => choice.unread_tokens,
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -27,6 +27,7 @@
             addr: ([127, 0, 0, 1], 1_000 + index as u16).into(),
             zone: "a".into(),
             started_unix_ms: 1,
+            version: "v1".into(),
             slots: 64,
             is_leaving: false,
         }
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -13,6 +13,7 @@
         zone: "a".into(),
         slots: 8,
         started_unix_ms: 1,
+        version: "v1".into(),
         is_leaving: false,
     }
 }
