Let a stream go on only at the software version that began it

An endpoint lost in the middle of a stream was replaced within the response by any other, and a caller's request that goes on with a stream was served like a new one, at any endpoint of any service of its route; an entry knew no endpoint's version.

A stream is bound to the version of the endpoint that sends its first event, and so to its service. The entry tells three others, chosen by the digest of the request's id, one of each availability zone first; an entry that gets a caller's continuation and does not know the stream asks four of them, twice 50 ms. Without a record the stream goes on only if another entry answers that it knows nothing either and a single version has served for a minute, which an entry learns from older ones at its start; else the caller gets 503 with a time to return. Continuations are not subject to admission control: they have fewer endpoints than new streams.

Weighed: telling every entry of every stream costs 9,000 records a second at the target size; asking only while several versions serve leaves out the streams that began before the second one was listed.

--- a/src/error.rs
+++ b/src/error.rs
@@ -40,6 +40,7 @@
     NotReady,
     DependencyDown,
     NoEndpoint,
+    StreamUnknown,
     QueueFull,
     TooLate,
     Draining,
@@ -153,6 +154,13 @@
                 answer(503, "dependency_down", SERVER, "A service this one needs is down.", false)
             }
             Self::NoEndpoint => answer(503, "no_endpoint", SERVER, "No endpoint answers.", true),
+            Self::StreamUnknown => answer(
+                503,
+                "stream_unknown",
+                SERVER,
+                "It is not known which software version began the stream.",
+                false,
+            ),
             Self::QueueFull => answer(429, "queue_full", LIMIT, "The queue is full.", true),
             Self::TooLate => {
                 answer(429, "too_late", LIMIT, "The request can no longer be in time.", false)
--- /dev/null
+++ b/src/gateway/continuation.rs
@@ -0,0 +1,129 @@
+//! Streams that callers go on with: finds the software version that began the stream, here, at other
+//! entries, or because only one has served.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time;
+
+use super::directory::VersionKey;
+use super::job::Job;
+use super::stream_versions::{Record, StreamKey};
+use super::{Gateway, directory, route};
+use crate::error;
+
+/// Time after which other entries are asked again. A datagram may be lost, or the record of a stream that has
+/// just begun may still be on its way.
+const LOOKUP_TIMEOUT_MS: u64 = 50;
+/// How often other entries are asked about one stream.
+const MAX_LOOKUPS: usize = 2;
+/// Interval between checks whether an answer has arrived.
+const LOOKUP_POLL: Duration = Duration::from_millis(5);
+
+/// Result of asking other entries.
+enum Lookup {
+    Known(VersionKey),
+    /// An entry answered, and none knows the stream.
+    Unknown,
+    NoAnswer,
+}
+
+impl Gateway {
+    /// Binds a request that goes on with a stream to the version that began it, and to the service of that
+    /// version.
+    ///
+    /// # Errors
+    /// The refusal for the caller, if the version is unknown and several have served.
+    pub(super) async fn pin_version(&self, job: &mut Job) -> Result<(), error::Refusal> {
+        if !job.is_continuation() {
+            return Ok(());
+        }
+        let stream = job.stream_key();
+        let known = self.shared.stream_versions().find(stream);
+        let (version, source) = match known {
+            Some(version) => (Some(version), "own"),
+            None => match self.look_up(stream).await {
+                Lookup::Known(version) => (Some(version), "peer"),
+                Lookup::Unknown => (self.only_version(job), "only_version"),
+                Lookup::NoAnswer => (None, "none"),
+            },
+        };
+        let Some(version) = version else {
+            slog::info!(self.log, "stream unknown"; "request" => job.request.id.as_str(),
+                "resumes" => job.request.resumes.as_deref(),
+                "after_event" => job.request.last_event_id);
+            return Err(self.final_refusal(job, error::Kind::StreamUnknown));
+        };
+        let snapshot = self.shared.snapshot.load();
+        let service = service_of(&snapshot.directory, job, version);
+        slog::debug!(self.log, "stream continued"; "request" => job.request.id.as_str(),
+            "resumes" => job.request.resumes.as_deref(), "source" => source,
+            "is_served" => service.is_some());
+        job.service = service.unwrap_or(job.service);
+        job.version = Some(version);
+        Ok(())
+    }
+
+    /// Records which version sent the first event of a stream, and tells other entries.
+    pub(super) fn record_stream_version(&self, job: &Job, version: VersionKey) {
+        if !matches!(job.kind, route::Kind::Stream { resumable: true }) {
+            return;
+        }
+        let record = Record { stream: job.stream_key(), version };
+        self.shared.stream_versions().record(record, self.now_ms());
+        self.shared.stream_versions_due.notify_one();
+    }
+
+    /// Asks other entries which version began a stream.
+    async fn look_up(&self, stream: StreamKey) -> Lookup {
+        if self.shared.recent_entries.load(Ordering::Relaxed) <= 1 {
+            return Lookup::Unknown;
+        }
+        let mut result = Lookup::NoAnswer;
+        for _ in 0..MAX_LOOKUPS {
+            if !self.shared.stream_versions().look_up(stream) {
+                break;
+            }
+            self.shared.stream_versions_due.notify_one();
+            let end_ms = self.now_ms() + LOOKUP_TIMEOUT_MS;
+            while self.now_ms() < end_ms {
+                time::sleep(LOOKUP_POLL).await;
+                if let Some(version) = self.shared.stream_versions().find(stream) {
+                    self.shared.stream_versions().end_lookup(stream);
+                    return Lookup::Known(version);
+                }
+            }
+            if self.shared.stream_versions().has_unknown_answer(stream) {
+                result = Lookup::Unknown;
+            }
+        }
+        self.shared.stream_versions().end_lookup(stream);
+        result
+    }
+
+    /// The version that began a stream of the request's route if there has been only one.
+    fn only_version(&self, job: &Job) -> Option<VersionKey> {
+        let [only] = job.route().weighted_services.as_slice() else {
+            return None;
+        };
+        let service = &job.table.service(only.service).name;
+        let snapshot = self.shared.snapshot.load();
+        let versions = self.shared.served_versions();
+        versions.only_version(service, &snapshot.directory, self.now_ms())
+    }
+}
+
+/// Returns the service of a route to which a software version belongs, if any of its endpoints is listed.
+fn service_of(
+    directory: &directory::Directory,
+    job: &Job,
+    version: VersionKey,
+) -> Option<route::ServiceKey> {
+    let services = job.route().weighted_services.iter().map(|one| one.service);
+    let mut services = services.filter(|key| {
+        let name = &job.table.service(*key).name;
+        let mut endpoints = directory.endpoints().iter().filter(|one| one.service == *name);
+        endpoints.any(|endpoint| endpoint.version_key() == version)
+    });
+    services.next()
+}
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -16,7 +16,7 @@
 use tokio::{task, time};
 
 use super::duties::{billing, delivery, election, scaling, tally};
-use super::fleet::{datagrams, exchange, members, peers, prefix_recovery, pulls};
+use super::fleet::{datagrams, exchange, members, peers, prefix_recovery, pulls, stream_keepers};
 use super::policy::{budget, outage};
 use super::{directory, evacuation, request, route, shared, watch};
 use crate::{clock, lease, seal, sockets, store};
@@ -217,6 +217,7 @@
     task::spawn_local(prefix_recovery::query_engines(Rc::clone(&control)));
     task::spawn_local(pulls::serve(Rc::clone(&control), listener));
     task::spawn_local(datagrams::run_receiver(Rc::clone(&control)));
+    task::spawn_local(stream_keepers::run(Rc::clone(&control)));
     task::spawn_local(members::register_and_discover(Rc::clone(&control)));
     task::spawn_local(election::contend(Rc::clone(&control)));
     datagrams::run_sender(control).await;
@@ -317,6 +318,8 @@
         self.has_endpoint_list.set(true);
         self.log_kept_endpoints(&before, source);
         if is_changed {
+            let now_ms = self.now_ms();
+            self.shared.served_versions().observe(&before, &self.directory.borrow(), now_ms);
             self.directory.borrow_mut().record_removals(&before, self.now_ms());
             self.log_directory(&before, source);
         }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -29,6 +29,18 @@
     }
 }
 
+/// Identifies a software version of a service across all instances: a digest of both names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct VersionKey([u8; 8]);
+
+impl VersionKey {
+    #[must_use]
+    pub fn of(service: &str, version: &str) -> Self {
+        let seed = xxh3::xxh3_64(service.as_bytes());
+        Self(xxh3::xxh3_64_with_seed(version.as_bytes(), seed).to_le_bytes())
+    }
+}
+
 /// An endpoint as listed by the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
@@ -40,7 +52,7 @@
     /// Start time of this endpoint process on the platform's clock, in Unix milliseconds. It distinguishes
     /// the process from earlier ones under the same id, whose memory is lost.
     pub started_unix_ms: u64,
-    /// Version of its software; empty if its record does not name one.
+    /// Version of its software.
     pub version: CompactString,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
@@ -48,6 +60,14 @@
     pub is_leaving: bool,
 }
 
+impl Endpoint {
+    /// Returns the key of its software version.
+    #[must_use]
+    pub fn version_key(&self) -> VersionKey {
+        VersionKey::of(&self.service, &self.version)
+    }
+}
+
 /// A change in the store's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -141,6 +141,7 @@
         loop {
             match self.step().await {
                 Step::Events(bytes) => {
+                    self.pin_version();
                     self.learn_prefill_rate();
                     let took_ms = self.gateway.now_ms() - self.job.arrived_ms;
                     metrics::first_event(&self.job.service().name, took_ms);
@@ -265,6 +266,16 @@
         }
     }
 
+    /// Binds the stream to the version of the endpoint that has sent its first events.
+    fn pin_version(&mut self) {
+        let Some(response) = &self.response else {
+            return;
+        };
+        let version = response.endpoint.version_key();
+        self.job.version = Some(version);
+        self.gateway.record_stream_version(&self.job, version);
+    }
+
     /// Removes the prompt's tokens from the endpoint's load.
     fn mark_prefill_done(&mut self) {
         if let Some(response) = &mut self.response {
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -10,7 +10,7 @@
 use crate::gateway::control::{Control, Platform};
 use crate::gateway::fleet::exchange::{LocalState, Outgoing};
 use crate::gateway::fleet::message::{Message, State};
-use crate::gateway::fleet::pulls;
+use crate::gateway::fleet::{pulls, stream_keepers};
 use crate::gateway::metrics;
 use crate::{clock, lease, metric, seal};
 
@@ -143,7 +143,7 @@
     );
 }
 
-fn send_all<P>(control: &Control<P>, outgoing: Vec<Outgoing>) {
+pub(super) fn send_all<P>(control: &Control<P>, outgoing: Vec<Outgoing>) {
     for one in outgoing {
         let bytes = match seal::seal_datagram(&control.secret, &one.message) {
             Ok(bytes) => bytes,
@@ -197,6 +197,11 @@
         }
         Message::Limits(limits) => control.apply_peer_limits(&limits, now_ms),
         Message::Departures(departures) => control.apply_peer_departures(&departures, now_ms),
+        Message::StreamVersions(records) => stream_keepers::learn(control, &records, now_ms),
+        Message::StreamQuery { from, streams } => {
+            stream_keepers::answer(control, from, &streams);
+        }
+        Message::UnknownStreams(streams) => stream_keepers::learn_unknown(control, &streams),
         Message::Counts { from, counts } => {
             shared.tally().merge(counts.boot, &counts.counts);
             let ack = control.watermarks.borrow_mut().receive(&counts, shared.boot);
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -8,7 +8,7 @@
 use crate::gateway::duties::{delivery, tally};
 use crate::gateway::fleet::peers::{self, roster};
 use crate::gateway::policy::{admission, limits, load, prefix_index};
-use crate::gateway::{departures, evacuation};
+use crate::gateway::{departures, evacuation, stream_versions};
 use crate::lease;
 
 /// State of an entry, sent periodically as its heartbeat. Its load travels separately as [`Work`].
@@ -105,6 +105,15 @@
         receiver_boot: u64,
         ack: delivery::CountAck,
     },
+    /// Software versions that began streams, for an entry that keeps them or has asked.
+    StreamVersions(Vec<stream_versions::Record>),
+    /// Asks which versions began these streams.
+    StreamQuery {
+        from: SocketAddr,
+        streams: Vec<stream_versions::StreamKey>,
+    },
+    /// Streams that the sender was asked about and does not know.
+    UnknownStreams(Vec<stream_versions::StreamKey>),
 }
 
 impl Message {
@@ -118,6 +127,9 @@
             Self::Placements(_) => "placed",
             Self::Limits(_) => "limits",
             Self::Departures(_) => "departures",
+            Self::StreamVersions(_) => "stream_versions",
+            Self::StreamQuery { .. } => "stream_query",
+            Self::UnknownStreams(_) => "unknown_streams",
             Self::Counts { .. } => "counts",
             Self::CountsAck { .. } => "counts_taken",
         }
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -8,3 +8,4 @@
 pub mod peers;
 pub(super) mod prefix_recovery;
 pub mod pulls;
+pub(super) mod stream_keepers;
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -8,7 +8,7 @@
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use compact_str::CompactString;
 use rand::SeedableRng;
@@ -398,6 +398,21 @@
         silent
     }
 
+    /// Returns the live peers that keep the version of a stream: by rendezvous hashing, one of each
+    /// availability zone before a second of any, so that most are left when a zone is lost.
+    #[must_use]
+    pub fn stream_keepers(&self, seed: u64, max_count: usize, now_ms: u64) -> Vec<SocketAddr> {
+        let weight = |addr: &SocketAddr| xxh3::xxh3_64_with_seed(&addr_bytes(*addr), seed);
+        let mut peers: Vec<(u64, &SocketAddr, &Peer)> =
+            self.live_peers(now_ms).map(|(addr, peer)| (weight(addr), addr, peer)).collect();
+        peers.sort_unstable_by_key(|(weight, ..)| Reverse(*weight));
+        let mut zones = BTreeSet::new();
+        let (first, further): (Vec<_>, Vec<_>) =
+            peers.into_iter().partition(|(_, _, peer)| zones.insert(&peer.zone));
+        let keepers = first.into_iter().chain(further).take(max_count);
+        keepers.map(|(_, addr, _)| *addr).collect()
+    }
+
     /// Returns the number of entries that share the retry budget, including this one.
     #[must_use]
     pub fn retry_budget_entries(&self, now_ms: u64) -> usize {
@@ -440,6 +455,18 @@
     }
 }
 
+/// Returns address and port as bytes for hashing.
+fn addr_bytes(addr: SocketAddr) -> [u8; 18] {
+    let octets = match addr.ip() {
+        IpAddr::V4(ip) => ip.to_ipv6_mapped().octets(),
+        IpAddr::V6(ip) => ip.octets(),
+    };
+    let mut bytes = [0; 18];
+    bytes[..16].copy_from_slice(&octets);
+    bytes[16..].copy_from_slice(&addr.port().to_be_bytes());
+    bytes
+}
+
 /// Returns the peers with the most CPU, at most this many.
 fn most_capable<'a>(
     peers: impl Iterator<Item = (&'a SocketAddr, &'a Peer)>,
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -16,7 +16,7 @@
 use crate::gateway::control::{Control, Platform};
 use crate::gateway::duties::tally;
 use crate::gateway::policy::prefix_index;
-use crate::gateway::{directory, route};
+use crate::gateway::{directory, route, served_versions};
 use crate::seal;
 
 /// How long a peer may be ahead before its state is pulled: the entry's own watch is usually as fast.
@@ -52,6 +52,7 @@
 struct SoftState {
     placements: Vec<prefix_index::Placement>,
     counts: BTreeMap<u64, tally::Counts>,
+    served_versions: served_versions::Snapshot,
 }
 
 /// Request of a pull: for anything newer than the requester's own versions.
@@ -207,6 +208,7 @@
         .into_iter()
         .for_each(|placement| prefix_index.record_remote(placement, now_ms));
     control.shared.tally().merge_all(soft_state.counts);
+    control.shared.served_versions().merge(soft_state.served_versions, now_ms);
 }
 
 async fn request_state<P>(
@@ -276,7 +278,8 @@
         SoftStateScope::All => control.shared.prefix_index().most_recent(MAX_PLACEMENTS),
     };
     let counts = control.shared.tally().newest(tally::KEPT_WINDOWS as usize);
-    Some(SoftState { placements, counts })
+    let served_versions = control.shared.served_versions().snapshot(control.now_ms());
+    Some(SoftState { placements, counts, served_versions })
 }
 
 async fn respond<P>(control: &Control<P>, mut stream: TcpStream) -> anyhow::Result<()> {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -8,9 +8,9 @@
 use xxhash_rust::xxh3;
 
 use super::attempt::ResponseTimeout;
-use super::directory::EndpointKey;
+use super::directory::{EndpointKey, VersionKey};
 use super::request::{EndpointRequest, Rank, Request};
-use super::{metrics, route, shared};
+use super::{metrics, route, shared, stream_versions};
 
 /// Multiple of the expected time to the first event after which the wait ends, if another endpoint may
 /// take the request. A smaller factor would cost requests their place in a queue for no gain.
@@ -33,6 +33,8 @@
     pub arrived_ms: u64,
     /// When the time limit of the caller or of the route expires, whichever is earlier.
     pub deadline_ms: u64,
+    /// Software version that has begun the stream; only its endpoints may go on with it.
+    pub version: Option<VersionKey>,
     /// Endpoints that have received the request, or may have.
     pub tried_endpoints: Vec<EndpointKey>,
     /// Availability zones of endpoints that could not be connected to, one entry per failed connection.
@@ -100,6 +102,19 @@
         }
     }
 
+    /// Whether the caller goes on with a stream of which it has received events.
+    #[must_use]
+    pub fn is_continuation(&self) -> bool {
+        self.kind.is_stream() && self.request.last_event_id.is_some_and(|event| event > 0)
+    }
+
+    /// Key of the stream: that of the caller's request that brought its first event.
+    #[must_use]
+    pub fn stream_key(&self) -> stream_versions::StreamKey {
+        let began = self.request.resumes.as_ref().unwrap_or(&self.request.id);
+        stream_versions::StreamKey::of(began)
+    }
+
     #[must_use]
     pub fn left_ms(&self, now_ms: u64) -> u64 {
         self.deadline_ms.saturating_sub(now_ms)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! implement [`request::EndpointProtocol`] and [`control::Platform`].
 
 pub mod attempt;
+mod continuation;
 pub mod control;
 pub mod departures;
 pub mod directory;
@@ -27,8 +28,10 @@
 pub mod request;
 mod request_log;
 pub mod route;
+pub mod served_versions;
 pub mod settings;
 pub mod shared;
+pub mod stream_versions;
 pub mod watch;
 
 use std::cell::RefCell;
@@ -109,5 +112,6 @@
         gateway.backoff.borrow_mut().sweep(now_ms);
         gateway.shared.limits().sweep(now_ms, is_known);
         gateway.shared.departures().sweep(now_ms);
+        gateway.shared.stream_versions().sweep(now_ms);
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -117,6 +117,7 @@
             priority,
             arrived_ms,
             deadline_ms: arrived_ms + u64::from(wait_ms),
+            version: None,
             tried_endpoints: Vec::new(),
             unreachable_zones: Vec::new(),
             attempts: 0,
@@ -131,6 +132,9 @@
 
     /// Sends the request until an endpoint responds or no attempt is left.
     async fn forward(self: &Rc<Self>, mut job: Job) -> Response {
+        if let Err(refusal) = self.pin_version(&mut job).await {
+            return Response::Refused(refusal);
+        }
         loop {
             let response = match self.send(&mut job).await {
                 Ok(response) => response,
@@ -171,7 +175,9 @@
                 continue;
             };
             let is_first = !job.reached_endpoint && failed_connects == 0;
+            // A stream that has begun is worth more than a new one, and has fewer endpoints to go on at.
             if is_first
+                && job.version.is_none()
                 && job.request.prompt.is_some()
                 && !self.shared.admission.admit(
                     job.priority,
@@ -271,7 +277,9 @@
         let eligibility = self.eligibility(snapshot, now_ms);
         let candidates =
             snapshot.accepting(&service.name, job.evacuation_key(), now_ms).filter(|endpoint| {
-                !job.tried_endpoints.contains(&endpoint.key) && eligibility.allows(endpoint)
+                !job.tried_endpoints.contains(&endpoint.key)
+                    && job.version.is_none_or(|version| endpoint.version_key() == version)
+                    && eligibility.allows(endpoint)
             });
         let load_table = self.shared.load_table();
         let prefix_index = self.shared.prefix_index();
@@ -384,7 +392,7 @@
         let rank = f64::from(job.priority.min(4)) + 1.0;
         let wait_ms = RETRY_AFTER_STEP_MS * rank * rand::rng().random_range(0.5..1.5);
         let kind = match kind {
-            error::Kind::TooLate => kind,
+            error::Kind::TooLate | error::Kind::StreamUnknown => kind,
             _ => error::Kind::NoEndpoint,
         };
         // While all endpoints are in backoff a retry would fail, so this time is added.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -10,7 +10,9 @@
 
 use super::duties::tally;
 use super::policy::{admission, limits, load, prefill, prefix_index, warmup};
-use super::{departures, directory, drain, evacuation, route, settings};
+use super::{
+    departures, directory, drain, evacuation, route, served_versions, settings, stream_versions,
+};
 use crate::clock;
 
 /// Immutable view of the configuration, the endpoints and the restrictions on sending to them.
@@ -82,12 +84,16 @@
     /// Wakes the control thread to send an update to the other entries immediately, for example after a long
     /// prompt was sent.
     pub urgent_update: Notify,
+    /// Wakes the control thread to send the versions of new streams to other entries, or to ask for them.
+    pub stream_versions_due: Notify,
     /// Retry settings; they may be reloaded while the process runs.
     retries: Mutex<settings::Retries>,
     load_table: Mutex<load::LoadTable>,
     rejections: Mutex<load::Rejections>,
     limits: Mutex<limits::Limits>,
     departures: Mutex<departures::Departures>,
+    stream_versions: Mutex<stream_versions::StreamVersions>,
+    served_versions: Mutex<served_versions::ServedVersions>,
     prefix_index: Mutex<prefix_index::PrefixIndex>,
     tally: Mutex<tally::Tally>,
     /// Start times, on the boot clock, of sends whose requests may still be counted.
@@ -101,6 +107,7 @@
     pub fn new(settings: settings::Gateway, boot: u64) -> Self {
         Self {
             urgent_update: Notify::new(),
+            stream_versions_due: Notify::new(),
             retries: Mutex::new(settings.retries),
             settings,
             boot,
@@ -122,6 +129,8 @@
             rejections: Mutex::default(),
             limits: Mutex::default(),
             departures: Mutex::default(),
+            stream_versions: Mutex::default(),
+            served_versions: Mutex::default(),
             prefix_index: Mutex::default(),
             tally: Mutex::default(),
             pending_counts: Mutex::default(),
@@ -149,6 +158,16 @@
         lock(&self.departures)
     }
 
+    /// Locks the software versions that began the streams.
+    pub fn stream_versions(&self) -> MutexGuard<'_, stream_versions::StreamVersions> {
+        lock(&self.stream_versions)
+    }
+
+    /// Locks the software versions that have served lately.
+    pub fn served_versions(&self) -> MutexGuard<'_, served_versions::ServedVersions> {
+        lock(&self.served_versions)
+    }
+
     /// Locks the index of which endpoints hold which prompt parts in their prefix cache.
     pub fn prefix_index(&self) -> MutexGuard<'_, prefix_index::PrefixIndex> {
         lock(&self.prefix_index)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod routes;
 mod streams;
 mod succession;
+mod versions;
 mod virtual_fleet;
 mod warmup;
 
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -270,6 +270,10 @@
             Message::CountsAck { from, receiver_boot, ack } => {
                 node.outbox.acknowledge(from, receiver_boot, ack);
             }
+            // The nodes serve no streams.
+            Message::StreamVersions(_)
+            | Message::StreamQuery { .. }
+            | Message::UnknownStreams(_) => {}
         }
         self.send(index, out);
     }
