Let unnamed streams go on where a single version serves

Such a request goes on now if all endpoints listed for the route, and all that have left within a minute, have one version; a named stream whose record is lost still needs a minute of complete knowledge.

--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -20,6 +20,15 @@
 /// Interval between checks whether an answer has arrived.
 const LOOKUP_POLL: Duration = Duration::from_millis(5);
 
+/// How far back the versions that have served must be known.
+#[derive(Clone, Copy)]
+enum History {
+    /// As far as this entry happens to know them: for callers that do not name the stream that they go on with.
+    Recent,
+    /// For as long as streams last.
+    Complete,
+}
+
 /// Result of asking other entries.
 enum Lookup {
     Known(VersionKey),
@@ -38,15 +47,10 @@
         if !job.is_continuation() {
             return Ok(());
         }
-        let stream = job.stream_key();
-        let known = self.shared.stream_versions().find(stream);
-        let (version, source) = match known {
-            Some(version) => (Some(version), "own"),
-            None => match self.look_up(stream).await {
-                Lookup::Known(version) => (Some(version), "peer"),
-                Lookup::Unknown => (self.only_version(job), "only_version"),
-                Lookup::NoAnswer => (None, "none"),
-            },
+        let (version, source) = if job.request.resumes.is_none() {
+            (self.only_version(job, History::Recent), "only_version")
+        } else {
+            self.find_version(job).await
         };
         let Some(version) = version else {
             slog::info!(self.log, "stream unknown"; "request" => job.request.id.as_str(),
@@ -64,6 +68,21 @@
         Ok(())
     }
 
+    /// Finds the version of the stream that the caller names, with the source of it.
+    async fn find_version(&self, job: &Job) -> (Option<VersionKey>, &'static str) {
+        let stream = job.stream_key();
+        let known = self.shared.stream_versions().find(stream);
+        if known.is_some() {
+            return (known, "own");
+        }
+        match self.look_up(stream).await {
+            Lookup::Known(version) => (Some(version), "peer"),
+            Lookup::Unknown => (self.only_version(job, History::Complete), "only_version"),
+            // This entry may be cut off, and its directory out of date.
+            Lookup::NoAnswer => (None, "none"),
+        }
+    }
+
     /// Records which version sent the first event of a stream, and tells other entries.
     pub(super) fn record_stream_version(&self, job: &Job, version: VersionKey) {
         if !matches!(job.kind, route::Kind::Stream { resumable: true }) {
@@ -102,14 +121,17 @@
     }
 
     /// The version that began a stream of the request's route if there has been only one.
-    fn only_version(&self, job: &Job) -> Option<VersionKey> {
-        let [only] = job.route().weighted_services.as_slice() else {
-            return None;
-        };
-        let service = &job.table.service(only.service).name;
+    fn only_version(&self, job: &Job, history: History) -> Option<VersionKey> {
+        let services = job.route().weighted_services.iter();
+        let services: Vec<&str> =
+            services.map(|one| job.table.service(one.service).name.as_str()).collect();
         let snapshot = self.shared.snapshot.load();
         let versions = self.shared.served_versions();
-        versions.only_version(service, &snapshot.directory, self.now_ms())
+        let (directory, now_ms) = (&snapshot.directory, self.now_ms());
+        match history {
+            History::Recent => versions.only_recent_version(&services, directory, now_ms),
+            History::Complete => versions.only_version(&services, directory, now_ms),
+        }
     }
 }
 
--- a/src/gateway/served_versions.rs
+++ b/src/gateway/served_versions.rs
@@ -58,26 +58,39 @@
         }
     }
 
-    /// Returns the only version that has served a service within the retention time. `None` if there were
-    /// several, or if this entry has not known the directory for as long.
+    /// Returns the only version of these services that is listed or has left within the retention time.
+    /// `None` if there are several.
     #[must_use]
-    pub fn only_version(
+    pub fn only_recent_version(
         &self,
-        service: &str,
+        services: &[&str],
         directory: &Directory,
         now_ms: u64,
     ) -> Option<VersionKey> {
-        self.since_ms.filter(|since_ms| since_ms + RETENTION_MS <= now_ms)?;
-        let listed = directory.endpoints().iter().filter(|one| one.service == service);
+        let is_asked = |service: &str| services.contains(&service);
+        let listed = directory.endpoints().iter().filter(|one| is_asked(&one.service));
         let left = self
             .left
             .iter()
-            .filter(|left| left.service == service && now_ms < left.at_ms + RETENTION_MS);
+            .filter(|left| is_asked(&left.service) && now_ms < left.at_ms + RETENTION_MS);
         let mut versions = listed.map(Endpoint::version_key).chain(left.map(|left| left.version));
         let first = versions.next()?;
         versions.all(|version| version == first).then_some(first)
     }
 
+    /// Returns the only version of these services that has served within the retention time. `None` if there
+    /// were several, or if this entry has not known the directory for as long.
+    #[must_use]
+    pub fn only_version(
+        &self,
+        services: &[&str],
+        directory: &Directory,
+        now_ms: u64,
+    ) -> Option<VersionKey> {
+        self.since_ms.filter(|since_ms| since_ms + RETENTION_MS <= now_ms)?;
+        self.only_recent_version(services, directory, now_ms)
+    }
+
     /// Returns what other entries need that have started later.
     #[must_use]
     pub fn snapshot(&self, now_ms: u64) -> Snapshot {
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -70,10 +70,10 @@
     let new = listing(&[("two", "v1.1")], 2);
     served.observe(&Directory::default(), &both, NOW_MS);
     let later_ms = NOW_MS + 2 * RETENTION_MS;
-    assert_eq!(served.only_version("engine", &both, later_ms), None);
+    assert_eq!(served.only_version(&["engine"], &both, later_ms), None);
     served.observe(&both, &new, later_ms);
-    assert_eq!(served.only_version("engine", &new, later_ms + RETENTION_MS - 1), None);
-    let only = served.only_version("engine", &new, later_ms + RETENTION_MS);
+    assert_eq!(served.only_version(&["engine"], &new, later_ms + RETENTION_MS - 1), None);
+    let only = served.only_version(&["engine"], &new, later_ms + RETENTION_MS);
     assert_eq!(only, Some(version("v1.1")));
 }
 
@@ -85,9 +85,11 @@
     let listed = listing(&[("one", "v1")], 1);
     served.observe(&Directory::default(), &listed, NOW_MS);
     let is_known = |served: &ServedVersions, now_ms| {
-        served.only_version("engine", &listed, now_ms) == Some(version("v1"))
+        served.only_version(&["engine"], &listed, now_ms) == Some(version("v1"))
     };
     assert!(!is_known(&served, NOW_MS + RETENTION_MS - 1));
+    let recent = served.only_recent_version(&["engine"], &listed, NOW_MS);
+    assert_eq!(recent, Some(version("v1")));
     assert!(is_known(&served, NOW_MS + RETENTION_MS));
     // What an older entry tells it counts from the start.
     let mut young = ServedVersions::default();
@@ -106,8 +108,8 @@
     let now_ms = NOW_MS + RETENTION_MS - 1;
     young.observe(&Directory::default(), &listed, now_ms);
     young.merge(old.snapshot(now_ms), now_ms);
-    assert_eq!(young.only_version("engine", &listed, now_ms + 1), Some(version("v1")));
-    assert_eq!(young.only_version("engine", &listed, now_ms), None);
+    assert_eq!(young.only_version(&["engine"], &listed, now_ms + 1), Some(version("v1")));
+    assert_eq!(young.only_version(&["engine"], &listed, now_ms), None);
 }
 
 /// Guards against streams that nobody can go on with after an availability zone is lost: an entry that is
