Bind a stream to the version of an endpoint that has started again under its id

The version is looked up when the first events of a response arrive, since the process that sends them is the latest one; events that do not fit the stream's version are dropped and the stream goes on elsewhere.

--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -60,6 +60,8 @@
     response: Option<OpenResponse>,
     splitter: event_splitter::EventSplitter,
     last_event_id: Option<u64>,
+    /// Whether the version of the endpoint that sends the response now was checked.
+    is_bound: bool,
     timing: EventTiming,
     has_ended: bool,
 }
@@ -102,6 +104,7 @@
         response: Some(response),
         splitter: event_splitter::EventSplitter::default(),
         last_event_id,
+        is_bound: false,
         timing: EventTiming::default(),
         has_ended: false,
     };
@@ -141,7 +144,6 @@
         loop {
             match self.step().await {
                 Step::Events(bytes) => {
-                    self.pin_version();
                     self.learn_prefill_rate();
                     let took_ms = self.gateway.now_ms() - self.job.arrived_ms;
                     metrics::first_event(&self.job.service().name, took_ms);
@@ -227,6 +229,10 @@
                 // Forwarding these events would send the caller data that it already has.
                 return Step::Lost(http1::Error::Malformed);
             }
+            if !self.is_bound && !self.bind_version() {
+                return Step::Lost(http1::Error::Malformed);
+            }
+            self.is_bound = true;
             self.last_event_id = events.last_id.or(self.last_event_id);
             self.timing.event(self.gateway.now_ms());
             return Step::Events(events.bytes);
@@ -266,14 +272,28 @@
         }
     }
 
-    /// Binds the stream to the version of the endpoint that has sent its first events.
-    fn pin_version(&mut self) {
-        let Some(response) = &self.response else {
-            return;
+    /// Binds the stream to the version of the endpoint that has sent its first events. Returns false if it is
+    /// bound to another version already.
+    fn bind_version(&mut self) -> bool {
+        let Some(endpoint) = self.response.as_ref().map(|response| &response.endpoint) else {
+            return false;
         };
-        let version = response.endpoint.version_key();
+        // The endpoint may have started again, with another version, between the choice and the send. The
+        // process that sends events is the latest one.
+        let snapshot = self.gateway.shared.snapshot.load();
+        let sender = snapshot.directory.find(endpoint.key).unwrap_or(endpoint);
+        let version = sender.version_key();
+        if self.job.version.is_some_and(|bound| bound != version) {
+            slog::info!(self.gateway.log, "stream at another version";
+                "request" => self.job.request.id.as_str(), "endpoint" => sender.id.as_str(),
+                "endpoint_version" => sender.version.as_str(), "event" => self.last_event_id);
+            return false;
+        }
+        if self.timing.first_ms.is_none() {
+            self.gateway.record_stream_version(&self.job, version);
+        }
         self.job.version = Some(version);
-        self.gateway.record_stream_version(&self.job, version);
+        true
     }
 
     /// Removes the prompt's tokens from the endpoint's load.
@@ -333,6 +353,7 @@
             "endpoint_version" => response.endpoint.version.as_str(),
             "event" => self.last_event_id, "status" => response.head.status);
         self.response = Some(response);
+        self.is_bound = false;
         self.splitter = event_splitter::EventSplitter::default();
         is_stream
     }
