Log the parts of prompts that were lost with an endpoint

No line named the parts of a prompt, so that requests which end engines could not be told from those that were lost with them by what they have in common. `send failed` of a send that may have run and `stream lost` say `parts`, digests that are the same in all entries. Behaviour is unchanged.

--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -12,7 +12,7 @@
 
 use super::attempt::OpenResponse;
 use super::job::Job;
-use super::{Gateway, event_splitter, http1, metrics};
+use super::{Gateway, event_splitter, http1, metrics, request};
 use crate::error;
 
 /// The stream ended before it was complete. The caller's connection has to be closed, so that the
@@ -330,10 +330,13 @@
         if matches!(error, http1::Error::TimedOut) && now_ms < self.job.deadline_ms {
             gateway.mark_unreachable(endpoint);
         }
+        // A request that had begun to be answered shows by its parts what the endpoint was working on.
+        let prompt = self.job.request.prompt.as_ref();
         slog::info!(gateway.log, "stream lost"; "request" => self.job.request.id.as_str(),
             "endpoint" => endpoint.id.as_str(),
             "endpoint_version" => endpoint.version.as_str(), "event" => self.last_event_id,
-            "detail" => error.to_string(), "attempt" => self.job.attempts);
+            "detail" => error.to_string(), "attempt" => self.job.attempts,
+            "parts" => prompt.map(request::Prompt::shared_part_ids));
     }
 
     /// Resumes the stream after the last event at another endpoint, if the route allows it.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -31,6 +31,14 @@
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
+
+    /// Returns the ids of the shared parts as text for the log.
+    #[must_use]
+    pub fn shared_part_ids(&self) -> String {
+        let ids: Vec<String> =
+            self.shared_parts().iter().map(|part| format!("{:016x}", part.id)).collect();
+        ids.join(",")
+    }
 }
 
 /// A request as the caller sent it.
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -8,7 +8,7 @@
 use super::attempt::{Evidence, Failure};
 use super::job::Job;
 use super::policy::{choose, limits};
-use super::request::{Request, Response};
+use super::request::{self, Request, Response};
 use super::{Gateway, directory, metrics};
 use crate::error;
 
@@ -156,6 +156,7 @@
             _ => None,
         };
         metrics::send_outcome(&job.service().name, outcome);
+        let prompt = job.request.prompt.as_ref().filter(|_| evidence.is_some());
         slog::info!(self.log, "send failed"; "request" => job.request.id.as_str(),
             "endpoint" => choice.endpoint.id.as_str(), "outcome" => outcome, "detail" => detail,
             "retry_after_ms" => retry_after_ms,
@@ -163,7 +164,8 @@
             "sent_ms_ago" => evidence.map(|one| one.sent_ms_ago),
             "unacked_bytes" => evidence.and_then(|one| one.unacked_bytes),
             "reused" => evidence.map(|one| one.was_reused),
-            "quiet_ms" => evidence.and_then(|one| one.quiet_ms));
+            "quiet_ms" => evidence.and_then(|one| one.quiet_ms),
+            "parts" => prompt.map(request::Prompt::shared_part_ids));
     }
 
     /// Logs a send whose caller disconnected before the endpoint responded.
