Stop sending prompts on whose parts engines end

An entry took each end for one endpoint's failure, avoided it for a quarter of a second to two, and sent the request on to the next engine; then the caller's retry did the same at another entry. Nothing related the ends to what the lost requests had in common. Evidence: the ends follow each other singly at intervals, the requests lost without an event but with a response head are all on one route, nearly all of one account, and one of them ended two engines.

An entry that loses prompts before an engine was seen to write on them checks whether the engine still accepts connections. If not, it records the crash for the shared parts of these prompts. Entries send these records with their states, tell two reports of one crash apart from two crashes, and add those up. A part is in quarantine after three crashes without a success, an answer that was written on it since or up to two seconds before; of parts that were lost together, those are taken that explain most crashes. Prompts with it get 503 at once, for ten minutes after the last crash; an answer on the part, at any entry, releases it. A prompt whose parts have not succeeded lately waits for the check of its engine before it is sent to a second one.

Weighed: counting crashes by request, account or route (condemns sound requests); a threshold of five (two more engines end, and popular parts are protected by their successes anyway); no limit in time (a part condemned in error would stay so).

Engines that end by themselves, one after the other and five at once, condemn nothing, as before.

--- a/src/error.rs
+++ b/src/error.rs
@@ -41,6 +41,7 @@
     DependencyDown,
     NoEndpoint,
     StreamUnknown,
+    PromptQuarantined,
     QueueFull,
     TooLate,
     Draining,
@@ -161,6 +162,13 @@
                 "It is not known which software version began the stream.",
                 false,
             ),
+            Self::PromptQuarantined => answer(
+                503,
+                "prompt_quarantined",
+                SERVER,
+                "Engines have ended on prompts with a part of this one.",
+                false,
+            ),
             Self::QueueFull => answer(429, "queue_full", LIMIT, "The queue is full.", true),
             Self::TooLate => {
                 answer(429, "too_late", LIMIT, "The request can no longer be in time.", false)
--- a/src/gateway/control/restrictions.rs
+++ b/src/gateway/control/restrictions.rs
@@ -2,7 +2,7 @@
 //! and departures that endpoints announce.
 
 use crate::gateway::control::Control;
-use crate::gateway::policy::{limits, warmup};
+use crate::gateway::policy::{limits, quarantine, warmup};
 use crate::gateway::{departures, directory, evacuation, request_log, route};
 
 impl<P> Control<P> {
@@ -79,6 +79,16 @@
         }
     }
 
+    /// Applies suspected prompt parts received from a peer.
+    pub(in crate::gateway) fn apply_suspicions(
+        &self,
+        received: &[quarantine::Suspicion],
+        now_ms: u64,
+    ) {
+        let changes = self.shared.quarantine().merge(received, now_ms);
+        request_log::log_quarantine(&self.log, &changes, "peer");
+    }
+
     /// Recomputes this entry's shares of the limits that endpoints have announced.
     pub(in crate::gateway) fn update_limit_shares(&self) {
         let exchange = self.exchange.borrow();
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -15,6 +15,10 @@
 use super::{Gateway, event_splitter, http1, metrics, request};
 use crate::error;
 
+/// Time between events after which an engine has shown that it can write an answer on a prompt. One that ends
+/// on the prompt does so with the first of them.
+const PROVEN_AFTER_MS: u64 = 200;
+
 /// The stream ended before it was complete. The caller's connection has to be closed, so that the
 /// response does not look complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -63,6 +67,8 @@
     /// Whether the version of the endpoint that sends the response now was checked.
     is_bound: bool,
     timing: EventTiming,
+    /// Whether an engine has written an answer on the prompt for long enough to show that it can.
+    is_proven: bool,
     has_ended: bool,
 }
 
@@ -85,6 +91,11 @@
         self.last_ms = now_ms;
         self.events += 1;
     }
+
+    /// Time from the first event to the last one.
+    fn written_ms(&self) -> u64 {
+        self.first_ms.map_or(0, |first_ms| self.last_ms - first_ms)
+    }
 }
 
 /// Opens a stream and waits for its first events. A stream that fails before them can thus still be
@@ -106,6 +117,7 @@
         last_event_id,
         is_bound: false,
         timing: EventTiming::default(),
+        is_proven: false,
         has_ended: false,
     };
     let first = source.first_events().await;
@@ -235,6 +247,9 @@
             self.is_bound = true;
             self.last_event_id = events.last_id.or(self.last_event_id);
             self.timing.event(self.gateway.now_ms());
+            if !self.is_proven && self.timing.written_ms() >= PROVEN_AFTER_MS {
+                self.mark_proven();
+            }
             return Step::Events(events.bytes);
         }
     }
@@ -272,6 +287,11 @@
         }
     }
 
+    fn mark_proven(&mut self) {
+        self.is_proven = true;
+        self.gateway.record_prompt_success(&self.job);
+    }
+
     /// Binds the stream to the version of the endpoint that has sent its first events. Returns false if it is
     /// bound to another version already.
     fn bind_version(&mut self) -> bool {
@@ -327,6 +347,9 @@
         let now_ms = gateway.now_ms();
         let took_ms = now_ms - response.sent_ms;
         gateway.health.borrow_mut().record_response(endpoint.key, false, took_ms, now_ms);
+        if !self.is_proven {
+            gateway.suspect_crash(&self.job, endpoint, error);
+        }
         if matches!(error, http1::Error::TimedOut) && now_ms < self.job.deadline_ms {
             gateway.mark_unreachable(endpoint);
         }
@@ -344,7 +367,11 @@
         if !self.job.kind.is_repeatable() || !self.job.has_attempt_left(self.gateway.now_ms()) {
             return false;
         }
-        self.response = None;
+        if let Some(lost) = self.response.take().filter(|_| !self.is_proven) {
+            let endpoint = lost.endpoint.key;
+            drop(lost);
+            self.gateway.await_crash_check(&self.job, endpoint).await;
+        }
         self.job.request.last_event_id = self.last_event_id;
         let Ok(response) = self.gateway.send(&mut self.job).await else {
             return false;
@@ -364,6 +391,9 @@
     /// Records a completed stream and returns its connection to the pool.
     fn finish(&mut self) {
         self.has_ended = true;
+        if !self.is_proven && self.timing.events > 0 {
+            self.mark_proven();
+        }
         let Some(response) = self.response.take() else {
             return;
         };
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -73,6 +73,10 @@
         let limits = control.shared.limits();
         (limits.updates(now_ms), limits.newest_stamp())
     };
+    let (suspicions, suspicions_stamp) = {
+        let quarantine = control.shared.quarantine();
+        (quarantine.recent(now_ms), quarantine.stamp())
+    };
     LocalState {
         age_ms: control.shared.time.age_ms(),
         unix_ms: control.shared.time.unix_ms(),
@@ -87,6 +91,8 @@
         limits,
         limits_stamp,
         departures: control.shared.departures().recent(now_ms),
+        suspicions,
+        suspicions_stamp,
     }
 }
 
@@ -138,6 +144,7 @@
         &snapshot,
         limited,
         leaving,
+        control.shared.quarantine().count(),
         peers.live_count(now_ms),
         control.holds_duties.get(),
     );
@@ -201,6 +208,7 @@
         Message::StreamQuery { from, streams } => {
             stream_keepers::answer(control, from, &streams);
         }
+        Message::Suspicions(suspicions) => control.apply_suspicions(&suspicions, now_ms),
         Message::UnknownStreams(streams) => stream_keepers::learn_unknown(control, &streams),
         Message::Counts { from, counts } => {
             shared.tally().merge(counts.boot, &counts.counts);
--- a/src/gateway/fleet/exchange.rs
+++ b/src/gateway/fleet/exchange.rs
@@ -17,7 +17,7 @@
 
 use crate::gateway::fleet::message::{Message, State, Work};
 use crate::gateway::fleet::peers::Peers;
-use crate::gateway::policy::{admission, limits, load, prefix_index, warmup};
+use crate::gateway::policy::{admission, limits, load, prefix_index, quarantine, warmup};
 use crate::gateway::{departures, directory, evacuation};
 use crate::lease;
 
@@ -53,6 +53,9 @@
     /// Stamp of the newest change of an endpoint's limit.
     pub limits_stamp: u64,
     pub departures: Vec<departures::Departure>,
+    pub suspicions: Vec<quarantine::Suspicion>,
+    /// Stamp of the newest change of the suspected prompt parts.
+    pub suspicions_stamp: u64,
 }
 
 impl LocalState {
@@ -66,6 +69,7 @@
             self.directory_revision,
             self.evacuations.revision,
             self.limits_stamp,
+            self.suspicions_stamp,
         ];
         let departures = self.departures.len();
         Urgent { versions, flags, term_notice, departures }
@@ -74,7 +78,7 @@
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Urgent {
-    versions: [u64; 4],
+    versions: [u64; 5],
     flags: [bool; 4],
     term_notice: Option<(u64, bool)>,
     /// Number of endpoints that have recently announced that they leave.
--- a/src/gateway/fleet/exchange/sending.rs
+++ b/src/gateway/fleet/exchange/sending.rs
@@ -34,6 +34,8 @@
 const MAX_LIMITS: usize = 60;
 /// Maximum number of departures in a message; about 14 bytes each.
 const MAX_DEPARTURES: usize = 75;
+/// Maximum number of suspected prompt parts in a message; at most 130 bytes each.
+const MAX_SUSPICIONS: usize = 8;
 /// Maximum number of parts queued for forwarding. Older ones are dropped, so that engines may have to
 /// prefill them again.
 const MAX_QUEUED_PARTS: usize = 4_000;
@@ -110,6 +112,10 @@
             let message = Message::Departures(departures.to_vec());
             out.push(Outgoing { to: to.clone(), message });
         }
+        for suspicions in local.suspicions.chunks(MAX_SUSPICIONS) {
+            let message = Message::Suspicions(suspicions.to_vec());
+            out.push(Outgoing { to: to.clone(), message });
+        }
         let message = Message::State(state);
         out.push(Outgoing { to, message });
     }
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::duties::{delivery, tally};
 use crate::gateway::fleet::peers::{self, roster};
-use crate::gateway::policy::{admission, limits, load, prefix_index};
+use crate::gateway::policy::{admission, limits, load, prefix_index, quarantine};
 use crate::gateway::{departures, evacuation, stream_versions};
 use crate::lease;
 
@@ -114,6 +114,8 @@
     },
     /// Streams that the sender was asked about and does not know.
     UnknownStreams(Vec<stream_versions::StreamKey>),
+    /// Prompt parts that are suspected of ending engines, sent with each state message.
+    Suspicions(Vec<quarantine::Suspicion>),
 }
 
 impl Message {
@@ -130,6 +132,7 @@
             Self::StreamVersions(_) => "stream_versions",
             Self::StreamQuery { .. } => "stream_query",
             Self::UnknownStreams(_) => "unknown_streams",
+            Self::Suspicions(_) => "suspicions",
             Self::Counts { .. } => "counts",
             Self::CountsAck { .. } => "counts_taken",
         }
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -15,7 +15,7 @@
 
 use crate::gateway::control::{Control, Platform};
 use crate::gateway::duties::tally;
-use crate::gateway::policy::prefix_index;
+use crate::gateway::policy::{prefix_index, quarantine};
 use crate::gateway::{directory, route, served_versions};
 use crate::seal;
 
@@ -53,6 +53,7 @@
     placements: Vec<prefix_index::Placement>,
     counts: BTreeMap<u64, tally::Counts>,
     served_versions: served_versions::Snapshot,
+    suspicions: Vec<quarantine::Suspicion>,
 }
 
 /// Request of a pull: for anything newer than the requester's own versions.
@@ -209,6 +210,7 @@
         .for_each(|placement| prefix_index.record_remote(placement, now_ms));
     control.shared.tally().merge_all(soft_state.counts);
     control.shared.served_versions().merge(soft_state.served_versions, now_ms);
+    control.apply_suspicions(&soft_state.suspicions, now_ms);
 }
 
 async fn request_state<P>(
@@ -279,7 +281,8 @@
     };
     let counts = control.shared.tally().newest(tally::KEPT_WINDOWS as usize);
     let served_versions = control.shared.served_versions().snapshot(control.now_ms());
-    Some(SoftState { placements, counts, served_versions })
+    let suspicions = control.shared.quarantine().all(control.now_ms());
+    Some(SoftState { placements, counts, served_versions, suspicions })
 }
 
 async fn respond<P>(control: &Control<P>, mut stream: TcpStream) -> anyhow::Result<()> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 mod continuation;
 pub mod control;
+mod crash_check;
 pub mod departures;
 pub mod directory;
 pub mod drain;
@@ -35,6 +36,7 @@
 pub mod watch;
 
 use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,6 +60,8 @@
     budgets: RefCell<budget::RetryBudgets>,
     cold_sends: RefCell<warmup::ColdSends>,
     backoff: RefCell<backoff::Backoff>,
+    /// Engines that may have ended, with the parts of the prompts that were lost with them.
+    crash_checks: RefCell<HashMap<directory::EndpointKey, HashSet<u64>>>,
     log: slog::Logger,
 }
 
@@ -80,6 +84,7 @@
             event_gaps: RefCell::default(),
             cold_sends: RefCell::default(),
             backoff: RefCell::default(),
+            crash_checks: RefCell::default(),
             log,
         });
         task::spawn_local(sweep(Rc::clone(&gateway)));
@@ -113,5 +118,7 @@
         gateway.shared.limits().sweep(now_ms, is_known);
         gateway.shared.departures().sweep(now_ms);
         gateway.shared.stream_versions().sweep(now_ms);
+        let changes = gateway.shared.quarantine().sweep(now_ms);
+        request_log::log_quarantine(&gateway.log, &changes, "own");
     }
 }
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -14,4 +14,5 @@
 pub mod outage;
 pub mod prefill;
 pub mod prefix_index;
+pub mod quarantine;
 pub mod warmup;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -166,6 +166,7 @@
             if job.left_ms(now_ms) == 0 {
                 return Err(self.final_refusal(job, error::Kind::DeadlineExceeded));
             }
+            self.check_quarantine(job)?;
             let snapshot = self.shared.snapshot.load_full();
             let Some(choice) = self.choose_endpoint(&snapshot, job) else {
                 if now_ms > job.arrived_ms + hold_ms {
@@ -234,8 +235,9 @@
                     self.mark_misdirected(choice.endpoint);
                 }
                 Failure::NotRun { .. } => job.pending_count = None,
-                Failure::Unknown { .. } => {
+                Failure::Unknown { error, .. } => {
                     job.may_have_run = true;
+                    self.suspect_crash(job, choice.endpoint, &error);
                     // A stream is billed from its first event on, and none has arrived.
                     if !job.kind.is_stream() {
                         self.bill(job, now_ms);
@@ -253,6 +255,7 @@
                         let kind = if is_expired { expired } else { error::Kind::LinkLost };
                         return Err(self.final_refusal(job, kind));
                     }
+                    self.await_crash_check(job, choice.endpoint.key).await;
                 }
             }
         }
@@ -324,7 +327,10 @@
                 job.may_have_run = true;
                 return Err(self.final_refusal(job, error::Kind::DeadlineExceeded));
             }
-            Ok(Err(_)) => None,
+            Ok(Err(error)) => {
+                self.suspect_crash(job, &response.endpoint, &error);
+                None
+            }
             Ok(Ok(_)) if !response.info.is_signed => None,
             Ok(Ok(body)) => Some(body),
         };
@@ -343,6 +349,7 @@
         }
         match body {
             Some(body) if is_success => {
+                self.record_prompt_success(job);
                 self.pool.borrow_mut().put(response.endpoint.addr, response.connection, now_ms);
                 Ok(Some((response.head, body)))
             }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -7,7 +7,7 @@
 
 use super::attempt::{Evidence, Failure};
 use super::job::Job;
-use super::policy::{choose, limits};
+use super::policy::{choose, limits, quarantine};
 use super::request::{self, Request, Response};
 use super::{Gateway, directory, metrics};
 use crate::error;
@@ -75,6 +75,24 @@
         "before_per_s" => change.before.map(limits::Rate::per_s), "source" => source);
 }
 
+/// Logs prompt parts that came into quarantine or were released.
+pub(super) fn log_quarantine(
+    log: &slog::Logger,
+    changes: &[quarantine::Change],
+    source: &'static str,
+) {
+    for change in changes {
+        let part = format!("{:016x}", change.part);
+        if change.is_quarantined {
+            slog::warn!(log, "prompt part in quarantine"; "part" => part,
+                "crashes" => change.crashes, "source" => source);
+        } else {
+            slog::info!(log, "prompt part released"; "part" => part, "crashes" => change.crashes,
+                "source" => source);
+        }
+    }
+}
+
 impl Gateway {
     /// Version of the active configuration; zero if there is none.
     fn config_version(&self) -> u64 {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use super::duties::tally;
-use super::policy::{admission, limits, load, prefill, prefix_index, warmup};
+use super::policy::{admission, limits, load, prefill, prefix_index, quarantine, warmup};
 use super::{
     departures, directory, drain, evacuation, route, served_versions, settings, stream_versions,
 };
@@ -92,6 +92,7 @@
     rejections: Mutex<load::Rejections>,
     limits: Mutex<limits::Limits>,
     departures: Mutex<departures::Departures>,
+    quarantine: Mutex<quarantine::Quarantine>,
     stream_versions: Mutex<stream_versions::StreamVersions>,
     served_versions: Mutex<served_versions::ServedVersions>,
     prefix_index: Mutex<prefix_index::PrefixIndex>,
@@ -129,6 +130,7 @@
             rejections: Mutex::default(),
             limits: Mutex::default(),
             departures: Mutex::default(),
+            quarantine: Mutex::default(),
             stream_versions: Mutex::default(),
             served_versions: Mutex::default(),
             prefix_index: Mutex::default(),
@@ -158,6 +160,11 @@
         lock(&self.departures)
     }
 
+    /// Locks the prompt parts that are suspected of ending engines.
+    pub fn quarantine(&self) -> MutexGuard<'_, quarantine::Quarantine> {
+        lock(&self.quarantine)
+    }
+
     /// Locks the software versions that began the streams.
     pub fn stream_versions(&self) -> MutexGuard<'_, stream_versions::StreamVersions> {
         lock(&self.stream_versions)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod outage;
 mod pulls;
+mod quarantine;
 mod retries;
 mod routes;
 mod streams;
--- /dev/null
+++ b/tests/gateway/quarantine.rs
@@ -0,0 +1,170 @@
+//! Prompt parts on which engines end: which parts are taken for the cause, what clears them, and how fast all
+//! entries learn of them.
+
+use briarwinch::gateway::policy::quarantine::{MIN_CRASHES, Quarantine, RETENTION_MS};
+
+use crate::virtual_fleet::{Fleet, SIZES, key};
+
+const NOW_MS: u64 = 1_000_000;
+/// Time between two crashes.
+const GAP_MS: u64 = 400;
+/// The part on which engines end, and parts that sound prompts have as well.
+const CAUSE: u64 = 1;
+const SYSTEM: u64 = 2;
+const DOCUMENT: u64 = 3;
+/// Time after the last needed crash within which all entries know of the part.
+const SPREAD_MS: u64 = 1_000;
+
+fn is_quarantined(quarantine: &Quarantine, part: u64, now_ms: u64) -> bool {
+    quarantine.remaining_ms([part], now_ms).is_some()
+}
+
+/// Records crashes of different engines, each with these parts, and returns the time after them.
+fn crash(quarantine: &mut Quarantine, count: usize, parts: &[u64], from_ms: u64) -> u64 {
+    for index in 0..count {
+        let at_ms = from_ms + index as u64 * GAP_MS;
+        quarantine.record_crash(key(index), parts.iter().copied(), at_ms);
+    }
+    from_ms + count as u64 * GAP_MS
+}
+
+/// Guards against engines that end one after the other on a part that only the lost prompts have.
+#[test]
+fn a_part_without_a_success_is_quarantined_after_its_crashes() {
+    let mut quarantine = Quarantine::default();
+    let now_ms = crash(&mut quarantine, MIN_CRASHES - 1, &[CAUSE], NOW_MS);
+    assert!(!is_quarantined(&quarantine, CAUSE, now_ms));
+    let now_ms = crash(&mut quarantine, MIN_CRASHES, &[CAUSE], NOW_MS);
+    assert!(is_quarantined(&quarantine, CAUSE, now_ms));
+    let end_ms = now_ms - GAP_MS + RETENTION_MS;
+    assert!(is_quarantined(&quarantine, CAUSE, end_ms - 1));
+    assert!(!is_quarantined(&quarantine, CAUSE, end_ms));
+    quarantine.sweep(end_ms);
+    assert_eq!(quarantine.count(), 0);
+}
+
+/// Guards against one crash that counts several times, since several entries or requests were hit by it.
+#[test]
+fn reports_of_one_crash_count_once() {
+    let mut quarantine = Quarantine::default();
+    for at_ms in NOW_MS..NOW_MS + 10 {
+        quarantine.record_crash(key(0), [CAUSE], at_ms);
+    }
+    let mut other = Quarantine::default();
+    other.record_crash(key(0), [CAUSE], NOW_MS + 50);
+    quarantine.merge(&other.recent(NOW_MS + 100), NOW_MS + 100);
+    quarantine.record_crash(key(1), [CAUSE], NOW_MS + GAP_MS);
+    assert!(!is_quarantined(&quarantine, CAUSE, NOW_MS + GAP_MS));
+}
+
+/// Guards against sound prompts that are refused because they share parts with those that end engines.
+#[test]
+fn parts_of_sound_prompts_are_not_quarantined() {
+    let mut quarantine = Quarantine::default();
+    for index in 0..8 {
+        let at_ms = NOW_MS + index as u64 * GAP_MS;
+        quarantine.record_success([SYSTEM, DOCUMENT], at_ms - 100);
+        quarantine.record_crash(key(index), [SYSTEM, CAUSE, DOCUMENT], at_ms);
+    }
+    let now_ms = NOW_MS + 8 * GAP_MS;
+    let found = [SYSTEM, CAUSE, DOCUMENT].map(|part| is_quarantined(&quarantine, part, now_ms));
+    assert_eq!(found, [false, true, false]);
+}
+
+/// Guards against all prompts of a route that are refused where it has few: its common part has not succeeded
+/// since shortly before the crashes.
+#[test]
+fn of_parts_lost_together_the_one_that_never_succeeded_is_quarantined() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success([SYSTEM], NOW_MS - 20_000);
+    let now_ms = crash(&mut quarantine, 5, &[SYSTEM, CAUSE], NOW_MS);
+    assert!(is_quarantined(&quarantine, CAUSE, now_ms));
+    assert!(!is_quarantined(&quarantine, SYSTEM, now_ms));
+}
+
+/// Guards against a document that is refused for good because a prompt with it happened to wait at several of
+/// the engines that ended on another one.
+#[test]
+fn a_part_that_was_lost_in_some_of_the_crashes_is_not_quarantined() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 3, &[CAUSE, DOCUMENT], NOW_MS);
+    let now_ms = crash(&mut quarantine, 4, &[CAUSE], NOW_MS);
+    assert!(is_quarantined(&quarantine, CAUSE, now_ms));
+    assert!(!is_quarantined(&quarantine, DOCUMENT, now_ms));
+}
+
+/// Guards against a popular part that is refused when several engines end at once for reasons of their own.
+#[test]
+fn engines_that_end_at_once_do_not_condemn_a_part_in_use() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success([SYSTEM], NOW_MS - 1_500);
+    for index in 0..5 {
+        quarantine.record_crash(key(index), [SYSTEM], NOW_MS + index as u64);
+    }
+    assert!(!is_quarantined(&quarantine, SYSTEM, NOW_MS + 10));
+}
+
+/// Guards against a part that stays refused although it was condemned in error: an answer that was under way
+/// shows that engines can write on it.
+#[test]
+fn a_success_releases_a_part_everywhere() {
+    let mut quarantine = Quarantine::default();
+    let now_ms = crash(&mut quarantine, MIN_CRASHES, &[CAUSE], NOW_MS);
+    let mut other = Quarantine::default();
+    other.merge(&quarantine.recent(now_ms), now_ms);
+    assert!(is_quarantined(&other, CAUSE, now_ms));
+    let changes = other.record_success([CAUSE], now_ms + 100);
+    assert_eq!(changes.len(), 1);
+    assert!(!changes[0].is_quarantined);
+    quarantine.merge(&other.recent(now_ms + 200), now_ms + 200);
+    assert!(!is_quarantined(&quarantine, CAUSE, now_ms + 200));
+}
+
+/// Guards against memory that grows with the number of documents that were lost with engines.
+#[test]
+fn suspected_parts_are_bounded_and_the_cause_is_kept() {
+    let mut quarantine = Quarantine::default();
+    let now_ms = crash(&mut quarantine, MIN_CRASHES, &[CAUSE], NOW_MS);
+    quarantine.record_crash(key(9), 10..5_000, now_ms);
+    assert_eq!(quarantine.all(now_ms).len(), 256);
+    assert!(is_quarantined(&quarantine, CAUSE, now_ms));
+}
+
+/// Guards against entries that each see too few of the crashes to know the cause.
+#[test]
+fn crashes_seen_by_different_entries_add_up_in_all() {
+    for (entries, zones) in SIZES {
+        let mut fleet = Fleet::open(entries, zones, 0.02);
+        fleet.run_ms(2_500);
+        for index in 0..MIN_CRASHES {
+            let now_ms = fleet.now_ms;
+            let node = index * (entries - 1) / (MIN_CRASHES - 1);
+            fleet.nodes[node].quarantine.record_crash(key(index), [CAUSE, DOCUMENT], now_ms);
+            fleet.run_ms(GAP_MS);
+        }
+        // Another entry has had an answer on the document.
+        let now_ms = fleet.now_ms;
+        fleet.nodes[1].quarantine.record_success([DOCUMENT], now_ms);
+        fleet.run_ms(SPREAD_MS);
+        let now_ms = fleet.now_ms;
+        let nodes = || fleet.nodes.iter().map(|node| &node.quarantine);
+        let missing = nodes().filter(|one| !is_quarantined(one, CAUSE, now_ms)).count();
+        let wrong = nodes().filter(|one| is_quarantined(one, DOCUMENT, now_ms)).count();
+        assert_eq!((missing, wrong), (0, 0), "of {entries} entries");
+    }
+}
+
+/// Guards against an entry that sends such prompts again after it was cut off from the others while they saw
+/// engines end.
+#[test]
+fn an_entry_that_was_cut_off_learns_of_the_quarantine() {
+    let mut fleet = Fleet::open(22, 3, 0.0);
+    fleet.run_ms(2_500);
+    fleet.nodes[7].is_cut_off = true;
+    let now_ms = fleet.now_ms;
+    crash(&mut fleet.nodes[0].quarantine, MIN_CRASHES, &[CAUSE], now_ms);
+    fleet.run_ms(30_000);
+    fleet.nodes[7].is_cut_off = false;
+    fleet.run_ms(2 * SPREAD_MS);
+    assert!(is_quarantined(&fleet.nodes[7].quarantine, CAUSE, fleet.now_ms));
+}
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -9,7 +9,7 @@
 use briarwinch::gateway::fleet::exchange::{Exchange, Identity, LocalState, Outgoing};
 use briarwinch::gateway::fleet::message::Message;
 use briarwinch::gateway::fleet::peers::Peers;
-use briarwinch::gateway::policy::{admission, limits, load, prefix_index};
+use briarwinch::gateway::policy::{admission, limits, load, prefix_index, quarantine};
 use briarwinch::gateway::settings;
 use briarwinch::gateway::{departures, evacuation};
 use proptest::prelude::*;
@@ -35,6 +35,7 @@
     pub prefix_index: prefix_index::PrefixIndex,
     pub limits: limits::Limits,
     pub departures: departures::Departures,
+    pub quarantine: quarantine::Quarantine,
     pub tally: Tally,
     pub outbox: Outbox,
     pub watermarks: Watermarks,
@@ -149,6 +150,7 @@
             prefix_index: prefix_index::PrefixIndex::default(),
             limits: limits::Limits::default(),
             departures: departures::Departures::default(),
+            quarantine: quarantine::Quarantine::default(),
             tally: Tally::default(),
             outbox: Outbox::new(boot, WINDOW_MS),
             watermarks: Watermarks::default(),
@@ -270,6 +272,9 @@
             Message::CountsAck { from, receiver_boot, ack } => {
                 node.outbox.acknowledge(from, receiver_boot, ack);
             }
+            Message::Suspicions(suspicions) => {
+                node.quarantine.merge(&suspicions, now_ms);
+            }
             // The nodes serve no streams.
             Message::StreamVersions(_)
             | Message::StreamQuery { .. }
@@ -392,6 +397,8 @@
         limits: node.limits.updates(now_ms),
         limits_stamp: node.limits.newest_stamp(),
         departures: node.departures.recent(now_ms),
+        suspicions: node.quarantine.recent(now_ms),
+        suspicions_stamp: node.quarantine.stamp(),
     }
 }
 
