Count engines that end at one moment as one crash of a prompt part

Crashes within 150 ms count as one moment now, three moments are needed, or two with five crashes; a crash is dated by its first loss, not by the end of the check. Two new tests fail on the code before.

--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -18,6 +18,14 @@
 /// Interval at which a request waits for the end of a check.
 const CHECK_POLL: Duration = Duration::from_millis(10);
 
+/// Prompts that were lost with the connections of an engine.
+#[derive(Debug)]
+pub(super) struct Losses {
+    /// When the first of them was lost.
+    at_ms: u64,
+    parts: HashSet<u64>,
+}
+
 /// Returns the ids of the parts that other prompts may have as well.
 fn shared_parts(prompt: &Prompt) -> impl Iterator<Item = u64> {
     prompt.shared_parts().iter().map(|part| part.id)
@@ -39,21 +47,27 @@
         if !checks.contains_key(&endpoint.key) {
             task::spawn_local(Rc::clone(self).check_crash(endpoint.clone()));
         }
-        let parts: &mut HashSet<u64> = checks.entry(endpoint.key).or_default();
-        parts.extend(shared_parts(prompt));
+        let at_ms = self.now_ms();
+        let losses =
+            checks.entry(endpoint.key).or_insert_with(|| Losses { at_ms, parts: HashSet::new() });
+        losses.parts.extend(shared_parts(prompt));
     }
 
     /// An engine that accepts a connection has not ended: only the lost connections have failed.
     async fn check_crash(self: Rc<Self>, endpoint: directory::Endpoint) {
         time::sleep(CHECK_DELAY).await;
         let connected = pool::connect(endpoint.addr, self.shared.settings.leave_ms).await;
-        let parts = self.crash_checks.borrow_mut().remove(&endpoint.key).unwrap_or_default();
-        let now_ms = self.now_ms();
+        let Some(losses) = self.crash_checks.borrow_mut().remove(&endpoint.key) else {
+            return;
+        };
         match connected {
-            Ok(connection) => self.pool.borrow_mut().put(endpoint.addr, connection, now_ms),
+            Ok(connection) => {
+                self.pool.borrow_mut().put(endpoint.addr, connection, self.now_ms());
+            }
             Err(_) => {
                 self.mark_unreachable(&endpoint);
-                let changes = self.shared.quarantine().record_crash(endpoint.key, parts, now_ms);
+                let Losses { at_ms, parts } = losses;
+                let changes = self.shared.quarantine().record_crash(endpoint.key, parts, at_ms);
                 self.announce_quarantine(&changes);
                 // The other entries count the crash as well, whether or not it changes anything here.
                 self.shared.urgent_update.notify_one();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,7 +36,7 @@
 pub mod watch;
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,7 +61,7 @@
     cold_sends: RefCell<warmup::ColdSends>,
     backoff: RefCell<backoff::Backoff>,
     /// Engines that may have ended, with the parts of the prompts that were lost with them.
-    crash_checks: RefCell<HashMap<directory::EndpointKey, HashSet<u64>>>,
+    crash_checks: RefCell<HashMap<directory::EndpointKey, crash_check::Losses>>,
     log: slog::Logger,
 }
 
--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -3,9 +3,10 @@
 //! A part can be such that each engine ends as it begins to write an answer on it. Every prompt with the part
 //! takes an engine and all its streams along, at any entry. An entry records the shared parts of the prompts
 //! that were lost unanswered with an engine, and entries exchange these records. A part is in quarantine after
-//! [`MIN_CRASHES`] crashes without a success: an answer that an engine has written on it since or shortly
-//! before. Parts that other prompts have as well succeed all the time, also while engines end for other
-//! reasons. Of several parts that were lost together, only those are in quarantine that explain most crashes.
+//! crashes at [`MIN_MOMENTS`] moments without a success: an answer that an engine has written on it since or
+//! shortly before. Parts that other prompts have as well succeed all the time, also while engines end for other
+//! reasons. Engines that end at the same moment, as with their rack, count as one crash, unless there are many
+//! of them. Of several parts that were lost together, only those are in quarantine that explain most crashes.
 
 use std::collections::HashMap;
 
@@ -13,8 +14,12 @@
 
 use crate::gateway::directory::EndpointKey;
 
-/// Number of crashes after which a part is in quarantine.
-pub const MIN_CRASHES: usize = 3;
+/// Number of moments with crashes after which a part is in quarantine.
+pub const MIN_MOMENTS: usize = 3;
+/// Number of crashes after which two moments are enough: many prompts with the part may arrive at once.
+pub const MANY_CRASHES: usize = 5;
+/// Crashes within this time are taken to be at the same moment.
+const SAME_MOMENT_MS: u64 = 150;
 /// How long a part stays in quarantine after its last crash, and how long crashes and successes are kept.
 pub const RETENTION_MS: u64 = 600_000;
 /// A part on which an engine has written an answer up to this long before a crash is not suspected of it.
@@ -63,6 +68,22 @@
         self.crashes.iter().filter(move |crash| crash.at_ms > cleared_ms)
     }
 
+    /// Whether the part is taken for the cause of its crashes, as long as no other one explains them.
+    fn is_accused(&self) -> bool {
+        let mut times_ms: Vec<u64> = self.counted().map(|crash| crash.at_ms).collect();
+        times_ms.sort_unstable();
+        let mut last_ms = None;
+        let moments = times_ms.iter().filter(|at_ms| {
+            let is_new = last_ms.is_none_or(|last_ms: u64| last_ms + SAME_MOMENT_MS <= **at_ms);
+            if is_new {
+                last_ms = Some(**at_ms);
+            }
+            is_new
+        });
+        let moments = moments.count();
+        moments >= MIN_MOMENTS || (moments + 1 >= MIN_MOMENTS && times_ms.len() >= MANY_CRASHES)
+    }
+
     fn add_crash(&mut self, crash: Crash) -> bool {
         if self.crashes.len() >= MAX_CRASHES || self.crashes.iter().any(|one| one.is_same(&crash)) {
             return false;
@@ -114,7 +135,7 @@
 }
 
 impl Quarantine {
-    /// Records that prompts with these parts were lost unanswered when an endpoint crashed.
+    /// Records that prompts with these parts were lost unanswered when an endpoint crashed at `now_ms`.
     pub fn record_crash(
         &mut self,
         endpoint: EndpointKey,
@@ -260,7 +281,7 @@
         let accused: Vec<(u64, &Suspect)> = self
             .suspects
             .iter()
-            .filter(|(_, suspect)| suspect.counted().count() >= MIN_CRASHES)
+            .filter(|(_, suspect)| suspect.is_accused())
             .map(|(part, suspect)| (*part, suspect))
             .collect();
         let is_cause = |suspect: &Suspect| {
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -1,7 +1,9 @@
 //! Prompt parts on which engines end: which parts are taken for the cause, what clears them, and how fast all
 //! entries learn of them.
 
-use briarwinch::gateway::policy::quarantine::{MIN_CRASHES, Quarantine, RETENTION_MS};
+use briarwinch::gateway::policy::quarantine::{
+    MANY_CRASHES, MIN_MOMENTS, Quarantine, RETENTION_MS,
+};
 
 use crate::virtual_fleet::{Fleet, SIZES, key};
 
@@ -32,9 +34,9 @@
 #[test]
 fn a_part_without_a_success_is_quarantined_after_its_crashes() {
     let mut quarantine = Quarantine::default();
-    let now_ms = crash(&mut quarantine, MIN_CRASHES - 1, &[CAUSE], NOW_MS);
+    let now_ms = crash(&mut quarantine, MIN_MOMENTS - 1, &[CAUSE], NOW_MS);
     assert!(!is_quarantined(&quarantine, CAUSE, now_ms));
-    let now_ms = crash(&mut quarantine, MIN_CRASHES, &[CAUSE], NOW_MS);
+    let now_ms = crash(&mut quarantine, MIN_MOMENTS, &[CAUSE], NOW_MS);
     assert!(is_quarantined(&quarantine, CAUSE, now_ms));
     let end_ms = now_ms - GAP_MS + RETENTION_MS;
     assert!(is_quarantined(&quarantine, CAUSE, end_ms - 1));
@@ -104,12 +106,35 @@
     assert!(!is_quarantined(&quarantine, SYSTEM, NOW_MS + 10));
 }
 
+/// Guards against a document that is refused when a rack of engines is lost: prompts with it were waiting at
+/// several of them, and none was answered lately.
+#[test]
+fn engines_that_end_at_one_moment_do_not_condemn_a_document() {
+    let mut quarantine = Quarantine::default();
+    for index in 0..8 {
+        quarantine.record_crash(key(index), [DOCUMENT], NOW_MS + index as u64 * 15);
+    }
+    assert!(!is_quarantined(&quarantine, DOCUMENT, NOW_MS + 200));
+}
+
+/// Guards against bursts of prompts that end many engines at one moment, before three moments have passed.
+#[test]
+fn many_engines_that_end_at_two_moments_condemn_a_part() {
+    let mut quarantine = Quarantine::default();
+    for index in 0..MANY_CRASHES - 1 {
+        quarantine.record_crash(key(index), [CAUSE], NOW_MS);
+    }
+    assert!(!is_quarantined(&quarantine, CAUSE, NOW_MS));
+    quarantine.record_crash(key(0), [CAUSE], NOW_MS + 2_000);
+    assert!(is_quarantined(&quarantine, CAUSE, NOW_MS + 2_000));
+}
+
 /// Guards against a part that stays refused although it was condemned in error: an answer that was under way
 /// shows that engines can write on it.
 #[test]
 fn a_success_releases_a_part_everywhere() {
     let mut quarantine = Quarantine::default();
-    let now_ms = crash(&mut quarantine, MIN_CRASHES, &[CAUSE], NOW_MS);
+    let now_ms = crash(&mut quarantine, MIN_MOMENTS, &[CAUSE], NOW_MS);
     let mut other = Quarantine::default();
     other.merge(&quarantine.recent(now_ms), now_ms);
     assert!(is_quarantined(&other, CAUSE, now_ms));
@@ -124,7 +149,7 @@
 #[test]
 fn suspected_parts_are_bounded_and_the_cause_is_kept() {
     let mut quarantine = Quarantine::default();
-    let now_ms = crash(&mut quarantine, MIN_CRASHES, &[CAUSE], NOW_MS);
+    let now_ms = crash(&mut quarantine, MIN_MOMENTS, &[CAUSE], NOW_MS);
     quarantine.record_crash(key(9), 10..5_000, now_ms);
     assert_eq!(quarantine.all(now_ms).len(), 256);
     assert!(is_quarantined(&quarantine, CAUSE, now_ms));
@@ -136,9 +161,9 @@
     for (entries, zones) in SIZES {
         let mut fleet = Fleet::open(entries, zones, 0.02);
         fleet.run_ms(2_500);
-        for index in 0..MIN_CRASHES {
+        for index in 0..MIN_MOMENTS {
             let now_ms = fleet.now_ms;
-            let node = index * (entries - 1) / (MIN_CRASHES - 1);
+            let node = index * (entries - 1) / (MIN_MOMENTS - 1);
             fleet.nodes[node].quarantine.record_crash(key(index), [CAUSE, DOCUMENT], now_ms);
             fleet.run_ms(GAP_MS);
         }
@@ -161,8 +186,8 @@
     let mut fleet = Fleet::open(22, 3, 0.0);
     fleet.run_ms(2_500);
     fleet.nodes[7].is_cut_off = true;
-    let now_ms = fleet.now_ms;
-    crash(&mut fleet.nodes[0].quarantine, MIN_CRASHES, &[CAUSE], now_ms);
+    let from_ms = fleet.now_ms - MIN_MOMENTS as u64 * GAP_MS;
+    crash(&mut fleet.nodes[0].quarantine, MIN_MOMENTS, &[CAUSE], from_ms);
     fleet.run_ms(30_000);
     fleet.nodes[7].is_cut_off = false;
     fleet.run_ms(2 * SPREAD_MS);
