Name a stream by the request that is named only where it goes on

A request that names an earlier one without having received events of it begins a stream of its own, and was recorded under the other's key. A named stream after event zero goes on as well.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -105,13 +105,16 @@
     /// Whether the caller goes on with a stream of which it has received events.
     #[must_use]
     pub fn is_continuation(&self) -> bool {
-        self.kind.is_stream() && self.request.last_event_id.is_some_and(|event| event > 0)
+        let names_stream = self.request.resumes.is_some();
+        self.kind.is_stream()
+            && self.request.last_event_id.is_some_and(|event| event > 0 || names_stream)
     }
 
     /// Key of the stream: that of the caller's request that brought its first event.
     #[must_use]
     pub fn stream_key(&self) -> stream_versions::StreamKey {
-        let began = self.request.resumes.as_ref().unwrap_or(&self.request.id);
+        let named = self.request.resumes.as_ref().filter(|_| self.is_continuation());
+        let began = named.unwrap_or(&self.request.id);
         stream_versions::StreamKey::of(began)
     }
 
