Try an endpoint of a plain service again whose responses were slow

An average without a response for five seconds no longer counts, and an endpoint whose response time is not known is taken to be as fast as the fastest known one.

--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -118,7 +118,11 @@
     candidates.shuffle(random);
     match (engine, prompt) {
         (Some(engine), Some(prompt)) => choose_engine(&candidates, engine, prompt, inputs),
-        _ => cheapest(candidates.into_iter().map(|endpoint| plain_choice(endpoint, inputs))),
+        _ => {
+            let fastest_ms = fastest_response_ms(&candidates, inputs);
+            let choices = candidates.into_iter();
+            cheapest(choices.map(|endpoint| plain_choice(endpoint, fastest_ms, inputs)))
+        }
     }
 }
 
@@ -252,9 +256,17 @@
     Choice { endpoint, cost_ms, unread_tokens, work, first_ms, free_share: 1.0 }
 }
 
-fn plain_choice<'a>(endpoint: &'a Endpoint, inputs: &Inputs<'_>) -> Choice<'a> {
+/// Returns the shortest response time that is known of a candidate.
+fn fastest_response_ms(candidates: &[&Endpoint], inputs: &Inputs<'_>) -> f64 {
+    let known = candidates.iter();
+    let known = known.filter_map(|one| inputs.health.response_ms(one.key, inputs.now_ms));
+    known.min_by(f64::total_cmp).unwrap_or(PLAIN_RESPONSE_MS)
+}
+
+/// An endpoint whose response time is not known is taken to be as fast as the fastest, so that it is tried.
+fn plain_choice<'a>(endpoint: &'a Endpoint, fastest_ms: f64, inputs: &Inputs<'_>) -> Choice<'a> {
     let work = inputs.load_table.work_at(endpoint.key, inputs.now_ms);
-    let response_ms = inputs.health.response_ms(endpoint.key).unwrap_or(PLAIN_RESPONSE_MS);
+    let response_ms = inputs.health.response_ms(endpoint.key, inputs.now_ms).unwrap_or(fastest_ms);
     let rounds = f64::from(work.requests) / f64::from(endpoint.slots.max(1));
     let first_ms = response_ms * (1.0 + rounds);
     let cost_ms = first_ms + fixed_cost_ms(endpoint, inputs);
--- a/src/gateway/policy/health.rs
+++ b/src/gateway/policy/health.rs
@@ -15,6 +15,10 @@
 /// tried again.
 const HALF_LIFE_MS: f64 = 2_000.0;
 
+/// Time without a response after which the average response time no longer counts. An endpoint that looks slower
+/// than the others gets no requests, so nothing else would change its average.
+const RESPONSE_TIME_MS: u64 = 5_000;
+
 /// An endpoint that sent bytes of any response within this time is alive; a wait there is due to
 /// queueing.
 pub const ALIVE_MS: u64 = 400;
@@ -90,9 +94,9 @@
         let sample = if is_success { 0.0 } else { 1.0 };
         observed.failed_share = decayed_share(observed, now_ms);
         observed.failed_share += (sample - observed.failed_share) * NEWEST_WEIGHT;
-        observed.updated_ms = now_ms;
         let took_ms = took_ms as f64;
-        let response_ms = observed.response_ms.unwrap_or(took_ms);
+        let response_ms = recent_response_ms(observed, now_ms).unwrap_or(took_ms);
+        observed.updated_ms = now_ms;
         observed.response_ms = Some(response_ms + (took_ms - response_ms) * NEWEST_WEIGHT);
     }
 
@@ -108,10 +112,10 @@
         self.observed.get(&endpoint).map_or(0.0, |observed| decayed_share(observed, now_ms))
     }
 
-    /// Returns the average duration of responses, if any has ended.
+    /// Returns the average duration of responses, if any has ended lately.
     #[must_use]
-    pub fn response_ms(&self, endpoint: EndpointKey) -> Option<f64> {
-        self.observed.get(&endpoint)?.response_ms
+    pub fn response_ms(&self, endpoint: EndpointKey, now_ms: u64) -> Option<f64> {
+        recent_response_ms(self.observed.get(&endpoint)?, now_ms)
     }
 
     /// Removes endpoints that are gone.
@@ -120,6 +124,10 @@
     }
 }
 
+fn recent_response_ms(observed: &Observed, now_ms: u64) -> Option<f64> {
+    observed.response_ms.filter(|_| now_ms < observed.updated_ms + RESPONSE_TIME_MS)
+}
+
 fn decayed_share(observed: &Observed, now_ms: u64) -> f64 {
     let elapsed_ms = now_ms.saturating_sub(observed.updated_ms) as f64;
     observed.failed_share * 0.5_f64.powf(elapsed_ms / HALF_LIFE_MS)
