Release a prompt part that was condemned in error by a trial

A part in quarantine is released by an answer on it, and none can come once no prompt with it is sent: after all engines had ended several times for reasons of their own, a popular part would be refused for ten minutes. One entry, the first by rendezvous hashing of the part, sends a single prompt with it 30 s after the last crash, and after four times as long each time that it ends an engine; the time to return that callers get is the time of the next trial. Two new tests; without the trial the first fails.

--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -111,8 +111,8 @@
             return Ok(());
         };
         let now_ms = self.now_ms();
-        let remaining_ms = self.shared.quarantine().remaining_ms(shared_parts(prompt), now_ms);
-        let Some(wait_ms) = remaining_ms else {
+        let admitted = self.shared.quarantine().admit(shared_parts(prompt), now_ms);
+        let Err(wait_ms) = admitted else {
             return Ok(());
         };
         if job.may_have_run {
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -402,7 +402,7 @@
     /// availability zone before a second of any, so that most are left when a zone is lost.
     #[must_use]
     pub fn stream_keepers(&self, seed: u64, max_count: usize, now_ms: u64) -> Vec<SocketAddr> {
-        let weight = |addr: &SocketAddr| xxh3::xxh3_64_with_seed(&addr_bytes(*addr), seed);
+        let weight = |addr: &SocketAddr| rendezvous_weight(*addr, seed);
         let mut peers: Vec<(u64, &SocketAddr, &Peer)> =
             self.live_peers(now_ms).map(|(addr, peer)| (weight(addr), addr, peer)).collect();
         peers.sort_unstable_by_key(|(weight, ..)| Reverse(*weight));
@@ -413,6 +413,13 @@
         keepers.map(|(_, addr, _)| *addr).collect()
     }
 
+    /// Returns whether this entry comes first of all live ones by rendezvous hashing.
+    #[must_use]
+    pub fn is_first_for(&self, seed: u64, now_ms: u64) -> bool {
+        let own = rendezvous_weight(self.own, seed);
+        self.live_peers(now_ms).all(|(addr, _)| rendezvous_weight(*addr, seed) < own)
+    }
+
     /// Returns the number of entries that share the retry budget, including this one.
     #[must_use]
     pub fn retry_budget_entries(&self, now_ms: u64) -> usize {
@@ -455,8 +462,8 @@
     }
 }
 
-/// Returns address and port as bytes for hashing.
-fn addr_bytes(addr: SocketAddr) -> [u8; 18] {
+/// Returns the weight of an entry in rendezvous hashing: a hash of its address and port.
+fn rendezvous_weight(addr: SocketAddr, seed: u64) -> u64 {
     let octets = match addr.ip() {
         IpAddr::V4(ip) => ip.to_ipv6_mapped().octets(),
         IpAddr::V6(ip) => ip.octets(),
@@ -464,7 +471,7 @@
     let mut bytes = [0; 18];
     bytes[..16].copy_from_slice(&octets);
     bytes[16..].copy_from_slice(&addr.port().to_be_bytes());
-    bytes
+    xxh3::xxh3_64_with_seed(&bytes, seed)
 }
 
 /// Returns the peers with the most CPU, at most this many.
--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -7,6 +7,9 @@
 //! shortly before. Parts that other prompts have as well succeed all the time, also while engines end for other
 //! reasons. Engines that end at the same moment, as with their rack, count as one crash, unless there are many
 //! of them. Of several parts that were lost together, only those are in quarantine that explain most crashes.
+//!
+//! A part that was condemned in error gets no success, as no prompt with it is sent. So one entry sends a single
+//! prompt with it from time to time, at intervals that grow with each one that ends an engine.
 
 use std::collections::HashMap;
 
@@ -26,6 +29,12 @@
 const PROTECTION_MS: u64 = 2_000;
 /// Reports of an endpoint's crash within this time are about the same one: it takes longer to start again.
 const SAME_CRASH_MS: u64 = 1_000;
+/// Time after the last crash from which one prompt with the part is sent. It is multiplied by
+/// [`TRIAL_FACTOR`] for each such prompt that has ended an engine.
+pub const TRIAL_MS: u64 = 30_000;
+const TRIAL_FACTOR: u64 = 4;
+/// A crash this long after the one before was that of a trial: no other prompt with the part is sent.
+const TRIAL_GAP_MS: u64 = 10_000;
 /// How long a changed record is sent to the other entries; long enough to reach those that were cut off for a
 /// while. Records of parts in quarantine are sent for as long as they are.
 const GOSSIP_MS: u64 = 10_000;
@@ -37,6 +46,8 @@
 const MAX_SUCCESSES: usize = 20_000;
 /// Successes that are kept if there are more than [`MAX_SUCCESSES`].
 const RECENT_SUCCESS_MS: u64 = 60_000;
+/// Shortest time after which the caller of a prompt in quarantine is asked to return.
+const MIN_WAIT_MS: u64 = 1_000;
 /// Maximum number of records that are sent at a time.
 const MAX_SENT: usize = 32;
 
@@ -85,13 +96,27 @@
     }
 
     fn add_crash(&mut self, crash: Crash) -> bool {
-        if self.crashes.len() >= MAX_CRASHES || self.crashes.iter().any(|one| one.is_same(&crash)) {
+        if self.crashes.iter().any(|one| one.is_same(&crash)) {
+            return false;
+        }
+        let at = self.crashes.partition_point(|one| one.at_ms <= crash.at_ms);
+        if self.crashes.len() >= MAX_CRASHES && at == 0 {
             return false;
         }
-        self.crashes.push(crash);
+        self.crashes.insert(at, crash);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
         true
     }
 
+    /// When a prompt with the part may be sent to find out whether engines still end on it.
+    fn next_trial_ms(&self) -> u64 {
+        let is_trial = |pair: &&[Crash]| pair[1].at_ms >= pair[0].at_ms + TRIAL_GAP_MS;
+        let trials = self.crashes.windows(2).rev().take_while(is_trial).count() as u32;
+        self.last_crash_ms() + TRIAL_MS * TRIAL_FACTOR.pow(trials)
+    }
+
     /// Returns whether the crashes of this part are among those of another one that explains more of them, or
     /// as many without a success as late.
     fn is_explained_by(&self, other: &Self) -> bool {
@@ -131,6 +156,8 @@
     successes: HashMap<u64, u64>,
     /// End of the quarantine of each part that is in it.
     until_ms: HashMap<u64, u64>,
+    /// Parts in quarantine of which this entry may send a prompt as a trial, and when it last did.
+    trials: HashMap<u64, Option<u64>>,
     stamp: u64,
 }
 
@@ -236,10 +263,41 @@
         self.stamp
     }
 
-    /// Returns how long a prompt with these parts is not sent; `None` if it may be.
-    pub fn remaining_ms(&self, parts: impl IntoIterator<Item = u64>, now_ms: u64) -> Option<u64> {
-        let ends = parts.into_iter().filter_map(|part| self.until_ms.get(&part).copied());
-        ends.max().filter(|until_ms| now_ms < *until_ms).map(|until_ms| until_ms - now_ms)
+    /// Decides whether a prompt with these parts may be sent.
+    ///
+    /// # Errors
+    /// The time in milliseconds after which it may be, if a part is in quarantine.
+    pub fn admit(&mut self, parts: impl IntoIterator<Item = u64>, now_ms: u64) -> Result<(), u64> {
+        let is_held = |part: &u64| self.until_ms.get(part).is_some_and(|end_ms| now_ms < *end_ms);
+        let Some(part) = parts.into_iter().filter(is_held).min() else {
+            return Ok(());
+        };
+        let trial_ms = self.suspects.get(&part).map_or(u64::MAX, Suspect::next_trial_ms);
+        match self.trials.get_mut(&part) {
+            Some(last_ms)
+                if now_ms >= trial_ms.max(last_ms.map_or(0, |at_ms| at_ms + TRIAL_MS)) =>
+            {
+                *last_ms = Some(now_ms);
+                Ok(())
+            }
+            _ => {
+                let end_ms = self.until_ms.get(&part).copied().unwrap_or(now_ms);
+                Err(trial_ms.min(end_ms).saturating_sub(now_ms).max(MIN_WAIT_MS))
+            }
+        }
+    }
+
+    /// Returns the parts in quarantine.
+    pub fn parts(&self) -> impl Iterator<Item = u64> {
+        self.until_ms.keys().copied()
+    }
+
+    /// Sets the parts of which this entry may send a prompt as a trial.
+    pub fn set_trial_parts(&mut self, parts: &[u64]) {
+        self.trials.retain(|part, _| parts.contains(part));
+        for part in parts {
+            self.trials.entry(*part).or_default();
+        }
     }
 
     /// Returns whether any of these parts has not succeeded lately.
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -2,7 +2,7 @@
 //! entries learn of them.
 
 use briarwinch::gateway::policy::quarantine::{
-    MANY_CRASHES, MIN_MOMENTS, Quarantine, RETENTION_MS,
+    MANY_CRASHES, MIN_MOMENTS, Quarantine, RETENTION_MS, TRIAL_MS,
 };
 
 use crate::virtual_fleet::{Fleet, SIZES, key};
@@ -18,7 +18,7 @@
 const SPREAD_MS: u64 = 1_000;
 
 fn is_quarantined(quarantine: &Quarantine, part: u64, now_ms: u64) -> bool {
-    quarantine.remaining_ms([part], now_ms).is_some()
+    quarantine.clone().admit([part], now_ms).is_err()
 }
 
 /// Records crashes of different engines, each with these parts, and returns the time after them.
@@ -193,3 +193,44 @@
     fleet.run_ms(2 * SPREAD_MS);
     assert!(is_quarantined(&fleet.nodes[7].quarantine, CAUSE, fleet.now_ms));
 }
+
+/// Guards against a popular part that is refused for minutes after all engines have ended several times for
+/// reasons of their own: no prompt is under way whose answer would release it.
+#[test]
+fn one_prompt_at_a_time_tries_a_part_in_quarantine() {
+    let mut quarantine = Quarantine::default();
+    let now_ms = crash(&mut quarantine, MIN_MOMENTS, &[CAUSE], NOW_MS);
+    let first_ms = now_ms - GAP_MS + TRIAL_MS;
+    assert!(is_quarantined(&quarantine, CAUSE, first_ms), "another entry tries it");
+    quarantine.set_trial_parts(&[CAUSE]);
+    assert!(quarantine.admit([CAUSE], first_ms - 1).is_err());
+    assert!(quarantine.admit([CAUSE], first_ms).is_ok());
+    assert!(quarantine.admit([CAUSE], first_ms + 1).is_err(), "the first trial is not over");
+    quarantine.record_crash(key(7), [CAUSE], first_ms + 500);
+    // The next one comes later, also at an entry that has not sent the first.
+    let mut other = Quarantine::default();
+    other.merge(&quarantine.all(first_ms + 600), first_ms + 600);
+    for quarantine in [&mut quarantine, &mut other] {
+        quarantine.set_trial_parts(&[CAUSE]);
+        let second_ms = first_ms + 500 + 4 * TRIAL_MS;
+        assert!(quarantine.admit([CAUSE], second_ms - 1).is_err());
+        assert!(quarantine.admit([CAUSE], second_ms).is_ok());
+    }
+    quarantine.record_success([CAUSE], first_ms + 130_000);
+    assert!(quarantine.admit([CAUSE], first_ms + 130_001).is_ok());
+}
+
+/// Guards against trials of one part by several entries.
+#[test]
+fn one_entry_tries_a_part() {
+    for (entries, zones) in SIZES {
+        let mut fleet = Fleet::open(entries, zones, 0.0);
+        fleet.run_ms(2_500);
+        let now_ms = fleet.now_ms;
+        for part in 0..20 {
+            let nodes = fleet.nodes.iter();
+            let first = nodes.filter(|node| node.exchange.peers.is_first_for(part, now_ms));
+            assert_eq!(first.count(), 1, "of {entries} entries");
+        }
+    }
+}
