--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -2,6 +2,7 @@
 //! parts of these prompts.
 
 use std::collections::HashSet;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -64,12 +65,16 @@
             Ok(connection) => {
                 self.pool.borrow_mut().put(endpoint.addr, connection, self.now_ms());
             }
-            Err(_) => {
+            Err(http1::Error::Connect(error))
+                if error.kind() == io::ErrorKind::ConnectionRefused =>
+            {
                 self.mark_unreachable(&endpoint);
                 let Losses { at_ms, parts } = losses;
                 let changes = self.shared.quarantine().record_crash(endpoint.key, parts, at_ms);
                 self.announce_quarantine(&changes);
             }
+            // The path to the engine may have failed, which says nothing about the prompts.
+            Err(_) => self.mark_unreachable(&endpoint),
         }
     }
 
