Log fingerprints of lost requests and what became of their endpoints

Two attempts of a caller have ids of their own, so no line told whether they carry the same request, nor whether an endpoint had ended or one connection had broken.

--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -24,6 +24,8 @@
 pub(super) struct Losses {
     /// When the first of them was lost.
     at_ms: u64,
+    /// Number of prompts.
+    prompts: usize,
     parts: HashSet<u64>,
 }
 
@@ -49,8 +51,12 @@
             task::spawn_local(Rc::clone(self).check_crash(endpoint.clone()));
         }
         let at_ms = self.now_ms();
-        let losses =
-            checks.entry(endpoint.key).or_insert_with(|| Losses { at_ms, parts: HashSet::new() });
+        let losses = checks.entry(endpoint.key).or_insert_with(|| Losses {
+            at_ms,
+            prompts: 0,
+            parts: HashSet::new(),
+        });
+        losses.prompts += 1;
         losses.parts.extend(shared_parts(prompt));
     }
 
@@ -61,6 +67,18 @@
         let Some(losses) = self.crash_checks.borrow_mut().remove(&endpoint.key) else {
             return;
         };
+        let outcome = match &connected {
+            Ok(_) => "alive",
+            Err(http1::Error::Connect(error))
+                if error.kind() == io::ErrorKind::ConnectionRefused =>
+            {
+                "ended"
+            }
+            Err(_) => "unreachable",
+        };
+        slog::info!(self.log, "endpoint checked"; "endpoint" => endpoint.id.as_str(),
+            "outcome" => outcome, "lost" => losses.prompts,
+            "checked_after_ms" => self.now_ms() - losses.at_ms);
         match connected {
             Ok(connection) => {
                 self.pool.borrow_mut().put(endpoint.addr, connection, self.now_ms());
@@ -69,7 +87,7 @@
                 if error.kind() == io::ErrorKind::ConnectionRefused =>
             {
                 self.mark_unreachable(&endpoint);
-                let Losses { at_ms, parts } = losses;
+                let Losses { at_ms, parts, .. } = losses;
                 let changes = self.shared.quarantine().record_crash(endpoint.key, parts, at_ms);
                 self.announce_quarantine(&changes);
             }
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -359,6 +359,7 @@
             "endpoint" => endpoint.id.as_str(),
             "endpoint_version" => endpoint.version.as_str(), "event" => self.last_event_id,
             "detail" => error.to_string(), "attempt" => self.job.attempts,
+            "fingerprint" => self.job.fingerprint().to_string(),
             "parts" => prompt.map(request::Prompt::shared_part_ids));
     }
 
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,6 +1,7 @@
 //! State of an admitted request while it is forwarded: its route, account, deadline, time limits and
 //! the attempts made so far.
 
+use std::cell::OnceCell;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -9,6 +10,7 @@
 
 use super::attempt::ResponseTimeout;
 use super::directory::{EndpointKey, VersionKey};
+use super::fingerprint::Fingerprint;
 use super::request::{EndpointRequest, Rank, Request};
 use super::{metrics, route, shared, stream_versions};
 
@@ -29,6 +31,8 @@
     pub service: route::ServiceKey,
     pub kind: route::Kind,
     pub account: Option<CompactString>,
+    /// Computed when it is first asked for: most requests are never compared with others.
+    pub(super) fingerprint: OnceCell<Fingerprint>,
     pub priority: u8,
     pub arrived_ms: u64,
     /// When the time limit of the caller or of the route expires, whichever is earlier.
@@ -118,6 +122,12 @@
         stream_versions::StreamKey::of(began)
     }
 
+    /// Fingerprint of the request's content, by which other attempts with the same request are known.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| Fingerprint::of(&self.request, self.account.as_deref()))
+    }
+
     #[must_use]
     pub fn left_ms(&self, now_ms: u64) -> u64 {
         self.deadline_ms.saturating_sub(now_ms)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,6 +5,7 @@
 //! the route's attempt limit and the retry budget. A request that may run only once is sent once, and
 //! its outcome is reported to the caller as it is.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -114,6 +115,7 @@
             service,
             kind,
             account,
+            fingerprint: OnceCell::new(),
             priority,
             arrived_ms,
             deadline_ms: arrived_ms + u64::from(wait_ms),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -56,6 +56,8 @@
     /// How long the caller waits for the response.
     pub deadline_ms: Option<u32>,
     pub api_key: Option<CompactString>,
+    /// Name of the model that is to answer.
+    pub model: Option<CompactString>,
     pub prompt: Option<Prompt>,
     /// Last event of the stream that the caller has received.
     pub last_event_id: Option<u64>,
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -183,6 +183,7 @@
             "unacked_bytes" => evidence.and_then(|one| one.unacked_bytes),
             "reused" => evidence.map(|one| one.was_reused),
             "quiet_ms" => evidence.and_then(|one| one.quiet_ms),
+            "fingerprint" => evidence.map(|_| job.fingerprint().to_string()),
             "parts" => prompt.map(request::Prompt::shared_part_ids));
     }
 
