--- a/src/error.rs
+++ b/src/error.rs
@@ -50,6 +50,7 @@
     LinkLost,
     Superseded,
     Internal,
+    RequestQuarantined,
 }
 
 /// The response that a caller gets for a kind of refusal.
@@ -169,6 +170,13 @@
                 "Engines have ended on prompts with a part of this one.",
                 false,
             ),
+            Self::RequestQuarantined => answer(
+                503,
+                "request_quarantined",
+                SERVER,
+                "Endpoints have ended on this request.",
+                false,
+            ),
             Self::QueueFull => answer(429, "queue_full", LIMIT, "The queue is full.", true),
             Self::TooLate => {
                 answer(429, "too_late", LIMIT, "The request can no longer be in time.", false)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -180,6 +180,7 @@
     fn drop(&mut self) {
         if !self.has_ended {
             self.gateway.log_abandoned(self.job, self.endpoint, self.evidence());
+            self.gateway.record_abandoned_request(self.job, self.endpoint.key, 0);
         }
     }
 }
@@ -267,6 +268,7 @@
         pool::connect(endpoint.addr, self.shared.settings.leave_ms).await.map_err(|error| {
             self.mark_unreachable(endpoint);
             self.cold_sends.borrow_mut().record_refused(endpoint.key, self.now_ms());
+            self.record_failed_connect(endpoint.key, &error);
             Failure::NotSent(error)
         })
     }
--- a/src/gateway/control/restrictions.rs
+++ b/src/gateway/control/restrictions.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Applies suspected prompt parts received from a peer.
+    /// Applies suspected requests and prompt parts received from a peer.
     pub(in crate::gateway) fn apply_suspicions(
         &self,
         received: &[quarantine::Suspicion],
@@ -89,14 +89,16 @@
         request_log::log_quarantine(&self.log, &changes, "peer");
     }
 
-    /// Determines the prompt parts in quarantine of which this entry, and no other, sends a prompt as a trial.
+    /// Determines what is in quarantine of which this entry, and no other, sends a request as a trial.
     pub(in crate::gateway) fn update_quarantine_trials(&self) {
         let now_ms = self.now_ms();
         let peers = &self.exchange.borrow().peers;
         let mut quarantine = self.shared.quarantine();
-        let is_own = |part: &u64| peers.is_settled(now_ms) && peers.is_first_for(*part, now_ms);
-        let parts: Vec<u64> = quarantine.parts().filter(is_own).collect();
-        quarantine.set_trial_parts(&parts);
+        let is_own = |key: &quarantine::Key| {
+            peers.is_settled(now_ms) && peers.is_first_for(key.seed(), now_ms)
+        };
+        let keys: Vec<quarantine::Key> = quarantine.keys().filter(is_own).collect();
+        quarantine.set_trial_keys(&keys);
     }
 
     /// Recomputes this entry's shares of the limits that endpoints have announced.
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -1,7 +1,7 @@
-//! Finds out whether an engine's process has ended when prompts are lost with its connections, and records the
-//! parts of these prompts.
+//! Finds out whether an endpoint's process has ended when requests are lost with its connections, and records what
+//! was under way there.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,58 +9,139 @@
 use tokio::{task, time};
 
 use super::job::Job;
-use super::policy::quarantine;
-use super::request::Prompt;
+use super::policy::quarantine::{self, Key, Loss};
 use super::{Gateway, directory, http1, pool, request_log};
 use crate::error;
 
-/// Time between a loss and the check: other losses with the same engine are found meanwhile.
+/// Time between a loss and the check: other losses with the same endpoint are found meanwhile.
 const CHECK_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which a request waits for the end of a check.
 const CHECK_POLL: Duration = Duration::from_millis(10);
+/// How long an endpoint may still be at work on a request that this entry no longer waits for.
+const ABANDONED_MS: u64 = 2_000;
+/// Maximum number of such requests that are kept of an endpoint.
+const MAX_ABANDONED: usize = 64;
 
-/// Prompts that were lost with the connections of an engine.
+/// Requests that were lost with the connections of an endpoint.
 #[derive(Debug)]
 pub(super) struct Losses {
     /// When the first of them was lost.
     at_ms: u64,
-    /// Number of prompts.
-    prompts: usize,
-    parts: HashSet<u64>,
+    /// Number of requests.
+    requests: usize,
+    /// Keys of the requests, with the longest time for which the endpoint had been answering one of them.
+    answered_ms: HashMap<Key, u64>,
+}
+
+impl Losses {
+    fn new(at_ms: u64) -> Self {
+        Self { at_ms, requests: 0, answered_ms: HashMap::new() }
+    }
+
+    fn add(&mut self, loss: Loss) {
+        let answered_ms = self.answered_ms.entry(loss.key).or_default();
+        *answered_ms = loss.answered_ms.max(*answered_ms);
+    }
+
+    fn into_losses(self) -> impl Iterator<Item = Loss> {
+        let losses = self.answered_ms.into_iter();
+        losses.map(|(key, answered_ms)| Loss { key, answered_ms })
+    }
+}
+
+/// A request that this entry no longer waits for, while the endpoint may still be at work on it.
+#[derive(Debug)]
+pub(super) struct Abandoned {
+    at_ms: u64,
+    losses: Vec<Loss>,
 }
 
 /// Returns the ids of the parts that other prompts may have as well.
-fn shared_parts(prompt: &Prompt) -> impl Iterator<Item = u64> {
-    prompt.shared_parts().iter().map(|part| part.id)
+fn shared_parts(job: &Job) -> impl Iterator<Item = u64> {
+    job.request.prompt.iter().flat_map(|prompt| prompt.shared_parts()).map(|part| part.id)
+}
+
+/// Returns what a crash may be blamed on: the request, and the parts that it shares with others.
+fn keys(job: &Job) -> impl Iterator<Item = Key> {
+    std::iter::once(Key::Request(job.fingerprint())).chain(shared_parts(job).map(Key::Part))
+}
+
+fn is_refused(error: &http1::Error) -> bool {
+    matches!(error, http1::Error::Connect(error)
+        if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
 impl Gateway {
-    /// Records that a prompt was lost with its connection before the engine was seen to write an answer.
-    pub(super) fn suspect_crash(
+    /// Records that a request was lost with its connection, after its endpoint had been answering for this time.
+    pub(super) fn record_lost_request(
         self: &Rc<Self>,
         job: &Job,
         endpoint: &directory::Endpoint,
         error: &http1::Error,
+        answered_ms: u64,
     ) {
-        let is_closed = matches!(error, http1::Error::Broken(_) | http1::Error::Closed);
-        let Some(prompt) = job.request.prompt.as_ref().filter(|_| is_closed) else {
-            return;
-        };
+        match error {
+            http1::Error::Broken(_) | http1::Error::Closed => {}
+            http1::Error::TimedOut => {
+                return self.record_abandoned_request(job, endpoint.key, answered_ms);
+            }
+            http1::Error::Connect(_) | http1::Error::Malformed => return,
+        }
         let mut checks = self.crash_checks.borrow_mut();
         if !checks.contains_key(&endpoint.key) {
             task::spawn_local(Rc::clone(self).check_crash(endpoint.clone()));
         }
-        let at_ms = self.now_ms();
-        let losses = checks.entry(endpoint.key).or_insert_with(|| Losses {
-            at_ms,
-            prompts: 0,
-            parts: HashSet::new(),
+        let losses = checks.entry(endpoint.key).or_insert_with(|| Losses::new(self.now_ms()));
+        losses.requests += 1;
+        keys(job).for_each(|key| losses.add(Loss { key, answered_ms }));
+    }
+
+    /// Records that this entry no longer waits for an endpoint that may still be at work on a request.
+    pub(super) fn record_abandoned_request(
+        &self,
+        job: &Job,
+        endpoint: directory::EndpointKey,
+        answered_ms: u64,
+    ) {
+        let losses = keys(job).map(|key| Loss { key, answered_ms }).collect();
+        let mut abandoned = self.abandoned.borrow_mut();
+        let abandoned = abandoned.entry(endpoint).or_default();
+        abandoned.push_back(Abandoned { at_ms: self.now_ms(), losses });
+        if abandoned.len() > MAX_ABANDONED {
+            abandoned.pop_front();
+        }
+    }
+
+    /// Records that a connection to an endpoint was not established. If it was refused, the endpoint has ended,
+    /// maybe on a request that this entry did not wait for.
+    pub(super) fn record_failed_connect(
+        &self,
+        endpoint: directory::EndpointKey,
+        error: &http1::Error,
+    ) {
+        if !is_refused(error) || self.crash_checks.borrow().contains_key(&endpoint) {
+            return;
+        }
+        let last_ms = {
+            let abandoned = self.abandoned.borrow();
+            abandoned.get(&endpoint).and_then(VecDeque::back).map(|one| one.at_ms)
+        };
+        if let Some(last_ms) = last_ms
+            && self.now_ms() <= last_ms + ABANDONED_MS
+        {
+            self.record_crash(endpoint, Losses::new(last_ms));
+        }
+    }
+
+    /// Drops what endpoints are no longer at work on.
+    pub(super) fn sweep_abandoned(&self, now_ms: u64) {
+        self.abandoned.borrow_mut().retain(|_, abandoned| {
+            abandoned.retain(|one| now_ms <= one.at_ms + ABANDONED_MS);
+            !abandoned.is_empty()
         });
-        losses.prompts += 1;
-        losses.parts.extend(shared_parts(prompt));
     }
 
-    /// An engine that accepts a connection has not ended: only the lost connections have failed.
+    /// An endpoint that accepts a connection has not ended: only the lost connections have failed.
     async fn check_crash(self: Rc<Self>, endpoint: directory::Endpoint) {
         time::sleep(CHECK_DELAY).await;
         let connected = pool::connect(endpoint.addr, self.shared.settings.leave_ms).await;
@@ -69,40 +150,47 @@
         };
         let outcome = match &connected {
             Ok(_) => "alive",
-            Err(http1::Error::Connect(error))
-                if error.kind() == io::ErrorKind::ConnectionRefused =>
-            {
-                "ended"
-            }
+            Err(error) if is_refused(error) => "ended",
+            // The path to the endpoint may have failed, which says nothing about the requests.
             Err(_) => "unreachable",
         };
         slog::info!(self.log, "endpoint checked"; "endpoint" => endpoint.id.as_str(),
-            "outcome" => outcome, "lost" => losses.prompts,
+            "outcome" => outcome, "lost" => losses.requests,
             "checked_after_ms" => self.now_ms() - losses.at_ms);
         match connected {
             Ok(connection) => {
                 self.pool.borrow_mut().put(endpoint.addr, connection, self.now_ms());
             }
-            Err(http1::Error::Connect(error))
-                if error.kind() == io::ErrorKind::ConnectionRefused =>
-            {
+            Err(error) => {
                 self.mark_unreachable(&endpoint);
-                let Losses { at_ms, parts, .. } = losses;
-                let changes = self.shared.quarantine().record_crash(endpoint.key, parts, at_ms);
-                self.announce_quarantine(&changes);
+                if is_refused(&error) {
+                    self.record_crash(endpoint.key, losses);
+                }
             }
-            // The path to the engine may have failed, which says nothing about the prompts.
-            Err(_) => self.mark_unreachable(&endpoint),
         }
     }
 
-    /// Waits for the check of an engine with which a request was lost, if the request may have been the cause.
-    /// It would end the next engine otherwise before this crash is known.
+    fn record_crash(&self, endpoint: directory::EndpointKey, mut losses: Losses) {
+        let abandoned = self.abandoned.borrow_mut().remove(&endpoint).unwrap_or_default();
+        let at_ms = losses.at_ms;
+        let is_recent = |one: &Abandoned| one.at_ms <= at_ms && at_ms <= one.at_ms + ABANDONED_MS;
+        let recent = abandoned.into_iter().filter(is_recent);
+        recent.flat_map(|one| one.losses).for_each(|loss| losses.add(loss));
+        let losses = losses.into_losses();
+        let changes = self.shared.quarantine().record_crash(endpoint, losses, at_ms);
+        self.announce_quarantine(&changes);
+    }
+
+    /// Waits for the check of an endpoint with which a request was lost, if the request may have been the cause.
+    /// It would end the next endpoint otherwise before this crash is known.
     pub(super) async fn await_crash_check(&self, job: &Job, endpoint: directory::EndpointKey) {
-        let Some(prompt) = &job.request.prompt else {
-            return;
+        let may_be_cause = {
+            let quarantine = self.shared.quarantine();
+            quarantine.has_unproven_part(shared_parts(job), self.now_ms())
+                || (quarantine.has_suspects()
+                    && quarantine.is_suspected(Key::Request(job.fingerprint())))
         };
-        if !self.shared.quarantine().has_unproven(shared_parts(prompt), self.now_ms()) {
+        if !may_be_cause {
             return;
         }
         while self.crash_checks.borrow().contains_key(&endpoint) {
@@ -110,13 +198,32 @@
         }
     }
 
-    /// Records that an engine has written an answer on the prompt.
-    pub(super) fn record_prompt_success(&self, job: &Job) {
-        if let Some(prompt) = &job.request.prompt {
-            let now_ms = self.now_ms();
-            let changes = self.shared.quarantine().record_success(shared_parts(prompt), now_ms);
-            self.announce_quarantine(&changes);
+    /// Records that an endpoint has answered a request completely.
+    pub(super) fn record_success(&self, job: &Job) {
+        let now_ms = self.now_ms();
+        let mut quarantine = self.shared.quarantine();
+        let parts = shared_parts(job).map(Key::Part);
+        let mut changes = quarantine.record_success(parts, now_ms);
+        if quarantine.has_suspects() {
+            let request = Key::Request(job.fingerprint());
+            changes.extend(quarantine.record_success([request], now_ms));
+        }
+        drop(quarantine);
+        self.announce_quarantine(&changes);
+    }
+
+    /// Records that an endpoint has been answering a request for this time.
+    pub(super) fn record_progress(&self, job: &Job, answered_ms: u64) {
+        let now_ms = self.now_ms();
+        let mut quarantine = self.shared.quarantine();
+        let parts = shared_parts(job).map(Key::Part);
+        let mut changes = quarantine.record_progress(parts, answered_ms, now_ms);
+        if quarantine.has_suspects() {
+            let request = Key::Request(job.fingerprint());
+            changes.extend(quarantine.record_progress([request], answered_ms, now_ms));
         }
+        drop(quarantine);
+        self.announce_quarantine(&changes);
     }
 
     fn announce_quarantine(&self, changes: &[quarantine::Change]) {
@@ -126,20 +233,26 @@
         }
     }
 
-    /// The refusal of a prompt with a part in quarantine.
+    /// The refusal of a request that is in quarantine, or has a part that is.
     pub(super) fn check_quarantine(&self, job: &Job) -> Result<(), error::Refusal> {
-        let Some(prompt) = &job.request.prompt else {
-            return Ok(());
-        };
-        let now_ms = self.now_ms();
-        let admitted = self.shared.quarantine().admit(shared_parts(prompt), now_ms);
-        let Err(wait_ms) = admitted else {
-            return Ok(());
+        let held = {
+            let mut quarantine = self.shared.quarantine();
+            if quarantine.is_empty() {
+                return Ok(());
+            }
+            match quarantine.admit(keys(job), self.now_ms()) {
+                Ok(()) => return Ok(()),
+                Err(held) => held,
+            }
         };
         if job.may_have_run {
             return Err(self.final_refusal(job, error::Kind::EndpointFailed));
         }
-        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
-        Err(error::Refusal::not_run(error::Kind::PromptQuarantined).retry_after_ms(wait_ms))
+        let kind = match held.key {
+            Key::Request(_) => error::Kind::RequestQuarantined,
+            Key::Part(_) => error::Kind::PromptQuarantined,
+        };
+        let wait_ms = u32::try_from(held.wait_ms).unwrap_or(u32::MAX);
+        Err(error::Refusal::not_run(kind).retry_after_ms(wait_ms))
     }
 }
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -12,13 +12,10 @@
 
 use super::attempt::OpenResponse;
 use super::job::Job;
+use super::policy::quarantine;
 use super::{Gateway, event_splitter, http1, metrics, request};
 use crate::error;
 
-/// Time between events after which an engine has shown that it can write an answer on a prompt. One that ends
-/// on the prompt does so with the first of them.
-const PROVEN_AFTER_MS: u64 = 200;
-
 /// The stream ended before it was complete. The caller's connection has to be closed, so that the
 /// response does not look complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -67,8 +64,9 @@
     /// Whether the version of the endpoint that sends the response now was checked.
     is_bound: bool,
     timing: EventTiming,
-    /// Whether an engine has written an answer on the prompt for long enough to show that it can.
-    is_proven: bool,
+    answering: Answering,
+    /// Whether the response has the stream's events from the first one on.
+    is_from_start: bool,
     has_ended: bool,
 }
 
@@ -91,10 +89,38 @@
         self.last_ms = now_ms;
         self.events += 1;
     }
+}
+
+/// How long endpoints have been answering a request, which shows that they do not end on it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Answering {
+    /// First event of the endpoint that sends the response now.
+    began_ms: Option<u64>,
+    /// Time for which this endpoint has been answering, as of its last event.
+    here_ms: u64,
+    /// Time for which the endpoints before it had been answering.
+    before_ms: u64,
+    /// Time from which this endpoint's progress is recorded again.
+    next_record_ms: u64,
+}
 
-    /// Time from the first event to the last one.
-    fn written_ms(&self) -> u64 {
-        self.first_ms.map_or(0, |first_ms| self.last_ms - first_ms)
+impl Answering {
+    /// Returns the progress of the endpoint with an event, if it is to be recorded.
+    fn event(&mut self, now_ms: u64) -> Option<u64> {
+        self.here_ms = now_ms - *self.began_ms.get_or_insert(now_ms);
+        if self.here_ms < self.next_record_ms.max(quarantine::MIN_PROGRESS_MS) {
+            return None;
+        }
+        self.next_record_ms = self.here_ms * 2;
+        Some(self.here_ms)
+    }
+
+    fn total_ms(&self) -> u64 {
+        self.before_ms + self.here_ms
+    }
+
+    fn move_on(&mut self) {
+        *self = Self { before_ms: self.total_ms(), ..Self::default() };
     }
 }
 
@@ -117,7 +143,8 @@
         last_event_id,
         is_bound: false,
         timing: EventTiming::default(),
-        is_proven: false,
+        answering: Answering::default(),
+        is_from_start: last_event_id.is_none_or(|event| event == 0),
         has_ended: false,
     };
     let first = source.first_events().await;
@@ -143,6 +170,10 @@
         if self.has_ended {
             return;
         }
+        if let Some(response) = &self.response {
+            let answered_ms = self.answering.total_ms();
+            self.gateway.record_abandoned_request(&self.job, response.endpoint.key, answered_ms);
+        }
         let took_ms = self.gateway.now_ms() - self.job.arrived_ms;
         metrics::stream_ended(&self.job.service().name, "caller_left");
         slog::info!(self.gateway.log, "caller left"; "request" => self.job.request.id.as_str(),
@@ -246,9 +277,10 @@
             }
             self.is_bound = true;
             self.last_event_id = events.last_id.or(self.last_event_id);
-            self.timing.event(self.gateway.now_ms());
-            if !self.is_proven && self.timing.written_ms() >= PROVEN_AFTER_MS {
-                self.mark_proven();
+            let now_ms = self.gateway.now_ms();
+            self.timing.event(now_ms);
+            if let Some(answered_ms) = self.answering.event(now_ms) {
+                self.gateway.record_progress(&self.job, answered_ms);
             }
             return Step::Events(events.bytes);
         }
@@ -287,11 +319,6 @@
         }
     }
 
-    fn mark_proven(&mut self) {
-        self.is_proven = true;
-        self.gateway.record_prompt_success(&self.job);
-    }
-
     /// Binds the stream to the version of the endpoint that has sent its first events. Returns false if it is
     /// bound to another version already.
     fn bind_version(&mut self) -> bool {
@@ -347,9 +374,7 @@
         let now_ms = gateway.now_ms();
         let took_ms = now_ms - response.sent_ms;
         gateway.health.borrow_mut().record_response(endpoint.key, false, took_ms, now_ms);
-        if !self.is_proven {
-            gateway.suspect_crash(&self.job, endpoint, error);
-        }
+        gateway.record_lost_request(&self.job, endpoint, error, self.answering.total_ms());
         if matches!(error, http1::Error::TimedOut) && now_ms < self.job.deadline_ms {
             gateway.mark_unreachable(endpoint);
         }
@@ -368,7 +393,9 @@
         if !self.job.kind.is_repeatable() || !self.job.has_attempt_left(self.gateway.now_ms()) {
             return false;
         }
-        if let Some(lost) = self.response.take().filter(|_| !self.is_proven) {
+        self.answering.move_on();
+        self.is_from_start &= self.last_event_id.is_none();
+        if let Some(lost) = self.response.take() {
             let endpoint = lost.endpoint.key;
             drop(lost);
             self.gateway.await_crash_check(&self.job, endpoint).await;
@@ -392,8 +419,8 @@
     /// Records a completed stream and returns its connection to the pool.
     fn finish(&mut self) {
         self.has_ended = true;
-        if !self.is_proven && self.timing.events > 0 {
-            self.mark_proven();
+        if self.is_from_start && self.timing.events > 0 {
+            self.gateway.record_success(&self.job);
         }
         let Some(response) = self.response.take() else {
             return;
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -145,7 +145,7 @@
         &snapshot,
         limited,
         leaving,
-        control.shared.quarantine().count(),
+        control.shared.quarantine().counts(),
         peers.live_count(now_ms),
         control.holds_duties.get(),
     );
@@ -209,6 +209,7 @@
         Message::StreamQuery { from, streams } => {
             stream_keepers::answer(control, from, &streams);
         }
+        Message::PartSuspicions => {}
         Message::Suspicions(suspicions) => control.apply_suspicions(&suspicions, now_ms),
         Message::UnknownStreams(streams) => stream_keepers::learn_unknown(control, &streams),
         Message::Counts { from, counts } => {
--- a/src/gateway/fleet/exchange/sending.rs
+++ b/src/gateway/fleet/exchange/sending.rs
@@ -34,8 +34,8 @@
 const MAX_LIMITS: usize = 60;
 /// Maximum number of departures in a message; about 14 bytes each.
 const MAX_DEPARTURES: usize = 75;
-/// Maximum number of suspected prompt parts in a message; at most 130 bytes each.
-const MAX_SUSPICIONS: usize = 8;
+/// Maximum number of suspected requests and prompt parts in a message; at most 200 bytes each.
+const MAX_SUSPICIONS: usize = 6;
 /// Maximum number of parts queued for forwarding. Older ones are dropped, so that engines may have to
 /// prefill them again.
 const MAX_QUEUED_PARTS: usize = 4_000;
@@ -117,7 +117,7 @@
         out.push(Outgoing { to, message });
     }
 
-    /// Adds the suspected prompt parts. An aggregator sends all of them to the other zones, and to the many
+    /// Adds the suspected requests and prompt parts. An aggregator sends all of them to the other zones, and to the many
     /// entries of its zone only those that may come into quarantine soon or are in it.
     fn push_suspicions(
         &self,
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -114,7 +114,9 @@
     },
     /// Streams that the sender was asked about and does not know.
     UnknownStreams(Vec<stream_versions::StreamKey>),
-    /// Prompt parts that are suspected of ending engines, sent with each state message.
+    /// Keeps the number of a message of earlier versions, whose content is ignored.
+    PartSuspicions,
+    /// Requests and prompt parts that are suspected of ending endpoints, sent with each state message.
     Suspicions(Vec<quarantine::Suspicion>),
 }
 
@@ -132,6 +134,7 @@
             Self::StreamVersions(_) => "stream_versions",
             Self::StreamQuery { .. } => "stream_query",
             Self::UnknownStreams(_) => "unknown_streams",
+            Self::PartSuspicions => "part_suspicions",
             Self::Suspicions(_) => "suspicions",
             Self::Counts { .. } => "counts",
             Self::CountsAck { .. } => "counts_taken",
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -61,7 +61,7 @@
     snapshot: &shared::Snapshot,
     limited: usize,
     leaving: usize,
-    quarantined: usize,
+    (requests_quarantined, parts_quarantined): (usize, usize),
     peers: usize,
     holds_duties: bool,
 ) {
@@ -73,7 +73,8 @@
         .set(snapshot.cold_endpoints.endpoints.len() as f64);
     metrics::gauge!("briarwinch_gateway_endpoints_limited").set(limited as f64);
     metrics::gauge!("briarwinch_gateway_endpoints_leaving").set(leaving as f64);
-    metrics::gauge!("briarwinch_gateway_parts_quarantined").set(quarantined as f64);
+    metrics::gauge!("briarwinch_gateway_requests_quarantined").set(requests_quarantined as f64);
+    metrics::gauge!("briarwinch_gateway_parts_quarantined").set(parts_quarantined as f64);
     metrics::gauge!("briarwinch_gateway_zones_evacuated")
         .set(snapshot.evacuations.zones().count() as f64);
     metrics::gauge!("briarwinch_gateway_peers").set(peers as f64);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,7 +37,7 @@
 pub mod watch;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,8 +61,10 @@
     budgets: RefCell<budget::RetryBudgets>,
     cold_sends: RefCell<warmup::ColdSends>,
     backoff: RefCell<backoff::Backoff>,
-    /// Engines that may have ended, with the parts of the prompts that were lost with them.
+    /// Endpoints that may have ended, with what was lost with them.
     crash_checks: RefCell<HashMap<directory::EndpointKey, crash_check::Losses>>,
+    /// Requests that endpoints may still be at work on although this entry no longer waits for them.
+    abandoned: RefCell<HashMap<directory::EndpointKey, VecDeque<crash_check::Abandoned>>>,
     log: slog::Logger,
 }
 
@@ -86,6 +88,7 @@
             cold_sends: RefCell::default(),
             backoff: RefCell::default(),
             crash_checks: RefCell::default(),
+            abandoned: RefCell::default(),
             log,
         });
         task::spawn_local(sweep(Rc::clone(&gateway)));
@@ -116,6 +119,7 @@
         gateway.event_gaps.borrow_mut().retain(is_known);
         gateway.cold_sends.borrow_mut().sweep(now_ms);
         gateway.backoff.borrow_mut().sweep(now_ms);
+        gateway.sweep_abandoned(now_ms);
         gateway.shared.limits().sweep(now_ms, is_known);
         gateway.shared.departures().sweep(now_ms);
         gateway.shared.stream_versions().sweep(now_ms);
--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -1,287 +1,257 @@
-//! Prompt parts on which engines end: which are suspected, and which prompts are no longer sent.
+//! Requests and prompt parts on which endpoints end: which are suspected, and what is no longer sent.
 //!
-//! A part can be such that each engine ends as it begins to write an answer on it. Every prompt with the part
-//! takes an engine and all its streams along, at any entry. An entry records the shared parts of the prompts
-//! that were lost unanswered with an engine, and entries exchange these records. A part is in quarantine after
-//! crashes at [`MIN_MOMENTS`] moments without a success: an answer that an engine has written on it since or
-//! shortly before. Parts that other prompts have as well succeed all the time, also while engines end for other
-//! reasons. Engines that end at the same moment, as with their rack, count as one crash, unless there are many
-//! of them. Of several parts that were lost together, only those are in quarantine that explain most crashes.
+//! A request can be such that each endpoint ends that works on it, by its content as a whole or by a part of its
+//! prompt that other prompts have as well. It takes all other requests of the endpoint along, at any entry, and
+//! its caller sends it again. An entry records the fingerprints and the shared parts of the requests that were
+//! under way at an endpoint that ended, and entries exchange these records. A key, which is one or the other, is
+//! in quarantine after crashes at [`MIN_MOMENTS`] moments that nothing clears it of. Endpoints that end at the
+//! same moment, as with their rack, count as one crash, unless there are many of them.
 //!
-//! A part that was condemned in error gets no success, as no prompt with it is sent. So one entry sends a single
-//! prompt with it from time to time, at intervals that grow with each one that ends an engine.
+//! A key is cleared of a crash by an endpoint that went on with it, shortly before or at any time since, for
+//! longer than the one that ended: endpoints end on a key always after about the same time of answering. Requests
+//! that many callers send succeed all the time, also while endpoints end for other reasons.
+//!
+//! Of several keys that were lost together, only those are in quarantine that explain most crashes, and of those
+//! that explain the same ones a request before a part: sound requests have the part as well. A part is the cause
+//! only where no single request explains its crashes.
+//!
+//! A key that was condemned in error does not succeed, as nothing with it is sent. So one entry sends a single
+//! request with it from time to time, at intervals that grow with each one that ends an endpoint.
+
+mod suspect;
 
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 
+use self::suspect::{COMPLETE, Crash, LEVELS, PROTECTION_MS, Progress, Suspect};
+pub use self::suspect::{Key, Loss, MANY_CRASHES, MIN_MOMENTS, MIN_PROGRESS_MS, TRIAL_MS};
 use crate::gateway::directory::EndpointKey;
 
-/// Number of moments with crashes after which a part is in quarantine.
-pub const MIN_MOMENTS: usize = 3;
-/// Number of crashes after which two moments are enough: many prompts with the part may arrive at once.
-pub const MANY_CRASHES: usize = 5;
-/// Crashes within this time are taken to be at the same moment.
-const SAME_MOMENT_MS: u64 = 150;
-/// How long a part stays in quarantine after its last crash, and how long crashes and successes are kept.
+/// Number of moments with crashes of a part that no single request explains.
+const MIN_UNEXPLAINED_MOMENTS: usize = 2;
+/// How long a key stays in quarantine after its last crash, and how long crashes and successes are kept.
 pub const RETENTION_MS: u64 = 600_000;
-/// A part on which an engine has written an answer up to this long before a crash is not suspected of it.
-const PROTECTION_MS: u64 = 2_000;
-/// Reports of an endpoint's crash within this time are about the same one: it takes longer to start again.
-const SAME_CRASH_MS: u64 = 1_000;
-/// Time after the last crash from which one prompt with the part is sent. It is multiplied by
-/// [`TRIAL_FACTOR`] for each such prompt that has ended an engine.
-pub const TRIAL_MS: u64 = 30_000;
-const TRIAL_FACTOR: u64 = 4;
-/// A crash this long after the one before was that of a trial: no other prompt with the part is sent.
-const TRIAL_GAP_MS: u64 = 10_000;
 /// How long a changed record is sent to the other entries; long enough to reach those that were cut off for a
-/// while. Records of parts in quarantine are sent for as long as they are.
+/// while. Records of keys in quarantine are sent for as long as they are.
 const GOSSIP_MS: u64 = 10_000;
-/// Maximum number of suspected parts; about 150 bytes each. Those with the fewest crashes are dropped first.
-const MAX_SUSPECTS: usize = 256;
-/// Maximum number of crashes that are kept of a part.
-const MAX_CRASHES: usize = 8;
-/// Maximum number of parts whose last success is kept; about 30 bytes each.
-const MAX_SUCCESSES: usize = 20_000;
-/// Successes that are kept if there are more than [`MAX_SUCCESSES`].
-const RECENT_SUCCESS_MS: u64 = 60_000;
-/// Shortest time after which the caller of a prompt in quarantine is asked to return.
+/// Interval at which other records take their turn if there are more than [`MAX_SENT`].
+const TURN_MS: u64 = 200;
+/// Maximum number of suspected parts; about 300 bytes each. Those with the fewest crashes are dropped first.
+const MAX_SUSPECTED_PARTS: usize = 256;
+/// Maximum number of suspected requests, likewise. An endpoint ends with more requests than they have parts.
+const MAX_SUSPECTED_REQUESTS: usize = 512;
+/// Maximum number of parts whose progress is kept; about 100 bytes each.
+const MAX_PROGRESS: usize = 20_000;
+/// Parts that are kept if there are more than [`MAX_PROGRESS`].
+const RECENT_PROGRESS_MS: u64 = 60_000;
+/// Shortest time after which the caller of a request in quarantine is asked to return.
 const MIN_WAIT_MS: u64 = 1_000;
 /// Maximum number of records that are sent at a time.
 const MAX_SENT: usize = 32;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Crash {
-    endpoint: EndpointKey,
-    at_ms: u64,
-}
-
-impl Crash {
-    fn is_same(&self, other: &Self) -> bool {
-        self.endpoint == other.endpoint && self.at_ms.abs_diff(other.at_ms) < SAME_CRASH_MS
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    /// Crashes of engines with which prompts with the part were lost unanswered.
-    crashes: Vec<Crash>,
-    /// When an engine last wrote an answer on the part, as far as any entry has told.
-    success_ms: Option<u64>,
-    changed_ms: u64,
-}
-
-impl Suspect {
-    /// Crashes that the last success does not clear the part of.
-    fn counted(&self) -> impl Iterator<Item = &Crash> {
-        let cleared_ms = self.success_ms.map_or(0, |success_ms| success_ms + PROTECTION_MS);
-        self.crashes.iter().filter(move |crash| crash.at_ms > cleared_ms)
-    }
-
-    /// Whether the part is taken for the cause of its crashes, as long as no other one explains them.
-    fn is_accused(&self) -> bool {
-        let mut times_ms: Vec<u64> = self.counted().map(|crash| crash.at_ms).collect();
-        times_ms.sort_unstable();
-        let mut last_ms = None;
-        let moments = times_ms.iter().filter(|at_ms| {
-            let is_new = last_ms.is_none_or(|last_ms: u64| last_ms + SAME_MOMENT_MS <= **at_ms);
-            if is_new {
-                last_ms = Some(**at_ms);
-            }
-            is_new
-        });
-        let moments = moments.count();
-        moments >= MIN_MOMENTS || (moments + 1 >= MIN_MOMENTS && times_ms.len() >= MANY_CRASHES)
-    }
-
-    fn add_crash(&mut self, crash: Crash) -> bool {
-        if self.crashes.iter().any(|one| one.is_same(&crash)) {
-            return false;
-        }
-        let at = self.crashes.partition_point(|one| one.at_ms <= crash.at_ms);
-        if self.crashes.len() >= MAX_CRASHES && at == 0 {
-            return false;
-        }
-        self.crashes.insert(at, crash);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-        true
-    }
-
-    /// When a prompt with the part may be sent to find out whether engines still end on it.
-    fn next_trial_ms(&self) -> u64 {
-        let is_trial = |pair: &&[Crash]| pair[1].at_ms >= pair[0].at_ms + TRIAL_GAP_MS;
-        let trials = self.crashes.windows(2).rev().take_while(is_trial).count() as u32;
-        self.last_crash_ms() + TRIAL_MS * TRIAL_FACTOR.pow(trials)
-    }
-
-    /// Returns whether the crashes of this part are among those of another one that explains more of them, or
-    /// as many without a success as late.
-    fn is_explained_by(&self, other: &Self) -> bool {
-        let is_shared = |crash: &Crash| other.counted().any(|one| one.is_same(crash));
-        let (own, others) = (self.counted().count(), other.counted().count());
-        let is_weaker = own < others || (own == others && self.success_ms > other.success_ms);
-        is_weaker && self.counted().all(is_shared)
-    }
-
-    fn last_crash_ms(&self) -> u64 {
-        self.counted().map(|crash| crash.at_ms).max().unwrap_or(0)
-    }
-}
-
-/// What an entry knows of a suspected part, as sent to other entries. Times are ages.
+/// What an entry knows of a suspected key, as sent to other entries. Times are ages.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspicion {
-    part: u64,
-    success_age_ms: Option<u64>,
-    crashes: Vec<(EndpointKey, u64)>,
+    key: Key,
+    progress_ages_ms: [Option<u64>; LEVELS],
+    crashes: Vec<ToldCrash>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ToldCrash {
+    endpoint: EndpointKey,
+    age_ms: u64,
+    answered_ms: u64,
 }
 
 impl Suspicion {
-    /// Whether more than one crash is known, so that the next one may put the part in quarantine.
+    /// Whether more than one crash is known, so that the next one may put the key in quarantine.
     #[must_use]
     pub fn is_strong(&self) -> bool {
         self.crashes.len() > 1
     }
 }
 
-/// A part that came into quarantine or was released.
+/// A key that came into quarantine or was released.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Change {
-    pub part: u64,
+    pub key: Key,
     pub is_quarantined: bool,
-    /// Number of crashes that the part is suspected of.
+    /// Number of crashes that the key is suspected of.
     pub crashes: usize,
 }
 
-/// Suspected parts, and those in quarantine.
+/// A request that may not be sent now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    pub key: Key,
+    /// Time in milliseconds after which the caller may return.
+    pub wait_ms: u64,
+}
+
+/// Suspected keys, and those in quarantine.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    suspects: HashMap<u64, Suspect>,
-    /// When engines last wrote answers on parts of the prompts that this entry has sent.
-    successes: HashMap<u64, u64>,
-    /// End of the quarantine of each part that is in it.
-    until_ms: HashMap<u64, u64>,
-    /// Parts in quarantine of which this entry may send a prompt as a trial, and when it last did.
-    trials: HashMap<u64, Option<u64>>,
+    suspects: HashMap<Key, Suspect>,
+    /// Progress with shared prompt parts. That with requests is only kept of suspects: most are sent once.
+    parts: HashMap<u64, Progress>,
+    /// Keys in quarantine, with the end of it.
+    until_ms: HashMap<Key, u64>,
+    /// Keys of which this entry may send a request as a trial, with the time of the last one.
+    trials: HashMap<Key, Option<u64>>,
     stamp: u64,
 }
 
 impl Quarantine {
-    /// Records that prompts with these parts were lost unanswered when an endpoint crashed at `now_ms`.
+    /// Records what was under way at an endpoint that crashed at `now_ms`.
     pub fn record_crash(
         &mut self,
         endpoint: EndpointKey,
-        parts: impl IntoIterator<Item = u64>,
+        losses: impl IntoIterator<Item = Loss>,
         now_ms: u64,
     ) -> Vec<Change> {
-        let mut is_changed = false;
-        for part in parts {
-            let success_ms = self.successes.get(&part).copied();
-            if success_ms.is_some_and(|success_ms| now_ms <= success_ms + PROTECTION_MS) {
+        let mut must_update = false;
+        for Loss { key, answered_ms } in losses {
+            let crash = Crash { endpoint, at_ms: now_ms, answered_ms };
+            let progress = self.part_progress(key);
+            if progress.clears(&crash) {
                 continue;
             }
-            let suspect = self.suspects.entry(part).or_default();
-            suspect.success_ms = suspect.success_ms.max(success_ms);
-            if suspect.add_crash(Crash { endpoint, at_ms: now_ms }) {
+            let suspect = self.suspects.entry(key).or_default();
+            suspect.progress.merge(&progress);
+            if suspect.add_crash(crash) {
                 suspect.changed_ms = now_ms;
-                is_changed = true;
+                must_update |= suspect.counted().count() >= MIN_MOMENTS;
             }
         }
-        if is_changed { self.update(now_ms) } else { Vec::new() }
+        self.drop_excess();
+        if must_update || !self.until_ms.is_empty() { self.update(now_ms) } else { Vec::new() }
     }
 
-    /// Records that an engine has written an answer on a prompt with these parts.
+    /// Records that endpoints have answered requests with these keys completely.
     pub fn record_success(
         &mut self,
-        parts: impl IntoIterator<Item = u64>,
+        keys: impl IntoIterator<Item = Key>,
+        now_ms: u64,
+    ) -> Vec<Change> {
+        self.record_level(keys, COMPLETE, now_ms)
+    }
+
+    /// Records that endpoints have been answering requests with these keys for this time, and go on.
+    pub fn record_progress(
+        &mut self,
+        keys: impl IntoIterator<Item = Key>,
+        answered_ms: u64,
+        now_ms: u64,
+    ) -> Vec<Change> {
+        match Progress::level_reached(answered_ms) {
+            Some(level) => self.record_level(keys, level, now_ms),
+            None => Vec::new(),
+        }
+    }
+
+    fn record_level(
+        &mut self,
+        keys: impl IntoIterator<Item = Key>,
+        level: usize,
         now_ms: u64,
     ) -> Vec<Change> {
-        let mut is_changed = false;
-        for part in parts {
-            self.successes.insert(part, now_ms);
-            if let Some(suspect) = self.suspects.get_mut(&part) {
-                if suspect.counted().next().is_some() {
+        let mut must_update = false;
+        for key in keys {
+            if let Key::Part(id) = key {
+                self.parts.entry(id).or_default().record(level, now_ms);
+            }
+            if let Some(suspect) = self.suspects.get_mut(&key) {
+                let before = suspect.counted().count();
+                suspect.progress.record(level, now_ms);
+                if suspect.counted().count() != before {
                     suspect.changed_ms = now_ms;
-                    is_changed = true;
+                    must_update |= self.until_ms.contains_key(&key);
                 }
-                suspect.success_ms = Some(now_ms);
             }
         }
-        if is_changed { self.update(now_ms) } else { Vec::new() }
+        if must_update { self.update(now_ms) } else { Vec::new() }
     }
 
     /// Adds what another entry has sent.
     pub fn merge(&mut self, received: &[Suspicion], now_ms: u64) -> Vec<Change> {
-        let mut is_changed = false;
+        let mut must_update = false;
         for suspicion in received {
-            let suspect = self.suspects.entry(suspicion.part).or_default();
+            let own = self.part_progress(suspicion.key);
+            let suspect = self.suspects.entry(suspicion.key).or_default();
             let before = suspect.counted().count();
-            let told_ms = suspicion.success_age_ms.map(|age_ms| now_ms.saturating_sub(age_ms));
-            let own_ms = self.successes.get(&suspicion.part).copied();
-            suspect.success_ms = suspect.success_ms.max(told_ms).max(own_ms);
-            let crash = |(endpoint, age_ms): &(EndpointKey, u64)| Crash {
-                endpoint: *endpoint,
-                at_ms: now_ms.saturating_sub(*age_ms),
-            };
-            let told = Suspect {
-                crashes: suspicion.crashes.iter().map(crash).collect(),
-                success_ms: told_ms,
-                changed_ms: 0,
-            };
-            told.crashes.iter().for_each(|crash| {
-                suspect.add_crash(*crash);
-            });
+            let ages_ms = suspicion.progress_ages_ms.iter();
+            let at_ms = |age_ms: u64| now_ms.saturating_sub(age_ms);
+            let mut told = Suspect::default();
+            for (last_ms, age_ms) in told.progress.last_ms.iter_mut().zip(ages_ms) {
+                *last_ms = age_ms.map(at_ms);
+            }
+            suspect.progress.merge(&told.progress);
+            suspect.progress.merge(&own);
+            for crash in &suspicion.crashes {
+                let ToldCrash { endpoint, age_ms, answered_ms } = *crash;
+                let crash = Crash { endpoint, at_ms: at_ms(age_ms), answered_ms };
+                told.crashes.push(crash);
+                suspect.add_crash(crash);
+            }
             let counted = suspect.counted().count();
-            // The sender may not know a success that clears the part.
+            // The sender may not know what clears the key.
             if counted != before || counted < told.counted().count() {
                 suspect.changed_ms = now_ms;
-                is_changed = true;
+                must_update |= before.max(counted) >= MIN_MOMENTS || !self.until_ms.is_empty();
             }
         }
-        if is_changed { self.update(now_ms) } else { Vec::new() }
+        self.drop_excess();
+        if must_update { self.update(now_ms) } else { Vec::new() }
+    }
+
+    fn part_progress(&self, key: Key) -> Progress {
+        match key {
+            Key::Part(id) => self.parts.get(&id).copied().unwrap_or_default(),
+            Key::Request(_) => Progress::default(),
+        }
     }
 
-    /// Returns the records to send to the other entries, those with the most crashes first.
+    /// Returns the records to send to the other entries: those with the most crashes first, the rest in turn.
     #[must_use]
     pub fn recent(&self, now_ms: u64) -> Vec<Suspicion> {
-        let recent = self.suspects.iter().filter(|(part, suspect)| {
-            now_ms < suspect.changed_ms + GOSSIP_MS || self.until_ms.contains_key(part)
+        let recent = self.suspects.iter().filter(|(key, suspect)| {
+            now_ms < suspect.changed_ms + GOSSIP_MS || self.until_ms.contains_key(key)
         });
-        let mut recent: Vec<(&u64, &Suspect)> = recent.collect();
-        recent.sort_unstable_by_key(|(part, suspect)| {
-            (std::cmp::Reverse(suspect.crashes.len()), **part)
+        let mut recent: Vec<(&Key, &Suspect)> = recent.collect();
+        let turn = (now_ms / TURN_MS % u64::from(u64::BITS)) as u32;
+        recent.sort_unstable_by_key(|(key, suspect)| {
+            (std::cmp::Reverse(suspect.crashes.len()), key.seed().rotate_left(turn), **key)
         });
         recent.truncate(MAX_SENT);
-        recent.into_iter().map(|(part, suspect)| suspicion(*part, suspect, now_ms)).collect()
+        recent.into_iter().map(|(key, suspect)| suspicion(*key, suspect, now_ms)).collect()
     }
 
     /// Returns all records, for an entry that has just started.
     #[must_use]
     pub fn all(&self, now_ms: u64) -> Vec<Suspicion> {
         let all = self.suspects.iter();
-        all.map(|(part, suspect)| suspicion(*part, suspect, now_ms)).collect()
+        all.map(|(key, suspect)| suspicion(*key, suspect, now_ms)).collect()
     }
 
-    /// Stamp of the newest change of the parts in quarantine, which other entries have to know at once.
+    /// Stamp of the newest change of the keys in quarantine, which other entries have to know at once.
     #[must_use]
     pub fn stamp(&self) -> u64 {
         self.stamp
     }
 
-    /// Decides whether a prompt with these parts may be sent.
+    /// Decides whether a request with these keys may be sent.
     ///
     /// # Errors
-    /// The time in milliseconds after which it may be, if a part is in quarantine.
-    pub fn admit(&mut self, parts: impl IntoIterator<Item = u64>, now_ms: u64) -> Result<(), u64> {
-        let is_held = |part: &u64| self.until_ms.get(part).is_some_and(|end_ms| now_ms < *end_ms);
-        let Some(part) = parts.into_iter().filter(is_held).min() else {
+    /// The key in quarantine, if there is one, and the time to wait.
+    pub fn admit(&mut self, keys: impl IntoIterator<Item = Key>, now_ms: u64) -> Result<(), Held> {
+        let is_held = |key: &Key| self.until_ms.get(key).is_some_and(|end_ms| now_ms < *end_ms);
+        let Some(key) = keys.into_iter().filter(is_held).min() else {
             return Ok(());
         };
-        let trial_ms = self.suspects.get(&part).map_or(u64::MAX, Suspect::next_trial_ms);
-        match self.trials.get_mut(&part) {
+        let trial_ms = self.suspects.get(&key).map_or(u64::MAX, Suspect::next_trial_ms);
+        match self.trials.get_mut(&key) {
             Some(last_ms)
                 if now_ms >= trial_ms.max(last_ms.map_or(0, |at_ms| at_ms + TRIAL_MS)) =>
             {
@@ -289,48 +259,73 @@
                 Ok(())
             }
             _ => {
-                let end_ms = self.until_ms.get(&part).copied().unwrap_or(now_ms);
-                Err(trial_ms.min(end_ms).saturating_sub(now_ms).max(MIN_WAIT_MS))
+                let end_ms = self.until_ms.get(&key).copied().unwrap_or(now_ms);
+                let wait_ms = trial_ms.min(end_ms).saturating_sub(now_ms).max(MIN_WAIT_MS);
+                Err(Held { key, wait_ms })
             }
         }
     }
 
-    /// Returns the parts in quarantine.
-    pub fn parts(&self) -> impl Iterator<Item = u64> {
+    /// Returns the keys in quarantine.
+    pub fn keys(&self) -> impl Iterator<Item = Key> {
         self.until_ms.keys().copied()
     }
 
-    /// Sets the parts of which this entry may send a prompt as a trial.
-    pub fn set_trial_parts(&mut self, parts: &[u64]) {
-        self.trials.retain(|part, _| parts.contains(part));
-        for part in parts {
-            self.trials.entry(*part).or_default();
+    /// Sets the keys of which this entry may send a request as a trial.
+    pub fn set_trial_keys(&mut self, keys: &[Key]) {
+        self.trials.retain(|key, _| keys.contains(key));
+        for key in keys {
+            self.trials.entry(*key).or_default();
         }
     }
 
-    /// Returns whether any of these parts has not succeeded lately.
-    pub fn has_unproven(&self, parts: impl IntoIterator<Item = u64>, now_ms: u64) -> bool {
+    /// Returns whether endpoints have not gone on with one of these parts lately.
+    pub fn has_unproven_part(&self, parts: impl IntoIterator<Item = u64>, now_ms: u64) -> bool {
         let is_proven = |part| {
-            let success_ms = self.successes.get(&part);
-            success_ms.is_some_and(|success_ms| now_ms <= success_ms + PROTECTION_MS)
+            let newest_ms = self.parts.get(&part).and_then(Progress::newest_ms);
+            newest_ms.is_some_and(|newest_ms| now_ms <= newest_ms + PROTECTION_MS)
         };
         !parts.into_iter().all(is_proven)
     }
 
-    /// Number of parts in quarantine.
+    /// Returns whether a request is suspected of a crash.
+    #[must_use]
+    pub fn is_suspected(&self, key: Key) -> bool {
+        self.suspects.get(&key).is_some_and(|suspect| suspect.counted().next().is_some())
+    }
+
+    /// Whether anything is suspected, so that it matters which requests succeed.
     #[must_use]
-    pub fn count(&self) -> usize {
-        self.until_ms.len()
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
+    /// Whether nothing is in quarantine.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.until_ms.is_empty()
+    }
+
+    /// Number of requests and of prompt parts in quarantine.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        let requests = self.until_ms.keys().filter(|key| key.is_request()).count();
+        (requests, self.until_ms.len() - requests)
     }
 
     /// Drops what is older than the retention time, and what is beyond the limits.
     pub fn sweep(&mut self, now_ms: u64) -> Vec<Change> {
-        self.successes.retain(|_, at_ms| now_ms < *at_ms + RETENTION_MS);
-        if self.successes.len() > MAX_SUCCESSES {
-            self.successes.retain(|_, at_ms| now_ms < *at_ms + RECENT_SUCCESS_MS);
+        let retain_from = |parts: &mut HashMap<u64, Progress>, age_ms: u64| {
+            parts.retain(|_, progress| {
+                progress.newest_ms().is_some_and(|newest_ms| now_ms < newest_ms + age_ms)
+            });
+        };
+        retain_from(&mut self.parts, RETENTION_MS);
+        if self.parts.len() > MAX_PROGRESS {
+            retain_from(&mut self.parts, RECENT_PROGRESS_MS);
         }
-        if self.successes.len() > MAX_SUCCESSES {
-            self.successes.clear();
+        if self.parts.len() > MAX_PROGRESS {
+            self.parts.clear();
         }
         self.suspects.retain(|_, suspect| {
             suspect.crashes.retain(|crash| now_ms < crash.at_ms + RETENTION_MS);
@@ -340,54 +335,94 @@
         if has_ended { self.update(now_ms) } else { Vec::new() }
     }
 
-    /// Determines the parts in quarantine and returns which were added and removed.
+    /// Determines the keys in quarantine and returns which were added and removed.
     fn update(&mut self, now_ms: u64) -> Vec<Change> {
-        self.drop_excess();
-        let accused: Vec<(u64, &Suspect)> = self
+        let accused: Vec<(Key, &Suspect)> = self
             .suspects
             .iter()
-            .filter(|(_, suspect)| suspect.is_accused())
-            .map(|(part, suspect)| (*part, suspect))
+            .filter(|(key, suspect)| {
+                suspect.is_accused() && !self.is_part_explained(**key, suspect)
+            })
+            .map(|(key, suspect)| (*key, suspect))
             .collect();
-        let is_cause = |suspect: &Suspect| {
-            !accused.iter().any(|(_, other)| suspect.is_explained_by(other))
+        let is_cause = |key: Key, suspect: &Suspect| {
+            !accused.iter().any(|(other_key, other)| is_explained(key, suspect, *other_key, other))
                 && now_ms < suspect.last_crash_ms() + RETENTION_MS
         };
-        let causes = accused.iter().filter(|(_, suspect)| is_cause(suspect));
-        let until_ms: HashMap<u64, u64> =
-            causes.map(|(part, suspect)| (*part, suspect.last_crash_ms() + RETENTION_MS)).collect();
-        let change = |part: u64, is_quarantined: bool| {
-            let suspect = self.suspects.get(&part);
+        let causes = accused.iter().filter(|(key, suspect)| is_cause(*key, suspect));
+        let until_ms: HashMap<Key, u64> =
+            causes.map(|(key, suspect)| (*key, suspect.last_crash_ms() + RETENTION_MS)).collect();
+        let change = |key: Key, is_quarantined: bool| {
+            let suspect = self.suspects.get(&key);
             let crashes = suspect.map_or(0, |suspect| suspect.counted().count());
-            Change { part, is_quarantined, crashes }
+            Change { key, is_quarantined, crashes }
         };
-        let added = until_ms.keys().filter(|part| !self.until_ms.contains_key(part));
-        let removed = self.until_ms.keys().filter(|part| !until_ms.contains_key(part));
+        let added = until_ms.keys().filter(|key| !self.until_ms.contains_key(key));
+        let removed = self.until_ms.keys().filter(|key| !until_ms.contains_key(key));
         let changes: Vec<Change> = added
-            .map(|part| change(*part, true))
-            .chain(removed.map(|part| change(*part, false)))
+            .map(|key| change(*key, true))
+            .chain(removed.map(|key| change(*key, false)))
             .collect();
         self.stamp += u64::from(!changes.is_empty());
         self.until_ms = until_ms;
         changes
     }
 
+    /// Whether a single request explains the crashes of a part.
+    fn is_part_explained(&self, key: Key, part: &Suspect) -> bool {
+        !key.is_request()
+            && self.suspects.iter().any(|(other_key, other)| {
+                other_key.is_request() && part.moments_without(other) < MIN_UNEXPLAINED_MOMENTS
+            })
+    }
+
     fn drop_excess(&mut self) {
-        while self.suspects.len() > MAX_SUSPECTS {
-            let weakest = self
-                .suspects
-                .iter()
-                .min_by_key(|(part, suspect)| {
-                    (suspect.counted().count(), suspect.changed_ms, **part)
-                })
-                .map(|(part, _)| *part);
-            weakest.map(|part| self.suspects.remove(&part));
+        if self.suspects.len() <= MAX_SUSPECTED_PARTS {
+            return;
+        }
+        let mut order: Vec<(usize, u64, Key)> = self
+            .suspects
+            .iter()
+            .map(|(key, suspect)| (suspect.counted().count(), suspect.changed_ms, *key))
+            .collect();
+        order.sort_unstable();
+        let (requests, parts): (Vec<Key>, Vec<Key>) =
+            order.into_iter().map(|(_, _, key)| key).partition(|key| key.is_request());
+        for (keys, max) in [(requests, MAX_SUSPECTED_REQUESTS), (parts, MAX_SUSPECTED_PARTS)] {
+            let excess = keys.len().saturating_sub(max);
+            for key in &keys[..excess] {
+                self.suspects.remove(key);
+            }
         }
     }
 }
 
-fn suspicion(part: u64, suspect: &Suspect, now_ms: u64) -> Suspicion {
+/// Whether the crashes of a key are among those of another one that explains more of them, or the same ones and
+/// is a request, or had no success as late.
+fn is_explained(key: Key, suspect: &Suspect, other_key: Key, other: &Suspect) -> bool {
+    let is_shared = |crash: &Crash| other.counted().any(|one| one.is_same(crash));
+    let (own_count, other_count) = (suspect.counted().count(), other.counted().count());
+    let is_weaker = match own_count.cmp(&other_count) {
+        std::cmp::Ordering::Less => true,
+        std::cmp::Ordering::Equal if key.is_request() != other_key.is_request() => {
+            other_key.is_request()
+        }
+        std::cmp::Ordering::Equal => suspect.progress.newest_ms() > other.progress.newest_ms(),
+        std::cmp::Ordering::Greater => false,
+    };
+    is_weaker && suspect.counted().all(is_shared)
+}
+
+fn suspicion(key: Key, suspect: &Suspect, now_ms: u64) -> Suspicion {
     let age_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
-    let crashes = suspect.crashes.iter().map(|crash| (crash.endpoint, age_ms(crash.at_ms)));
-    Suspicion { part, success_age_ms: suspect.success_ms.map(age_ms), crashes: crashes.collect() }
+    let told = |crash: &Crash| ToldCrash {
+        endpoint: crash.endpoint,
+        age_ms: age_ms(crash.at_ms),
+        answered_ms: crash.answered_ms,
+    };
+    Suspicion {
+        key,
+        progress_ages_ms: suspect.progress.last_ms.map(|at_ms| at_ms.map(age_ms)),
+        crashes: suspect.crashes.iter().map(told).collect(),
+    }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -239,7 +239,7 @@
                 Failure::NotRun { .. } => job.pending_count = None,
                 Failure::Unknown { error, .. } => {
                     job.may_have_run = true;
-                    self.suspect_crash(job, choice.endpoint, &error);
+                    self.record_lost_request(job, choice.endpoint, &error, 0);
                     // A stream is billed from its first event on, and none has arrived.
                     if !job.kind.is_stream() {
                         self.bill(job, now_ms);
@@ -327,10 +327,11 @@
         let body = match read {
             Err(_) => {
                 job.may_have_run = true;
+                self.record_abandoned_request(job, response.endpoint.key, 0);
                 return Err(self.final_refusal(job, error::Kind::DeadlineExceeded));
             }
             Ok(Err(error)) => {
-                self.suspect_crash(job, &response.endpoint, &error);
+                self.record_lost_request(job, &response.endpoint, &error, 0);
                 None
             }
             Ok(Ok(_)) if !response.info.is_signed => None,
@@ -351,7 +352,7 @@
         }
         match body {
             Some(body) if is_success => {
-                self.record_prompt_success(job);
+                self.record_success(job);
                 self.pool.borrow_mut().put(response.endpoint.addr, response.connection, now_ms);
                 Ok(Some((response.head, body)))
             }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -75,20 +75,31 @@
         "before_per_s" => change.before.map(limits::Rate::per_s), "source" => source);
 }
 
-/// Logs prompt parts that came into quarantine or were released.
+/// Logs requests and prompt parts that came into quarantine or were released.
 pub(super) fn log_quarantine(
     log: &slog::Logger,
     changes: &[quarantine::Change],
     source: &'static str,
 ) {
     for change in changes {
-        let part = format!("{:016x}", change.part);
-        if change.is_quarantined {
-            slog::warn!(log, "prompt part in quarantine"; "part" => part,
-                "crashes" => change.crashes, "source" => source);
-        } else {
-            slog::info!(log, "prompt part released"; "part" => part, "crashes" => change.crashes,
-                "source" => source);
+        match (change.key, change.is_quarantined) {
+            (quarantine::Key::Request(fingerprint), true) => {
+                slog::warn!(log, "request in quarantine";
+                    "fingerprint" => fingerprint.to_string(), "crashes" => change.crashes,
+                    "source" => source);
+            }
+            (quarantine::Key::Request(fingerprint), false) => {
+                slog::info!(log, "request released"; "fingerprint" => fingerprint.to_string(),
+                    "crashes" => change.crashes, "source" => source);
+            }
+            (quarantine::Key::Part(id), true) => {
+                slog::warn!(log, "prompt part in quarantine"; "part" => format!("{id:016x}"),
+                    "crashes" => change.crashes, "source" => source);
+            }
+            (quarantine::Key::Part(id), false) => {
+                slog::info!(log, "prompt part released"; "part" => format!("{id:016x}"),
+                    "crashes" => change.crashes, "source" => source);
+            }
         }
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -160,7 +160,7 @@
         lock(&self.departures)
     }
 
-    /// Locks the prompt parts that are suspected of ending engines.
+    /// Locks the requests and prompt parts that are suspected of ending endpoints.
     pub fn quarantine(&self) -> MutexGuard<'_, quarantine::Quarantine> {
         lock(&self.quarantine)
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod drain;
 mod evacuations;
+mod fingerprints;
 mod fleet;
 mod limits;
 mod outage;
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -1,9 +1,11 @@
 //! Prompt parts on which engines end: which parts are taken for the cause, what clears them, and how fast all
 //! entries learn of them.
 
+use briarwinch::gateway::fingerprint::Fingerprint;
 use briarwinch::gateway::policy::quarantine::{
-    MANY_CRASHES, MIN_MOMENTS, Quarantine, RETENTION_MS, TRIAL_MS,
+    Key, Loss, MANY_CRASHES, MIN_MOMENTS, Quarantine, RETENTION_MS, TRIAL_MS,
 };
+use briarwinch::gateway::request;
 
 use crate::virtual_fleet::{Fleet, SIZES, key};
 
@@ -11,21 +13,26 @@
 /// Time between two crashes.
 const GAP_MS: u64 = 400;
 /// The part on which engines end, and parts that sound prompts have as well.
-const CAUSE: u64 = 1;
-const SYSTEM: u64 = 2;
-const DOCUMENT: u64 = 3;
+const CAUSE: Key = Key::Part(1);
+const SYSTEM: Key = Key::Part(2);
+const DOCUMENT: Key = Key::Part(3);
 /// Time after the last needed crash within which all entries know of the part.
 const SPREAD_MS: u64 = 1_000;
 
-fn is_quarantined(quarantine: &Quarantine, part: u64, now_ms: u64) -> bool {
-    quarantine.clone().admit([part], now_ms).is_err()
+fn is_quarantined(quarantine: &Quarantine, key: Key, now_ms: u64) -> bool {
+    quarantine.clone().admit([key], now_ms).is_err()
 }
 
-/// Records crashes of different engines, each with these parts, and returns the time after them.
-fn crash(quarantine: &mut Quarantine, count: usize, parts: &[u64], from_ms: u64) -> u64 {
+/// Returns keys as lost before their endpoint answered.
+fn lost(keys: &[Key]) -> impl Iterator<Item = Loss> {
+    keys.iter().map(|key| Loss { key: *key, answered_ms: 0 })
+}
+
+/// Records crashes of different engines, each with these keys, and returns the time after them.
+fn crash(quarantine: &mut Quarantine, count: usize, keys: &[Key], from_ms: u64) -> u64 {
     for index in 0..count {
         let at_ms = from_ms + index as u64 * GAP_MS;
-        quarantine.record_crash(key(index), parts.iter().copied(), at_ms);
+        quarantine.record_crash(key(index), lost(keys), at_ms);
     }
     from_ms + count as u64 * GAP_MS
 }
@@ -42,7 +49,7 @@
     assert!(is_quarantined(&quarantine, CAUSE, end_ms - 1));
     assert!(!is_quarantined(&quarantine, CAUSE, end_ms));
     quarantine.sweep(end_ms);
-    assert_eq!(quarantine.count(), 0);
+    assert_eq!(quarantine.counts(), (0, 0));
 }
 
 /// Guards against one crash that counts several times, since several entries or requests were hit by it.
@@ -50,12 +57,12 @@
 fn reports_of_one_crash_count_once() {
     let mut quarantine = Quarantine::default();
     for at_ms in NOW_MS..NOW_MS + 10 {
-        quarantine.record_crash(key(0), [CAUSE], at_ms);
+        quarantine.record_crash(key(0), lost(&[CAUSE]), at_ms);
     }
     let mut other = Quarantine::default();
-    other.record_crash(key(0), [CAUSE], NOW_MS + 50);
+    other.record_crash(key(0), lost(&[CAUSE]), NOW_MS + 50);
     quarantine.merge(&other.recent(NOW_MS + 100), NOW_MS + 100);
-    quarantine.record_crash(key(1), [CAUSE], NOW_MS + GAP_MS);
+    quarantine.record_crash(key(1), lost(&[CAUSE]), NOW_MS + GAP_MS);
     assert!(!is_quarantined(&quarantine, CAUSE, NOW_MS + GAP_MS));
 }
 
@@ -66,7 +73,7 @@
     for index in 0..8 {
         let at_ms = NOW_MS + index as u64 * GAP_MS;
         quarantine.record_success([SYSTEM, DOCUMENT], at_ms - 100);
-        quarantine.record_crash(key(index), [SYSTEM, CAUSE, DOCUMENT], at_ms);
+        quarantine.record_crash(key(index), lost(&[SYSTEM, CAUSE, DOCUMENT]), at_ms);
     }
     let now_ms = NOW_MS + 8 * GAP_MS;
     let found = [SYSTEM, CAUSE, DOCUMENT].map(|part| is_quarantined(&quarantine, part, now_ms));
@@ -101,7 +108,7 @@
     let mut quarantine = Quarantine::default();
     quarantine.record_success([SYSTEM], NOW_MS - 1_500);
     for index in 0..5 {
-        quarantine.record_crash(key(index), [SYSTEM], NOW_MS + index as u64);
+        quarantine.record_crash(key(index), lost(&[SYSTEM]), NOW_MS + index as u64);
     }
     assert!(!is_quarantined(&quarantine, SYSTEM, NOW_MS + 10));
 }
@@ -112,7 +119,7 @@
 fn engines_that_end_at_one_moment_do_not_condemn_a_document() {
     let mut quarantine = Quarantine::default();
     for index in 0..8 {
-        quarantine.record_crash(key(index), [DOCUMENT], NOW_MS + index as u64 * 15);
+        quarantine.record_crash(key(index), lost(&[DOCUMENT]), NOW_MS + index as u64 * 15);
     }
     assert!(!is_quarantined(&quarantine, DOCUMENT, NOW_MS + 200));
 }
@@ -122,10 +129,10 @@
 fn many_engines_that_end_at_two_moments_condemn_a_part() {
     let mut quarantine = Quarantine::default();
     for index in 0..MANY_CRASHES - 1 {
-        quarantine.record_crash(key(index), [CAUSE], NOW_MS);
+        quarantine.record_crash(key(index), lost(&[CAUSE]), NOW_MS);
     }
     assert!(!is_quarantined(&quarantine, CAUSE, NOW_MS));
-    quarantine.record_crash(key(0), [CAUSE], NOW_MS + 2_000);
+    quarantine.record_crash(key(0), lost(&[CAUSE]), NOW_MS + 2_000);
     assert!(is_quarantined(&quarantine, CAUSE, NOW_MS + 2_000));
 }
 
@@ -150,7 +157,8 @@
 fn suspected_parts_are_bounded_and_the_cause_is_kept() {
     let mut quarantine = Quarantine::default();
     let now_ms = crash(&mut quarantine, MIN_MOMENTS, &[CAUSE], NOW_MS);
-    quarantine.record_crash(key(9), 10..5_000, now_ms);
+    let parts: Vec<Key> = (10..5_000).map(Key::Part).collect();
+    quarantine.record_crash(key(9), lost(&parts), now_ms);
     assert_eq!(quarantine.all(now_ms).len(), 256);
     assert!(is_quarantined(&quarantine, CAUSE, now_ms));
 }
@@ -164,7 +172,7 @@
         for index in 0..MIN_MOMENTS {
             let now_ms = fleet.now_ms;
             let node = index * (entries - 1) / (MIN_MOMENTS - 1);
-            fleet.nodes[node].quarantine.record_crash(key(index), [CAUSE, DOCUMENT], now_ms);
+            fleet.nodes[node].quarantine.record_crash(key(index), lost(&[CAUSE, DOCUMENT]), now_ms);
             fleet.run_ms(GAP_MS);
         }
         // Another entry has had an answer on the document.
@@ -202,16 +210,16 @@
     let now_ms = crash(&mut quarantine, MIN_MOMENTS, &[CAUSE], NOW_MS);
     let first_ms = now_ms - GAP_MS + TRIAL_MS;
     assert!(is_quarantined(&quarantine, CAUSE, first_ms), "another entry tries it");
-    quarantine.set_trial_parts(&[CAUSE]);
+    quarantine.set_trial_keys(&[CAUSE]);
     assert!(quarantine.admit([CAUSE], first_ms - 1).is_err());
     assert!(quarantine.admit([CAUSE], first_ms).is_ok());
     assert!(quarantine.admit([CAUSE], first_ms + 1).is_err(), "the first trial is not over");
-    quarantine.record_crash(key(7), [CAUSE], first_ms + 500);
+    quarantine.record_crash(key(7), lost(&[CAUSE]), first_ms + 500);
     // The next one comes later, also at an entry that has not sent the first.
     let mut other = Quarantine::default();
     other.merge(&quarantine.all(first_ms + 600), first_ms + 600);
     for quarantine in [&mut quarantine, &mut other] {
-        quarantine.set_trial_parts(&[CAUSE]);
+        quarantine.set_trial_keys(&[CAUSE]);
         let second_ms = first_ms + 500 + 4 * TRIAL_MS;
         assert!(quarantine.admit([CAUSE], second_ms - 1).is_err());
         assert!(quarantine.admit([CAUSE], second_ms).is_ok());
@@ -234,3 +242,108 @@
         }
     }
 }
+
+/// A request on which endpoints end, and another one.
+fn requests() -> [Key; 2] {
+    ["fatal", "sound"].map(|body| {
+        let request = request::Request {
+            id: "id".into(),
+            method: "POST".into(),
+            host: "callers.example".into(),
+            target: "/1".into(),
+            headers: Vec::new(),
+            body: body.into(),
+            deadline_ms: None,
+            api_key: None,
+            model: None,
+            prompt: None,
+            last_event_id: None,
+            resumes: None,
+        };
+        Key::Request(Fingerprint::of(&request, None))
+    })
+}
+
+/// Guards against parts that all prompts share and that are blamed for the one prompt that ends engines.
+#[test]
+fn a_request_is_quarantined_before_the_parts_that_it_shares() {
+    let [fatal, _] = requests();
+    let mut quarantine = Quarantine::default();
+    let now_ms = crash(&mut quarantine, MIN_MOMENTS, &[fatal, SYSTEM, DOCUMENT], NOW_MS);
+    let found = [fatal, SYSTEM, DOCUMENT].map(|key| is_quarantined(&quarantine, key, now_ms));
+    assert_eq!(found, [true, false, false]);
+    // Another engine ends for a reason of its own.
+    quarantine.record_crash(key(9), lost(&[SYSTEM]), now_ms);
+    assert!(is_quarantined(&quarantine, fatal, now_ms));
+    assert!(!is_quarantined(&quarantine, SYSTEM, now_ms));
+}
+
+/// Guards against a part that ends engines and is never blamed, because each prompt with it is another request.
+#[test]
+fn a_part_of_several_requests_that_end_engines_is_quarantined() {
+    let [first, second] = requests();
+    let mut quarantine = Quarantine::default();
+    let now_ms = crash(&mut quarantine, MIN_MOMENTS, &[first, CAUSE], NOW_MS);
+    assert!(!is_quarantined(&quarantine, CAUSE, now_ms));
+    for index in 0..2 {
+        quarantine.record_crash(
+            key(5 + index),
+            lost(&[second, CAUSE]),
+            now_ms + index as u64 * GAP_MS,
+        );
+    }
+    assert!(is_quarantined(&quarantine, CAUSE, now_ms + GAP_MS));
+}
+
+/// Guards against a sound request that is refused since it was at some of the endpoints that another one ended.
+#[test]
+fn a_request_that_was_lost_in_some_of_the_crashes_is_not_quarantined() {
+    let [fatal, sound] = requests();
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, MIN_MOMENTS, &[fatal, sound], NOW_MS);
+    let now_ms = crash(&mut quarantine, MIN_MOMENTS + 1, &[fatal], NOW_MS);
+    let found = [fatal, sound].map(|key| is_quarantined(&quarantine, key, now_ms));
+    assert_eq!(found, [true, false]);
+}
+
+/// Guards against a popular request that is refused when endpoints end for reasons of their own: it is answered
+/// by the others all the time.
+#[test]
+fn a_request_that_is_answered_between_crashes_is_not_quarantined() {
+    let [_, sound] = requests();
+    let mut quarantine = Quarantine::default();
+    for index in 0..8 {
+        let at_ms = NOW_MS + index as u64 * GAP_MS;
+        quarantine.record_crash(key(index), lost(&[sound]), at_ms);
+        quarantine.record_success([sound], at_ms + GAP_MS / 2);
+    }
+    assert!(!is_quarantined(&quarantine, sound, NOW_MS + 8 * GAP_MS));
+}
+
+fn lost_after(key: Key, answered_ms: u64) -> [Loss; 1] {
+    [Loss { key, answered_ms }]
+}
+
+/// Guards against a part that is cleared by the first events of each answer, although engines end on it later.
+#[test]
+fn answers_that_have_only_begun_do_not_clear_a_key_that_ends_engines_later() {
+    let mut quarantine = Quarantine::default();
+    for index in 0..MIN_MOMENTS {
+        let at_ms = NOW_MS + index as u64 * 1_000;
+        quarantine.record_progress([CAUSE], 400, at_ms - 600);
+        quarantine.record_crash(key(index), lost_after(CAUSE, 1_000), at_ms);
+    }
+    assert!(is_quarantined(&quarantine, CAUSE, NOW_MS + 3_000));
+}
+
+/// Guards against a document that is refused because long answers on it were lost at several engines that ended
+/// by themselves, at different times of answering.
+#[test]
+fn answers_that_were_lost_at_different_times_do_not_accuse_a_key() {
+    let mut quarantine = Quarantine::default();
+    for (index, answered_ms) in [0, 1_000, 4_000, 12_000].into_iter().enumerate() {
+        let at_ms = NOW_MS + index as u64 * GAP_MS;
+        quarantine.record_crash(key(index), lost_after(DOCUMENT, answered_ms), at_ms);
+    }
+    assert!(!is_quarantined(&quarantine, DOCUMENT, NOW_MS + 4 * GAP_MS));
+}
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -272,6 +272,7 @@
             Message::CountsAck { from, receiver_boot, ack } => {
                 node.outbox.acknowledge(from, receiver_boot, ack);
             }
+            Message::PartSuspicions => {}
             Message::Suspicions(suspicions) => {
                 node.quarantine.merge(&suspicions, now_ms);
             }
