Take an endpoint for ended that closes new connections and has lost all others

Callers saw: behind a proxy or supervisor that holds the port of an ended server, a request or prompt part that ends servers was sent on without limit.

Cause: a check of an endpoint found it alive as soon as a connection was established.

An endpoint without room for more connections closes new ones too, but keeps those over which it has answered, so it has ended only if one of these was lost and none is left.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -37,6 +37,8 @@
     work: load::Work,
     /// Prompt tokens to prefill before the first event, including those of requests ahead in the queue.
     prefill_tokens: u64,
+    /// Key of the request among those that were sent and have not ended.
+    open_send: Option<usize>,
 }
 
 impl LoadGuard {
@@ -44,7 +46,14 @@
         let work = load::Work { requests: 1, unread_tokens: u64::from(choice.unread_tokens) };
         gateway.shared.load_table().add(choice.endpoint.key, work, gateway.now_ms());
         let prefill_tokens = choice.work.unread_tokens + work.unread_tokens;
-        Self { gateway: Rc::clone(gateway), endpoint: choice.endpoint.key, work, prefill_tokens }
+        let endpoint = choice.endpoint.key;
+        Self { gateway: Rc::clone(gateway), endpoint, work, prefill_tokens, open_send: None }
+    }
+
+    /// Records that the request is sent now, on an established connection.
+    fn mark_sent(&mut self, now_ms: u64) {
+        let send = OpenSend { endpoint: self.endpoint, sent_ms: now_ms };
+        self.open_send = Some(self.gateway.open_sends.borrow_mut().insert(send));
     }
 
     /// Prompt tokens to prefill before the first event, as of the time of the send.
@@ -64,9 +73,19 @@
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         self.gateway.shared.load_table().remove(self.endpoint, self.work);
+        if let Some(key) = self.open_send {
+            self.gateway.open_sends.borrow_mut().remove(key);
+        }
     }
 }
 
+/// A request that was sent and has not ended.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenSend {
+    pub endpoint: EndpointKey,
+    pub sent_ms: u64,
+}
+
 /// A response whose head has been read and whose body is still to be read.
 #[derive(Debug)]
 pub struct OpenResponse {
@@ -105,6 +124,16 @@
     pub was_reused: bool,
     /// Time since the endpoint last sent data on any connection; `None` if it never has.
     pub quiet_ms: Option<u64>,
+    /// Whether an idle connection to the endpoint was lost as well.
+    pub has_lost_idle: bool,
+}
+
+impl Evidence {
+    /// Whether a connection was lost over which the endpoint had answered before.
+    #[must_use]
+    pub fn has_lost_proven_connection(&self) -> bool {
+        self.was_reused || self.has_lost_idle
+    }
 }
 
 impl Failure {
@@ -172,6 +201,7 @@
             unacked_bytes: self.connection.unacked_bytes(),
             was_reused: self.connection.was_reused(),
             quiet_ms: (last_bytes_ms > 0).then(|| now_ms - last_bytes_ms),
+            has_lost_idle: self.gateway.pool.borrow().has_lost(self.endpoint.addr),
         }
     }
 }
@@ -201,7 +231,7 @@
         choice: &choose::Choice<'_>,
         timeout: ResponseTimeout,
     ) -> Result<OpenResponse, Failure> {
-        let load_guard = LoadGuard::open(self, choice);
+        let mut load_guard = LoadGuard::open(self, choice);
         let endpoint = choice.endpoint.clone();
         let mut connection = self.connect_or_reuse(job, &endpoint).await?;
         let now_ms = self.now_ms();
@@ -217,6 +247,7 @@
                 self.shared.urgent_update.notify_one();
             }
         }
+        load_guard.mark_sent(now_ms);
         let bytes = self.protocol.encode(&job.endpoint_request(&endpoint.id, now_ms));
         let pending = PendingSend {
             gateway: self,
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -17,6 +17,8 @@
 const CHECK_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which a request waits for the end of a check.
 const CHECK_POLL: Duration = Duration::from_millis(10);
+/// Time within which something that holds the port of an ended endpoint closes a new connection.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(20);
 /// How long an endpoint may still be at work on a request that this entry no longer waits for.
 const ABANDONED_MS: u64 = 2_000;
 /// Maximum number of such requests that are kept of an endpoint.
@@ -29,13 +31,16 @@
     at_ms: u64,
     /// Number of requests.
     requests: usize,
+    /// Whether one of the connections had carried data of the endpoint. An endpoint that accepts no more
+    /// connections closes new ones too, but it keeps these.
+    has_proven_connection: bool,
     /// Keys of the requests, with the longest time for which the endpoint had been answering one of them.
     answered_ms: HashMap<Key, u64>,
 }
 
 impl Losses {
     fn new(at_ms: u64) -> Self {
-        Self { at_ms, requests: 0, answered_ms: HashMap::new() }
+        Self { at_ms, requests: 0, has_proven_connection: false, answered_ms: HashMap::new() }
     }
 
     fn add(&mut self, loss: Loss) {
@@ -56,6 +61,21 @@
     losses: Vec<Loss>,
 }
 
+/// What a new connection tells about an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+enum Outcome {
+    #[display("alive")]
+    Alive,
+    /// It closes new connections and may keep others.
+    #[display("closes")]
+    Closes,
+    #[display("ended")]
+    Ended,
+    /// The path to the endpoint may have failed, which says nothing about the requests.
+    #[display("unreachable")]
+    Unreachable,
+}
+
 /// Returns the ids of the parts that other prompts may have as well.
 fn shared_parts(job: &Job) -> impl Iterator<Item = u64> {
     job.request.prompt.iter().flat_map(|prompt| prompt.shared_parts()).map(|part| part.id)
@@ -73,11 +93,13 @@
 
 impl Gateway {
     /// Records that a request was lost with its connection, after its endpoint had been answering for this time.
+    /// `is_proven_connection` tells whether it, or an idle one lost with it, had carried data of the endpoint.
     pub(super) fn record_lost_request(
         self: &Rc<Self>,
         job: &Job,
         endpoint: &directory::Endpoint,
         error: &http1::Error,
+        is_proven_connection: bool,
         answered_ms: u64,
     ) {
         match error {
@@ -93,6 +115,7 @@
         }
         let losses = checks.entry(endpoint.key).or_insert_with(|| Losses::new(self.now_ms()));
         losses.requests += 1;
+        losses.has_proven_connection |= is_proven_connection;
         keys(job).for_each(|key| losses.add(Loss { key, answered_ms }));
     }
 
@@ -141,35 +164,46 @@
         });
     }
 
-    /// An endpoint that accepts a connection has not ended: only the lost connections have failed.
+    /// Finds out by a new connection whether the endpoint has ended, or only the lost connections have failed.
     async fn check_crash(self: Rc<Self>, endpoint: directory::Endpoint) {
         time::sleep(CHECK_DELAY).await;
         let connected = pool::connect(endpoint.addr, self.shared.settings.leave_ms).await;
+        let is_closed = match &connected {
+            Ok(connection) => connection.is_closed_within(CLOSE_TIMEOUT).await,
+            Err(_) => false,
+        };
         let Some(losses) = self.crash_checks.borrow_mut().remove(&endpoint.key) else {
             return;
         };
         let outcome = match &connected {
-            Ok(_) => "alive",
-            Err(error) if is_refused(error) => "ended",
-            // The path to the endpoint may have failed, which says nothing about the requests.
-            Err(_) => "unreachable",
+            Ok(_) if is_closed && self.has_lost_all(&losses, endpoint.key) => Outcome::Ended,
+            Ok(_) if is_closed => Outcome::Closes,
+            Ok(_) => Outcome::Alive,
+            Err(error) if is_refused(error) => Outcome::Ended,
+            Err(_) => Outcome::Unreachable,
         };
         slog::info!(self.log, "endpoint checked"; "endpoint" => endpoint.id.as_str(),
-            "outcome" => outcome, "lost" => losses.requests,
+            "outcome" => outcome.to_string(), "lost" => losses.requests,
             "checked_after_ms" => self.now_ms() - losses.at_ms);
-        match connected {
-            Ok(connection) => {
+        if outcome == Outcome::Alive {
+            if let Ok(connection) = connected {
                 self.pool.borrow_mut().put(endpoint.addr, connection, self.now_ms());
             }
-            Err(error) => {
-                self.mark_unreachable(&endpoint);
-                if is_refused(&error) {
-                    self.record_crash(endpoint.key, losses);
-                }
-            }
+            return;
+        }
+        self.mark_unreachable(&endpoint);
+        if outcome == Outcome::Ended {
+            self.record_crash(endpoint.key, losses);
         }
     }
 
+    /// Whether no connection to the endpoint from before the losses is left.
+    fn has_lost_all(&self, losses: &Losses, endpoint: directory::EndpointKey) -> bool {
+        let open_sends = self.open_sends.borrow();
+        let mut open = open_sends.iter().filter(|(_, send)| send.endpoint == endpoint);
+        losses.has_proven_connection && !open.any(|(_, send)| send.sent_ms < losses.at_ms)
+    }
+
     fn record_crash(&self, endpoint: directory::EndpointKey, mut losses: Losses) {
         let abandoned = self.abandoned.borrow_mut().remove(&endpoint).unwrap_or_default();
         let at_ms = losses.at_ms;
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -235,6 +235,7 @@
                     self.record_loss(&error);
                     if self.gateway.now_ms() >= self.job.deadline_ms || !self.resume().await {
                         self.has_ended = true;
+                        self.response = None;
                         metrics::stream_ended(&self.job.service().name, "broken_off");
                         slog::info!(self.gateway.log, "stream broken off";
                             "request" => self.job.request.id.as_str(), "event" => self.last_event_id);
@@ -374,7 +375,8 @@
         let now_ms = gateway.now_ms();
         let took_ms = now_ms - response.sent_ms;
         gateway.health.borrow_mut().record_response(endpoint.key, false, took_ms, now_ms);
-        gateway.record_lost_request(&self.job, endpoint, error, self.answering.total_ms());
+        let answered_ms = self.answering.total_ms();
+        gateway.record_lost_request(&self.job, endpoint, error, true, answered_ms);
         if matches!(error, http1::Error::TimedOut) && now_ms < self.job.deadline_ms {
             gateway.mark_unreachable(endpoint);
         }
--- a/src/gateway/http1.rs
+++ b/src/gateway/http1.rs
@@ -186,6 +186,17 @@
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Waits until the peer closes the connection without having sent anything; false if it does not within `limit`.
+    pub async fn is_closed_within(&self, limit: Duration) -> bool {
+        if time::timeout(limit, self.stream.readable()).await.is_err() {
+            return false;
+        }
+        match self.stream.try_read(&mut [0; 1]) {
+            Ok(read) => read == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Seconds for which the peer keeps an idle connection open, if it stated that.
     #[must_use]
     pub fn keep_alive_s(&self) -> Option<u64> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -63,6 +63,8 @@
     backoff: RefCell<backoff::Backoff>,
     /// Endpoints that may have ended, with what was lost with them.
     crash_checks: RefCell<HashMap<directory::EndpointKey, crash_check::Losses>>,
+    /// Requests that were sent and have not ended.
+    open_sends: RefCell<slab::Slab<attempt::OpenSend>>,
     /// Requests that endpoints may still be at work on although this entry no longer waits for them.
     abandoned: RefCell<HashMap<directory::EndpointKey, VecDeque<crash_check::Abandoned>>>,
     log: slog::Logger,
@@ -88,6 +90,7 @@
             cold_sends: RefCell::default(),
             backoff: RefCell::default(),
             crash_checks: RefCell::default(),
+            open_sends: RefCell::default(),
             abandoned: RefCell::default(),
             log,
         });
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -72,6 +72,13 @@
         self.idle.retain(|_, idle| !idle.is_empty());
     }
 
+    /// Whether an idle connection to an address was closed by its peer.
+    #[must_use]
+    pub fn has_lost(&self, addr: SocketAddr) -> bool {
+        let idle = self.idle.get(&addr);
+        idle.is_some_and(|idle| idle.iter().any(|one| !one.connection.is_reusable()))
+    }
+
     /// Closes all idle connections to an address. A failure of one connection may have affected all.
     pub fn close_idle(&mut self, addr: SocketAddr) {
         self.idle.remove(&addr);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -237,9 +237,10 @@
                     self.mark_misdirected(choice.endpoint);
                 }
                 Failure::NotRun { .. } => job.pending_count = None,
-                Failure::Unknown { error, .. } => {
+                Failure::Unknown { error, evidence } => {
                     job.may_have_run = true;
-                    self.record_lost_request(job, choice.endpoint, &error, 0);
+                    let is_proven = evidence.has_lost_proven_connection();
+                    self.record_lost_request(job, choice.endpoint, &error, is_proven, 0);
                     // A stream is billed from its first event on, and none has arrived.
                     if !job.kind.is_stream() {
                         self.bill(job, now_ms);
@@ -331,7 +332,7 @@
                 return Err(self.final_refusal(job, error::Kind::DeadlineExceeded));
             }
             Ok(Err(error)) => {
-                self.record_lost_request(job, &response.endpoint, &error, 0);
+                self.record_lost_request(job, &response.endpoint, &error, true, 0);
                 None
             }
             Ok(Ok(_)) if !response.info.is_signed => None,
