--- a/src/gateway/policy/quarantine.rs
+++ b/src/gateway/policy/quarantine.rs
@@ -25,7 +25,9 @@
 use serde::{Deserialize, Serialize};
 
 use self::suspect::{COMPLETE, Crash, LEVELS, PROTECTION_MS, Progress, Suspect};
-pub use self::suspect::{Key, Loss, MANY_CRASHES, MIN_MOMENTS, MIN_PROGRESS_MS, TRIAL_MS};
+pub use self::suspect::{
+    Key, Loss, MANY_CRASHES, MIN_LATE_MOMENTS, MIN_MOMENTS, MIN_PROGRESS_MS, TRIAL_MS,
+};
 use crate::gateway::directory::EndpointKey;
 
 /// Number of moments with crashes of a part that no single request explains.
@@ -341,7 +343,7 @@
             .suspects
             .iter()
             .filter(|(key, suspect)| {
-                suspect.is_accused() && !self.is_part_explained(**key, suspect)
+                suspect.is_accused(**key) && !self.is_part_explained(**key, suspect)
             })
             .map(|(key, suspect)| (*key, suspect))
             .collect();
--- a/src/gateway/policy/quarantine/suspect.rs
+++ b/src/gateway/policy/quarantine/suspect.rs
@@ -7,6 +7,9 @@
 
 /// Number of moments with crashes after which a key is in quarantine.
 pub const MIN_MOMENTS: usize = 3;
+/// Number of moments that it takes for a part if endpoints had been answering for a while: long answers with it
+/// are lost with each endpoint that ends for another reason.
+pub const MIN_LATE_MOMENTS: usize = 5;
 /// Number of crashes after which two moments are enough: many requests with the key may arrive at once.
 pub const MANY_CRASHES: usize = 5;
 /// Crashes within this time are taken to be at the same moment.
@@ -117,6 +120,11 @@
         self.endpoint == other.endpoint && self.at_ms.abs_diff(other.at_ms) < SAME_CRASH_MS
     }
 
+    /// Whether the endpoint had been answering for a while.
+    fn is_late(&self) -> bool {
+        self.answered_ms >= MIN_PROGRESS_MS
+    }
+
     /// Time of answering that shows that the key did not end the endpoint. Endpoints differ in speed, so it is
     /// longer than that until the crash.
     fn refuting_ms(&self) -> u64 {
@@ -160,11 +168,21 @@
     }
 
     /// Whether the key is taken for the cause of its crashes, as long as no other one explains them.
-    pub(super) fn is_accused(&self) -> bool {
-        let times_ms: Vec<u64> = self.counted().map(|crash| crash.at_ms).collect();
-        let crashes = times_ms.len();
-        let moments = count_moments(times_ms);
-        moments >= MIN_MOMENTS || (moments + 1 >= MIN_MOMENTS && crashes >= MANY_CRASHES)
+    pub(super) fn is_accused(&self, key: Key) -> bool {
+        let times_ms = |is_late: bool| -> Vec<u64> {
+            let counted = self.counted().filter(|crash| is_late || !crash.is_late());
+            counted.map(|crash| crash.at_ms).collect()
+        };
+        let (all_ms, early_ms) = (times_ms(true), times_ms(false));
+        let is_enough = |times_ms: Vec<u64>| {
+            let crashes = times_ms.len();
+            let moments = count_moments(times_ms);
+            moments >= MIN_MOMENTS || (moments + 1 >= MIN_MOMENTS && crashes >= MANY_CRASHES)
+        };
+        match key {
+            Key::Request(_) => is_enough(all_ms),
+            Key::Part(_) => is_enough(early_ms) || count_moments(all_ms) >= MIN_LATE_MOMENTS,
+        }
     }
 
     pub(super) fn add_crash(&mut self, crash: Crash) -> bool {
