--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -12,8 +12,7 @@
 
 use super::attempt::OpenResponse;
 use super::job::Job;
-use super::policy::quarantine;
-use super::{Gateway, event_splitter, http1, metrics, request};
+use super::{Gateway, event_splitter, event_timing, http1, metrics, request};
 use crate::error;
 
 /// The stream ended before it was complete. The caller's connection has to be closed, so that the
@@ -63,67 +62,13 @@
     last_event_id: Option<u64>,
     /// Whether the version of the endpoint that sends the response now was checked.
     is_bound: bool,
-    timing: EventTiming,
-    answering: Answering,
+    timing: event_timing::EventTiming,
+    answering: event_timing::Answering,
     /// Whether the response has the stream's events from the first one on.
     is_from_start: bool,
     has_ended: bool,
 }
 
-/// Arrival times of a stream's events, for gap statistics and the log.
-#[derive(Clone, Copy, Debug, Default)]
-struct EventTiming {
-    first_ms: Option<u64>,
-    last_ms: u64,
-    longest_gap_ms: u64,
-    events: u64,
-}
-
-impl EventTiming {
-    fn event(&mut self, now_ms: u64) {
-        if self.first_ms.is_none() {
-            self.first_ms = Some(now_ms);
-        } else {
-            self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_ms);
-        }
-        self.last_ms = now_ms;
-        self.events += 1;
-    }
-}
-
-/// How long endpoints have been answering a request, which shows that they do not end on it.
-#[derive(Clone, Copy, Debug, Default)]
-struct Answering {
-    /// First event of the endpoint that sends the response now.
-    began_ms: Option<u64>,
-    /// Time for which this endpoint has been answering, as of its last event.
-    here_ms: u64,
-    /// Time for which the endpoints before it had been answering.
-    before_ms: u64,
-    /// Time from which this endpoint's progress is recorded again.
-    next_record_ms: u64,
-}
-
-impl Answering {
-    /// Returns the progress of the endpoint with an event, if it is to be recorded.
-    fn event(&mut self, now_ms: u64) -> Option<u64> {
-        self.here_ms = now_ms - *self.began_ms.get_or_insert(now_ms);
-        if self.here_ms < self.next_record_ms.max(quarantine::MIN_PROGRESS_MS) {
-            return None;
-        }
-        self.next_record_ms = self.here_ms * 2;
-        Some(self.here_ms)
-    }
-
-    fn total_ms(&self) -> u64 {
-        self.before_ms + self.here_ms
-    }
-
-    fn move_on(&mut self) {
-        *self = Self { before_ms: self.total_ms(), ..Self::default() };
-    }
-}
-
 /// Opens a stream and waits for its first events. A stream that fails before them can thus still be
 /// answered with an error status.
 ///
@@ -142,8 +87,8 @@
         splitter: event_splitter::EventSplitter::default(),
         last_event_id,
         is_bound: false,
-        timing: EventTiming::default(),
-        answering: Answering::default(),
+        timing: event_timing::EventTiming::default(),
+        answering: event_timing::Answering::default(),
         is_from_start: last_event_id.is_none_or(|event| event == 0),
         has_ended: false,
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod evacuation;
 pub mod event_splitter;
 pub mod event_stream;
+mod event_timing;
 pub mod fingerprint;
 pub mod fleet;
 pub mod http1;
