Release the lock of the stream versions before it is taken again

Callers saw: an entry that accepted connections and answered nothing any more, for good, once it had asked other entries for the version of a stream and one had told it.

Cause: the lock was held by the head of an if-let while its block took it again.

--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -107,7 +107,9 @@
             let end_ms = self.now_ms() + LOOKUP_TIMEOUT_MS;
             while self.now_ms() < end_ms {
                 time::sleep(LOOKUP_POLL).await;
-                if let Some(version) = self.shared.stream_versions().find(stream) {
+                // The lock must be released before it is taken again.
+                let found = self.shared.stream_versions().find(stream);
+                if let Some(version) = found {
                     self.shared.stream_versions().end_lookup(stream);
                     return Lookup::Known(version);
                 }
