--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -234,29 +234,32 @@
 
     /// Records that an endpoint has answered a request completely.
     pub(super) fn record_success(&self, job: &Job) {
-        let now_ms = self.now_ms();
-        let mut quarantine = self.shared.quarantine();
-        let parts = shared_parts(job).map(Key::Part);
-        let mut changes = quarantine.record_success(parts, now_ms);
-        if quarantine.has_suspects() {
-            let request = Key::Request(job.fingerprint());
-            changes.extend(quarantine.record_success([request], now_ms));
-        }
-        drop(quarantine);
-        self.announce_quarantine(&changes);
+        self.record_answer(job, quarantine::Quarantine::record_success);
     }
 
     /// Records that an endpoint has been answering a request for this time.
     pub(super) fn record_progress(&self, job: &Job, answered_ms: u64) {
+        self.record_answer(job, |quarantine, keys, now_ms| {
+            quarantine.record_progress(keys, answered_ms, now_ms)
+        });
+    }
+
+    /// Records an answer for the keys of a request. A fingerprint is needed only while something is suspected.
+    fn record_answer(
+        &self,
+        job: &Job,
+        record: impl FnOnce(&mut quarantine::Quarantine, Vec<Key>, u64) -> Vec<quarantine::Change>,
+    ) {
         let now_ms = self.now_ms();
-        let mut quarantine = self.shared.quarantine();
-        let parts = shared_parts(job).map(Key::Part);
-        let mut changes = quarantine.record_progress(parts, answered_ms, now_ms);
-        if quarantine.has_suspects() {
-            let request = Key::Request(job.fingerprint());
-            changes.extend(quarantine.record_progress([request], answered_ms, now_ms));
-        }
-        drop(quarantine);
+        let changes = {
+            let mut quarantine = self.shared.quarantine();
+            let keys = if quarantine.has_suspects() {
+                keys(job).collect()
+            } else {
+                shared_parts(job).map(Key::Part).collect()
+            };
+            record(&mut quarantine, keys, now_ms)
+        };
         self.announce_quarantine(&changes);
     }
 
