Log the output limit and the expected run of a stream, and the time since the stop signal

The lines could not tell with which expected run a stream was admitted by a stopping entry, nor whether one that was cut off was slow or long.

--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -148,6 +148,7 @@
 /// Drains the entry and returns when the process may exit.
 pub async fn drain(shared: &shared::Shared, log: &slog::Logger) {
     let begin_ms = clock::boot_ms();
+    shared.stop_signal_ms.store(begin_ms, Ordering::Release);
     shared.draining_since_ms.store(begin_ms, Ordering::Release);
     shared.is_draining.store(true, Ordering::Release);
     let mut stop = Stop::begin(begin_ms, shared.settings.stop_s);
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -383,9 +383,9 @@
             self.timing.longest_gap_ms,
             now_ms,
         );
+        let output_tokens = self.job.output_tokens();
         if let Some(first_ms) = self.timing.first_ms {
-            let prompt = self.job.request.prompt.as_ref();
-            let output_tokens = prompt.map_or(0, |prompt| prompt.max_output_tokens);
+            let output_tokens = output_tokens.unwrap_or(0);
             let service = &self.job.service().name;
             self.gateway.shared.observe_run(service, output_tokens, now_ms - first_ms);
         }
@@ -393,6 +393,6 @@
         slog::debug!(self.gateway.log, "stream whole"; "request" => self.job.request.id.as_str(),
             "endpoint" => endpoint.id.as_str(), "event" => self.last_event_id, "took_ms" => took_ms,
             "first_ms" => self.timing.first_ms.map(|at_ms| at_ms - self.job.arrived_ms),
-            "longest_pause_ms" => self.timing.longest_gap_ms);
+            "longest_pause_ms" => self.timing.longest_gap_ms, "output_tokens" => output_tokens);
     }
 }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -164,7 +164,14 @@
             "ahead_tokens" => choice.work.unread_tokens, "running" => choice.work.requests,
             "load_age_ms" => self.shared.load_table().age_ms(self.now_ms()),
             "limit_per_s" => limit.map(limits::Rate::per_s),
-            "left_ms" => job.left_ms(self.now_ms()));
+            "left_ms" => job.left_ms(self.now_ms()), "output_tokens" => job.output_tokens(),
+            "run_ms" => self.expected_run_ms(job), "stopping_ms" => self.shared.stopping_ms());
+    }
+
+    /// Expected time from the first event of a stream to its end; `None` for other requests.
+    fn expected_run_ms(&self, job: &Job) -> Option<u64> {
+        let model = self.shared.prefill_model(&job.service().name);
+        job.kind.is_stream().then(|| model.run_ms(job.output_tokens().unwrap_or(0)))
     }
 
     /// Logs and counts a failed send.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -63,6 +63,8 @@
     pub accepts_while_draining: AtomicBool,
     /// Set shortly before the process exits: no new request is admitted.
     pub is_admission_closed: AtomicBool,
+    /// When the stop signal came, on the boot clock; `u64::MAX` if the entry is not stopping.
+    pub stop_signal_ms: AtomicU64,
     /// Start of the drain on the boot clock, moved forward while new callers are still accepted;
     /// `u64::MAX` if the entry is not stopping.
     pub draining_since_ms: AtomicU64,
@@ -118,6 +120,7 @@
             is_draining: AtomicBool::new(false),
             accepts_while_draining: AtomicBool::new(false),
             is_admission_closed: AtomicBool::new(false),
+            stop_signal_ms: AtomicU64::new(u64::MAX),
             draining_since_ms: AtomicU64::new(u64::MAX),
             recent_entries: AtomicUsize::new(1),
             retry_budget_divisor: AtomicUsize::new(1),
@@ -256,6 +259,13 @@
         self.is_draining.load(Ordering::Acquire)
     }
 
+    /// Returns the time since the stop signal; `None` if the entry is not stopping.
+    #[must_use]
+    pub fn stopping_ms(&self) -> Option<u64> {
+        let signal_ms = self.stop_signal_ms.load(Ordering::Acquire);
+        (signal_ms != u64::MAX).then(|| clock::boot_ms().saturating_sub(signal_ms))
+    }
+
     /// Returns whether a stream that is expected to run for `run_ms` would delay a stop in progress.
     #[must_use]
     pub fn delays_stop(&self, run_ms: u64) -> bool {
