Give a final answer to requests that have none when an entry exits

What callers saw: requests that an entry had read and passed on ended without a byte of an answer when the entry exited at the end of its stop time: payments of 3 s 18 of 18, prompts whose first event takes 4 s 6 of 36.

Cause: the exit dropped whatever was in flight. Admission closes 0.9 s before it, but a call may take its whole time limit.

Now a stop has phases. 0.3 s before a forced exit each request without an answer gets one: 503 with the time to return if no endpoint has it, else 502 with ran: unknown, and the call is billed like other calls whose answer is lost. 60 ms before the exit streams end after a complete event and are logged.

--- a/src/error.rs
+++ b/src/error.rs
@@ -51,6 +51,7 @@
     Superseded,
     Internal,
     RequestQuarantined,
+    Interrupted,
 }
 
 /// The response that a caller gets for a kind of refusal.
@@ -202,6 +203,13 @@
                 "The same request was taken up on another connection.",
                 false,
             ),
+            Self::Interrupted => answer(
+                502,
+                "interrupted",
+                SERVER,
+                "The router stopped before the endpoint had answered.",
+                true,
+            ),
             Self::Internal => answer(500, "internal", SERVER, "The router failed.", false),
         }
     }
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -1,5 +1,8 @@
 //! Graceful shutdown of an entry: it first becomes unready for the load balancer, then serves the requests
 //! in flight and those that still arrive on open connections, and then exits.
+//!
+//! Shortly before a forced exit every request that has no answer yet gets a final one, and streams end after
+//! a complete event.
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -27,6 +30,25 @@
 const CLOSED_ADMISSION_MS: u64 = 900;
 /// Idle time before the exit once admission is closed; long enough for a refusal to be sent.
 const CLOSED_IDLE_MS: u64 = 100;
+/// How long before the exit requests without an answer get a final one: enough for a busy process to write
+/// them all.
+const FINAL_ANSWERS_MS: u64 = 300;
+/// How long before the exit streams end that are still being sent.
+const END_STREAMS_MS: u64 = 60;
+
+/// How far a stop has come. Each phase includes the ones before it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    #[default]
+    Serving,
+    Draining,
+    /// No new request is admitted.
+    Closed,
+    /// Requests without an answer get a final one.
+    FinalAnswers,
+    /// Streams that are still being sent end.
+    EndStreams,
+}
 
 /// Deadlines of a stop: when admission closes and when the process exits.
 #[derive(Clone, Copy, Debug)]
@@ -68,6 +90,10 @@
     Wait,
     /// Close admission, then continue to call [`Stop::step`].
     Close,
+    /// Answer the requests that have no answer yet, then continue to call [`Stop::step`].
+    AnswerAll,
+    /// End the streams that are still being sent, then continue to call [`Stop::step`].
+    EndStreams,
     End,
 }
 
@@ -77,7 +103,7 @@
     begin_ms: u64,
     deadlines: Deadlines,
     idle_since_ms: u64,
-    is_closed: bool,
+    phase: Phase,
 }
 
 impl Stop {
@@ -85,7 +111,7 @@
     #[must_use]
     pub fn begin(now_ms: u64, stop_s: f64) -> Self {
         let deadlines = Deadlines::of(now_ms, stop_s);
-        Self { begin_ms: now_ms, deadlines, idle_since_ms: now_ms, is_closed: false }
+        Self { begin_ms: now_ms, deadlines, idle_since_ms: now_ms, phase: Phase::Draining }
     }
 
     /// Notes that the entry reports itself unready to the load balancer from now on.
@@ -108,12 +134,25 @@
             return Step::End;
         }
         let is_idle = idle_ms >= IDLE_MS && now_ms - self.begin_ms >= DEREGISTRATION_MS;
-        if !self.is_closed && (is_idle || now_ms >= self.deadlines.close_ms) {
-            self.is_closed = true;
-            self.idle_since_ms = now_ms;
-            return Step::Close;
+        let left_ms = self.deadlines.end_ms - now_ms;
+        match self.phase {
+            Phase::Serving | Phase::Draining if is_idle || now_ms >= self.deadlines.close_ms => {
+                self.phase = Phase::Closed;
+                self.idle_since_ms = now_ms;
+                Step::Close
+            }
+            Phase::Serving | Phase::Draining => Step::Wait,
+            _ if idle_ms >= CLOSED_IDLE_MS => Step::End,
+            Phase::Closed if left_ms <= FINAL_ANSWERS_MS => {
+                self.phase = Phase::FinalAnswers;
+                Step::AnswerAll
+            }
+            Phase::FinalAnswers if left_ms <= END_STREAMS_MS => {
+                self.phase = Phase::EndStreams;
+                Step::EndStreams
+            }
+            Phase::Closed | Phase::FinalAnswers | Phase::EndStreams => Step::Wait,
         }
-        if self.is_closed && idle_ms >= CLOSED_IDLE_MS { Step::End } else { Step::Wait }
     }
 }
 
@@ -150,7 +189,7 @@
     let begin_ms = clock::boot_ms();
     shared.stop_signal_ms.store(begin_ms, Ordering::Release);
     shared.draining_since_ms.store(begin_ms, Ordering::Release);
-    shared.is_draining.store(true, Ordering::Release);
+    shared.enter_phase(Phase::Draining);
     let mut stop = Stop::begin(begin_ms, shared.settings.stop_s);
     slog::info!(log, "draining"; "limit_ms" => stop.deadlines.end_ms - begin_ms);
     accept_while_few_serve(shared, begin_ms, log).await;
@@ -161,7 +200,12 @@
         let last_request_ms = shared.last_request_ms.load(Ordering::Acquire);
         match stop.step(now_ms, active, last_request_ms) {
             Step::Wait => {}
-            Step::Close => shared.is_admission_closed.store(true, Ordering::Release),
+            Step::Close => shared.enter_phase(Phase::Closed),
+            Step::AnswerAll => {
+                slog::info!(log, "answering requests in flight before the exit"; "left" => active);
+                shared.enter_phase(Phase::FinalAnswers);
+            }
+            Step::EndStreams => shared.enter_phase(Phase::EndStreams),
             Step::End => {
                 deliver_counts(shared, stop.deadlines.end_ms).await;
                 slog::info!(log, "drained"; "left" => active, "took_ms" => now_ms - begin_ms);
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -3,6 +3,7 @@
 
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 
 use super::attempt::OpenResponse;
 use super::job::Job;
-use super::{Gateway, event_splitter, event_timing, http1, metrics, request};
+use super::{Gateway, drain, event_splitter, event_timing, http1, metrics, request};
 use crate::error;
 
 /// The stream ended before it was complete. The caller's connection has to be closed, so that the
@@ -92,7 +93,13 @@
         is_from_start: last_event_id.is_none_or(|event| event == 0),
         has_ended: false,
     };
-    let first = source.first_events().await;
+    let first = tokio::select! {
+        biased;
+        first = source.first_events() => first,
+        () = gateway.shared.phase_reached(drain::Phase::FinalAnswers) => {
+            Err(gateway.interrupt(&mut source.job))
+        }
+    };
     source.has_ended |= first.is_err();
     let first = first?;
     // Headers and signature are those of the endpoint whose events are sent first.
@@ -102,7 +109,12 @@
         .map(|response| response.head.clone())
         .ok_or_else(|| gateway.final_refusal(&source.job, error::Kind::EndpointFailed))?;
     let rest = stream::unfold(source, async |mut source| {
-        let next = source.next_events().await?;
+        let shared = Arc::clone(&source.gateway.shared);
+        let next = tokio::select! {
+            biased;
+            next = source.next_events() => next,
+            () = shared.phase_reached(drain::Phase::EndStreams) => Some(source.break_off()),
+        }?;
         Some((next, source))
     });
     let events =
@@ -179,18 +191,25 @@
                 Step::Lost(error) => {
                     self.record_loss(&error);
                     if self.gateway.now_ms() >= self.job.deadline_ms || !self.resume().await {
-                        self.has_ended = true;
-                        self.response = None;
-                        metrics::stream_ended(&self.job.service().name, "broken_off");
-                        slog::info!(self.gateway.log, "stream broken off";
-                            "request" => self.job.request.id.as_str(), "event" => self.last_event_id);
-                        return Some(Err(StreamInterrupted));
+                        return Some(self.break_off());
                     }
                 }
             }
         }
     }
 
+    /// Ends the stream without its last events.
+    fn break_off(&mut self) -> Result<Bytes, StreamInterrupted> {
+        self.has_ended = true;
+        self.response = None;
+        metrics::stream_ended(&self.job.service().name, "broken_off");
+        slog::info!(self.gateway.log, "stream broken off"; "request" => self.job.request.id.as_str(),
+            "event" => self.last_event_id, "output_tokens" => self.job.output_tokens(),
+            "took_ms" => self.gateway.now_ms() - self.job.arrived_ms,
+            "stopping_ms" => self.gateway.shared.stopping_ms());
+        Err(StreamInterrupted)
+    }
+
     /// Reads from the endpoint until complete events, the end of the stream or a failure.
     async fn step(&mut self) -> Step {
         loop {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,7 +1,7 @@
 //! State of an admitted request while it is forwarded: its route, account, deadline, time limits and
 //! the attempts made so far.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -48,6 +48,8 @@
     pub reached_endpoint: bool,
     /// An endpoint may have run the request.
     pub may_have_run: bool,
+    /// An endpoint has the request now, or may have it.
+    pub(super) is_at_endpoint: Cell<bool>,
     /// The request has been counted for its account's bill.
     pub(super) is_billed: bool,
     /// Held while a send may still prove to have run, and so have to be billed.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 //! the route's attempt limit and the retry budget. A request that may run only once is sent once, and
 //! its outcome is reported to the caller as it is.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 use super::job::{ActiveGuard, Job};
 use super::policy::choose;
 use super::request::{Request, Response};
-use super::{Gateway, event_stream, http1, metrics, request_log, shared};
+use super::{Gateway, drain, event_stream, http1, metrics, request_log, shared};
 use crate::error;
 
 /// Maximum size of a response body that is buffered before it is sent to the caller, in bytes.
@@ -40,6 +40,13 @@
 /// another entry.
 const DRAINING_RETRY_MS: u32 = 50;
 
+/// Response of an endpoint to a forwarded request.
+enum Forwarded {
+    Complete(http1::Head, bytes::Bytes),
+    /// A stream of which only the head has been read.
+    Stream(Box<OpenResponse>),
+}
+
 impl Gateway {
     /// Serves a request of a caller and logs its outcome.
     pub async fn serve(self: &Rc<Self>, request: Request) -> Response {
@@ -50,7 +57,7 @@
         let (response, service) = match self.admit(request) {
             Ok(job) => {
                 let service = job.service().name.clone();
-                (self.forward(job).await, service)
+                (self.forward_until_exit(job).await, service)
             }
             Err(refusal) => {
                 metrics::refused(refusal.kind.answer().code);
@@ -125,6 +132,7 @@
             attempts: 0,
             reached_endpoint: false,
             may_have_run: false,
+            is_at_endpoint: Cell::new(false),
             is_billed: false,
             pending_count: None,
             _active: ActiveGuard::begin(&self.shared),
@@ -132,30 +140,53 @@
         })
     }
 
-    /// Sends the request until an endpoint responds or no attempt is left.
-    async fn forward(self: &Rc<Self>, mut job: Job) -> Response {
-        if let Err(refusal) = self.pin_version(&mut job).await {
-            return Response::Refused(refusal);
+    /// Forwards a request. One that has no answer shortly before the exit of this process gets a final
+    /// refusal.
+    async fn forward_until_exit(self: &Rc<Self>, mut job: Job) -> Response {
+        let response = tokio::select! {
+            biased;
+            response = self.forward(&mut job) => Some(response),
+            () = self.shared.phase_reached(drain::Phase::FinalAnswers) => None,
+        };
+        let response = response.unwrap_or_else(|| Err(self.interrupt(&mut job)));
+        let opened = match response {
+            Ok(Forwarded::Complete(head, body)) => return Response::Complete { head, body },
+            Ok(Forwarded::Stream(response)) => event_stream::open(self, job, *response).await,
+            Err(refusal) => Err(refusal),
+        };
+        match opened {
+            Ok((head, body)) => Response::Stream { head, body },
+            Err(refusal) => Response::Refused(refusal),
         }
+    }
+
+    /// Sends the request until an endpoint responds or no attempt is left.
+    async fn forward(self: &Rc<Self>, job: &mut Job) -> Result<Forwarded, error::Refusal> {
+        self.pin_version(job).await?;
         loop {
-            let response = match self.send(&mut job).await {
-                Ok(response) => response,
-                Err(refusal) => return Response::Refused(refusal),
-            };
+            let response = self.send(job).await?;
             if job.kind.is_stream() && (200..300).contains(&response.head.status) {
-                return match event_stream::open(self, job, response).await {
-                    Ok((head, body)) => Response::Stream { head, body },
-                    Err(refusal) => Response::Refused(refusal),
-                };
+                return Ok(Forwarded::Stream(Box::new(response)));
             }
-            match self.read_complete(&mut job, response).await {
-                Ok(Some((head, body))) => return Response::Complete { head, body },
-                Ok(None) => {}
-                Err(refusal) => return Response::Refused(refusal),
+            if let Some((head, body)) = self.read_complete(job, response).await? {
+                return Ok(Forwarded::Complete(head, body));
             }
         }
     }
 
+    /// The refusal of a request that has no answer when this process is about to exit.
+    pub(super) fn interrupt(&self, job: &mut Job) -> error::Refusal {
+        if !job.may_have_run && !job.is_at_endpoint.get() {
+            let refusal = error::Refusal::not_run(error::Kind::Draining);
+            return refusal.retry_after_ms(DRAINING_RETRY_MS);
+        }
+        // A stream is billed from its first event on, and none has arrived.
+        if !job.kind.is_stream() {
+            self.bill(job, job.arrived_ms);
+        }
+        error::Refusal::unknown(error::Kind::Interrupted)
+    }
+
     /// Sends the request to one endpoint after another until one starts to respond.
     pub(super) async fn send(
         self: &Rc<Self>,
@@ -203,7 +234,9 @@
             if !job.kind.is_stream() && job.account.is_some() && !job.is_billed {
                 job.pending_count = Some(self.shared.begin_pending_count());
             }
-            let failure = match self.attempt(job, &choice, timeout).await {
+            let result = self.attempt(job, &choice, timeout).await;
+            job.is_at_endpoint.set(result.is_ok());
+            let failure = match result {
                 Ok(response) => {
                     job.reached_endpoint = true;
                     metrics::send_outcome(&job.service().name, "answered");
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::duties::tally;
 use super::policy::{admission, limits, load, prefill, prefix_index, quarantine, warmup};
@@ -58,11 +58,9 @@
     pub time: &'static clock::TimeOfDay,
     pub snapshot: ArcSwap<Snapshot>,
     pub is_ready: AtomicBool,
-    pub is_draining: AtomicBool,
+    stop_phase: watch::Sender<drain::Phase>,
     /// Set while the entry is stopping but still accepts new callers.
     pub accepts_while_draining: AtomicBool,
-    /// Set shortly before the process exits: no new request is admitted.
-    pub is_admission_closed: AtomicBool,
     /// When the stop signal came, on the boot clock; `u64::MAX` if the entry is not stopping.
     pub stop_signal_ms: AtomicU64,
     /// Start of the drain on the boot clock, moved forward while new callers are still accepted;
@@ -117,9 +115,8 @@
             time: clock::time_of_day(),
             snapshot: ArcSwap::default(),
             is_ready: AtomicBool::new(false),
-            is_draining: AtomicBool::new(false),
+            stop_phase: watch::Sender::default(),
             accepts_while_draining: AtomicBool::new(false),
-            is_admission_closed: AtomicBool::new(false),
             stop_signal_ms: AtomicU64::new(u64::MAX),
             draining_since_ms: AtomicU64::new(u64::MAX),
             recent_entries: AtomicUsize::new(1),
@@ -254,9 +251,21 @@
         self.tally().forget_before(first);
     }
 
+    /// Enters a phase of a stop.
+    pub fn enter_phase(&self, phase: drain::Phase) {
+        self.stop_phase.send_replace(phase);
+    }
+
+    /// Waits until a stop has come to this phase.
+    pub async fn phase_reached(&self, phase: drain::Phase) {
+        let mut phases = self.stop_phase.subscribe();
+        // The sender lives as long as this state.
+        let _ = phases.wait_for(|current| *current >= phase).await;
+    }
+
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Acquire)
+        *self.stop_phase.borrow() >= drain::Phase::Draining
     }
 
     /// Returns the time since the stop signal; `None` if the entry is not stopping.
@@ -276,7 +285,7 @@
     /// Returns whether no new request is admitted because the process is about to exit.
     #[must_use]
     pub fn is_admission_closed(&self) -> bool {
-        self.is_admission_closed.load(Ordering::Acquire)
+        *self.stop_phase.borrow() >= drain::Phase::Closed
     }
 
     #[must_use]
--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -37,6 +37,22 @@
     assert!(end.0 > close.0 && end.0 < 11_000);
 }
 
+/// Guards against requests that have no answer when the process exits: they get a final one while there is
+/// time to write it, and streams end in between two events.
+#[test]
+fn all_requests_in_flight_are_answered_before_a_forced_exit() {
+    let mut stop = Stop::begin(3_000, STOP_S);
+    let steps: Vec<(u64, Step)> =
+        (3_000..11_000).step_by(20).map(|at| (at, stop.step(at, 1, 3_000))).collect();
+    let first = |step| steps.iter().find(|(_, one)| *one == step).map(|(at, _)| *at);
+    let at = [Step::Close, Step::AnswerAll, Step::EndStreams, Step::End].map(first);
+    let [Some(close_ms), Some(answer_ms), Some(streams_ms), Some(end_ms)] = at else {
+        panic!("{at:?}");
+    };
+    assert!(close_ms < answer_ms && answer_ms < streams_ms && streams_ms < end_ms, "{at:?}");
+    assert!(end_ms - answer_ms >= 200, "the answers have been written");
+}
+
 /// Guards against an idle entry that exits while the load balancer still sends new callers to it.
 #[test]
 fn an_idle_entry_waits_until_the_load_balancer_has_noticed() {
