Count the time left of a stop from its signal alone, and admit only what fits into it

What callers saw: a stream that an entry admitted 3.13 s after its SIGTERM was cut off by the exit, 7.81 s after it.

Cause: while few other entries served, the start of the stop was moved forward by up to 1.8 s, as if the exit moved as well, and the stream was admitted by the mean run of its output limit.

The times of a stop follow from its signal and do not move. No stream is admitted later than 2.9 s after it, nor if one that takes the mean and four mean deviations would not end before the exit; a call only if it is expected to end before it. Whether few others serve is asked at each request.

--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -9,6 +9,7 @@
 
 use tokio::time;
 
+use super::policy::durations;
 use super::shared;
 use crate::clock;
 
@@ -25,6 +26,10 @@
 const IDLE_MS: u64 = 600;
 /// Margin before the process is killed, within which it exits by itself.
 const EXIT_MARGIN_MS: u64 = 200;
+/// Latest time after the stop signal at which a stream is admitted: the rest of the stop is left for it.
+const LAST_STREAM_MS: u64 = 2_900;
+/// Expected duration of a stream before any has ended.
+const PRIOR_STREAM_MS: u64 = 2_000;
 /// How long before the exit no new request is admitted; callers on open connections are informed that
 /// their request did not run. Without this the exit would cut off a request that had just been forwarded.
 const CLOSED_ADMISSION_MS: u64 = 900;
@@ -50,18 +55,60 @@
     EndStreams,
 }
 
-/// Deadlines of a stop: when admission closes and when the process exits.
+/// Times of a stop on the boot clock. They follow from the stop signal alone and do not move.
 #[derive(Clone, Copy, Debug)]
-struct Deadlines {
+pub struct Deadlines {
+    signal_ms: u64,
     close_ms: u64,
     end_ms: u64,
 }
 
 impl Deadlines {
-    fn of(since_ms: u64, stop_s: f64) -> Self {
+    /// Returns the times of a stop that was requested now; the process is killed after `stop_s`.
+    #[must_use]
+    pub fn of(signal_ms: u64, stop_s: f64) -> Self {
         let end_ms =
-            since_ms.saturating_add((stop_s * 1_000.0) as u64).saturating_sub(EXIT_MARGIN_MS);
-        Self { close_ms: end_ms.saturating_sub(CLOSED_ADMISSION_MS), end_ms }
+            signal_ms.saturating_add((stop_s * 1_000.0) as u64).saturating_sub(EXIT_MARGIN_MS);
+        Self { signal_ms, close_ms: end_ms.saturating_sub(CLOSED_ADMISSION_MS), end_ms }
+    }
+
+    /// Returns the time since the stop signal.
+    #[must_use]
+    pub fn stopping_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.signal_ms)
+    }
+
+    /// Returns whether a request that takes `took_ms` from now on is answered before the last requests get
+    /// a final answer.
+    fn has_time_for(&self, took_ms: u64, now_ms: u64) -> bool {
+        now_ms.saturating_add(took_ms) <= self.end_ms.saturating_sub(FINAL_ANSWERS_MS)
+    }
+
+    /// Returns whether a stream with this expected run is admitted now, where `streams` are the durations of
+    /// its service's streams and `others` the entries that could take it instead.
+    #[must_use]
+    pub fn admits_stream(
+        &self,
+        run_ms: u64,
+        streams: &durations::Durations,
+        others: Others,
+        now_ms: u64,
+    ) -> bool {
+        self.stopping_ms(now_ms) < LAST_STREAM_MS
+            && self.has_time_for(streams.upper_ms().unwrap_or(PRIOR_STREAM_MS), now_ms)
+            && (others.few_serve() || !delays_stop(self.signal_ms, now_ms, run_ms))
+    }
+
+    /// Returns whether a request with a single response is admitted now. One that may run only once and
+    /// is cut off leaves its caller without knowing the outcome.
+    #[must_use]
+    pub fn admits_call(
+        &self,
+        calls: &durations::Durations,
+        latency_target_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        self.has_time_for(calls.upper_ms().unwrap_or(latency_target_ms), now_ms)
     }
 }
 
@@ -75,6 +122,21 @@
     now_ms.saturating_add(run_ms) >= since_ms.saturating_add(DEREGISTRATION_MS)
 }
 
+/// The other entries of the fleet, as known to this one.
+#[derive(Clone, Copy, Debug)]
+pub struct Others {
+    pub count: usize,
+    /// Those that are not stopping.
+    pub serving: usize,
+}
+
+impl Others {
+    /// Whether a caller who is sent elsewhere probably meets another stopping entry, or none.
+    fn few_serve(self) -> bool {
+        self.serving == 0 || self.serving * 2 < self.count
+    }
+}
+
 /// Returns whether a stopping entry still accepts new callers, when `serving` of its `others` peers serve.
 ///
 /// Otherwise the last entry of a rolling restart would send all callers to the one entry that is back, and
@@ -158,18 +220,12 @@
 
 /// Goes on accepting new callers for a limited time while fewer than half of the other entries serve.
 async fn accept_while_few_serve(shared: &shared::Shared, begin_ms: u64, log: &slog::Logger) {
-    let others = shared.recent_entries.load(Ordering::Relaxed).saturating_sub(1);
     let mut now_ms = begin_ms;
-    while accepts_while_draining(
-        begin_ms,
-        now_ms,
-        shared.serving_peers.load(Ordering::Relaxed),
-        others,
-    ) {
+    let others = shared.others().count;
+    while accepts_while_draining(begin_ms, now_ms, shared.others().serving, others) {
         shared.accepts_while_draining.store(true, Ordering::Release);
         time::sleep(POLL).await;
         now_ms = clock::boot_ms();
-        shared.draining_since_ms.store(now_ms, Ordering::Release);
     }
     if shared.accepts_while_draining.swap(false, Ordering::AcqRel) {
         slog::info!(log, "accepted new callers while few other entries serve";
@@ -187,10 +243,8 @@
 /// Drains the entry and returns when the process may exit.
 pub async fn drain(shared: &shared::Shared, log: &slog::Logger) {
     let begin_ms = clock::boot_ms();
-    shared.stop_signal_ms.store(begin_ms, Ordering::Release);
-    shared.draining_since_ms.store(begin_ms, Ordering::Release);
-    shared.enter_phase(Phase::Draining);
     let mut stop = Stop::begin(begin_ms, shared.settings.stop_s);
+    shared.begin_stop(stop.deadlines);
     slog::info!(log, "draining"; "limit_ms" => stop.deadlines.end_ms - begin_ms);
     accept_while_few_serve(shared, begin_ms, log).await;
     stop.mark_unready(clock::boot_ms());
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -407,6 +407,7 @@
             let output_tokens = output_tokens.unwrap_or(0);
             let service = &self.job.service().name;
             self.gateway.shared.observe_run(service, output_tokens, now_ms - first_ms);
+            self.gateway.shared.observe_duration(service, now_ms - self.job.arrived_ms);
         }
         metrics::stream_ended(&self.job.service().name, "whole");
         slog::debug!(self.gateway.log, "stream whole"; "request" => self.job.request.id.as_str(),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,7 @@
 use super::job::{ActiveGuard, Job};
 use super::policy::choose;
 use super::request::{Request, Response};
-use super::{Gateway, drain, event_stream, http1, metrics, request_log, shared};
+use super::{Gateway, drain, event_stream, http1, metrics, request_log, route, shared};
 use crate::error;
 
 /// Maximum size of a response body that is buffered before it is sent to the caller, in bytes.
@@ -102,14 +102,10 @@
         let service = table
             .draw_service(route, rand::rng().random())
             .ok_or_else(|| refuse(error::Kind::UnknownService))?;
-        if route.kind.is_stream() {
-            let output_tokens =
-                request.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens);
-            let run_ms =
-                self.shared.prefill_model(&table.service(service).name).run_ms(output_tokens);
-            if self.shared.delays_stop(run_ms) {
-                return Err(refuse(error::Kind::Draining).retry_after_ms(DRAINING_RETRY_MS));
-            }
+        let output_tokens = request.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens);
+        let service_name = &table.service(service).name;
+        if !self.has_time_to_answer(route, service_name, output_tokens, arrived_ms) {
+            return Err(refuse(error::Kind::Draining).retry_after_ms(DRAINING_RETRY_MS));
         }
         let wait_ms = request.deadline_ms.unwrap_or(u32::MAX).min(route.timeout_ms);
         let kind = route.kind;
@@ -140,6 +136,25 @@
         })
     }
 
+    /// Whether this process, if it is stopping, has the time to answer a request that arrives now.
+    fn has_time_to_answer(
+        &self,
+        route: &route::Route,
+        service: &str,
+        output_tokens: u32,
+        now_ms: u64,
+    ) -> bool {
+        let Some(stop) = self.shared.stop() else {
+            return true;
+        };
+        let durations = self.shared.durations(service);
+        if !route.kind.is_stream() {
+            return stop.admits_call(&durations, u64::from(route.latency_target_ms), now_ms);
+        }
+        let run_ms = self.shared.prefill_model(service).run_ms(output_tokens);
+        stop.admits_stream(run_ms, &durations, self.shared.others(), now_ms)
+    }
+
     /// Forwards a request. One that has no answer shortly before the exit of this process gets a final
     /// refusal.
     async fn forward_until_exit(self: &Rc<Self>, mut job: Job) -> Response {
@@ -387,6 +402,7 @@
         match body {
             Some(body) if is_success => {
                 self.record_success(job);
+                self.shared.observe_duration(&job.service().name, now_ms - job.arrived_ms);
                 self.pool.borrow_mut().put(response.endpoint.addr, response.connection, now_ms);
                 Ok(Some((response.head, body)))
             }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -2,14 +2,16 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::ArcSwap;
 use compact_str::CompactString;
 use tokio::sync::{Notify, watch};
 
 use super::duties::tally;
-use super::policy::{admission, limits, load, prefill, prefix_index, quarantine, warmup};
+use super::policy::{
+    admission, durations, limits, load, prefill, prefix_index, quarantine, warmup,
+};
 use super::{
     departures, directory, drain, evacuation, route, served_versions, settings, stream_versions,
 };
@@ -61,11 +63,8 @@
     stop_phase: watch::Sender<drain::Phase>,
     /// Set while the entry is stopping but still accepts new callers.
     pub accepts_while_draining: AtomicBool,
-    /// When the stop signal came, on the boot clock; `u64::MAX` if the entry is not stopping.
-    pub stop_signal_ms: AtomicU64,
-    /// Start of the drain on the boot clock, moved forward while new callers are still accepted;
-    /// `u64::MAX` if the entry is not stopping.
-    pub draining_since_ms: AtomicU64,
+    /// Times of the stop in progress; unset if the entry is not stopping.
+    stop: OnceLock<drain::Deadlines>,
     /// Number of entries that were heard within the longest retry window, including this one, and at least as
     /// many as the seeds name. Entries that have died since are among them.
     pub recent_entries: AtomicUsize,
@@ -99,6 +98,8 @@
     tally: Mutex<tally::Tally>,
     /// Start times, on the boot clock, of sends whose requests may still be counted.
     pending_counts: Mutex<slab::Slab<u64>>,
+    /// Durations of complete responses, by service.
+    durations: Mutex<HashMap<CompactString, durations::Durations>>,
     /// Measured prefill speed and run times of the engines, by service.
     prefill_models: Mutex<HashMap<CompactString, prefill::PrefillModel>>,
 }
@@ -117,8 +118,7 @@
             is_ready: AtomicBool::new(false),
             stop_phase: watch::Sender::default(),
             accepts_while_draining: AtomicBool::new(false),
-            stop_signal_ms: AtomicU64::new(u64::MAX),
-            draining_since_ms: AtomicU64::new(u64::MAX),
+            stop: OnceLock::new(),
             recent_entries: AtomicUsize::new(1),
             retry_budget_divisor: AtomicUsize::new(1),
             counts_delivered: AtomicBool::new(true),
@@ -136,6 +136,7 @@
             prefix_index: Mutex::default(),
             tally: Mutex::default(),
             pending_counts: Mutex::default(),
+            durations: Mutex::default(),
             prefill_models: Mutex::default(),
         }
     }
@@ -212,6 +213,17 @@
             .observe_run(output_tokens, ran_ms);
     }
 
+    /// Records how long a request took from its arrival to the end of its response.
+    pub fn observe_duration(&self, service: &CompactString, took_ms: u64) {
+        lock(&self.durations).entry(service.clone()).or_default().observe(took_ms);
+    }
+
+    /// Returns the durations of a service's requests, as measured by this entry.
+    #[must_use]
+    pub fn durations(&self, service: &str) -> durations::Durations {
+        lock(&self.durations).get(service).copied().unwrap_or_default()
+    }
+
     /// Length of a billing window.
     #[must_use]
     pub fn billing_window_ms(&self) -> u64 {
@@ -268,18 +280,31 @@
         *self.stop_phase.borrow() >= drain::Phase::Draining
     }
 
-    /// Returns the time since the stop signal; `None` if the entry is not stopping.
+    /// Begins a stop. Only the first call has an effect.
+    pub fn begin_stop(&self, deadlines: drain::Deadlines) {
+        self.stop.get_or_init(|| deadlines);
+        self.enter_phase(drain::Phase::Draining);
+    }
+
+    /// Returns what is known of the other entries.
     #[must_use]
-    pub fn stopping_ms(&self) -> Option<u64> {
-        let signal_ms = self.stop_signal_ms.load(Ordering::Acquire);
-        (signal_ms != u64::MAX).then(|| clock::boot_ms().saturating_sub(signal_ms))
+    pub fn others(&self) -> drain::Others {
+        drain::Others {
+            count: self.recent_entries.load(Ordering::Relaxed).saturating_sub(1),
+            serving: self.serving_peers.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Returns the times of the stop in progress; `None` if the entry is not stopping.
+    #[must_use]
+    pub fn stop(&self) -> Option<&drain::Deadlines> {
+        self.stop.get()
     }
 
-    /// Returns whether a stream that is expected to run for `run_ms` would delay a stop in progress.
+    /// Returns the time since the stop signal; `None` if the entry is not stopping.
     #[must_use]
-    pub fn delays_stop(&self, run_ms: u64) -> bool {
-        let since_ms = self.draining_since_ms.load(Ordering::Acquire);
-        drain::delays_stop(since_ms, clock::boot_ms(), run_ms)
+    pub fn stopping_ms(&self) -> Option<u64> {
+        self.stop().map(|stop| stop.stopping_ms(clock::boot_ms()))
     }
 
     /// Returns whether no new request is admitted because the process is about to exit.
--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -1,6 +1,7 @@
 //! Tests of the graceful shutdown of an entry: a planned stop cuts off no request.
 
-use briarwinch::gateway::drain::{self, Step, Stop};
+use briarwinch::gateway::drain::{self, Deadlines, Others, Step, Stop};
+use briarwinch::gateway::policy::durations::Durations;
 
 const STOP_S: f64 = 8.0;
 
@@ -89,3 +90,50 @@
         "it must leave the load balancer rotation in time"
     );
 }
+
+/// Durations of which most are 0.3 s and each tenth is ten times as long, as those of streams that use their
+/// whole output limit.
+fn skewed_durations() -> Durations {
+    let mut durations = Durations::default();
+    (0..400).for_each(|number| durations.observe(if number % 10 == 0 { 3_000 } else { 300 }));
+    durations
+}
+
+const NONE_SERVE: Others = Others { count: 3, serving: 0 };
+
+/// Guards against streams that are cut off by the exit: while few other entries served, the time that is left
+/// was counted from a moment that moved, and streams were admitted over three seconds after the signal.
+#[test]
+fn no_stream_is_admitted_late_in_a_stop_even_if_no_other_entry_serves() {
+    let stop = Deadlines::of(3_000, STOP_S);
+    let admits =
+        |after_ms: u64| stop.admits_stream(0, &Durations::default(), NONE_SERVE, 3_000 + after_ms);
+    assert!(admits(0) && admits(2_800));
+    for after_ms in (3_000..8_000).step_by(100) {
+        assert!(!admits(after_ms), "{after_ms} ms after the signal");
+    }
+}
+
+/// Guards against a stream that is admitted by the mean duration and cut off because it is one of the few that
+/// run several times as long.
+#[test]
+fn a_stream_is_admitted_only_if_a_long_one_would_end_before_the_exit() {
+    let durations = skewed_durations();
+    let upper_ms = durations.upper_ms().expect("requests have ended");
+    assert!(upper_ms >= 2_000, "{upper_ms}");
+    let stop = Deadlines::of(3_000, 4.0);
+    assert!(stop.admits_stream(100, &durations, NONE_SERVE, 3_000));
+    assert!(!stop.admits_stream(100, &durations, NONE_SERVE, 3_000 + 3_500 - upper_ms + 1));
+}
+
+/// Guards against a payment whose outcome its caller never learns because it is admitted just before the exit.
+#[test]
+fn a_call_is_admitted_only_if_it_is_expected_to_end_before_the_exit() {
+    let stop = Deadlines::of(3_000, STOP_S);
+    let mut slow = Durations::default();
+    (0..20).for_each(|_| slow.observe(3_000));
+    assert!(stop.admits_call(&slow, 300, 3_000 + 4_400));
+    assert!(!stop.admits_call(&slow, 300, 3_000 + 4_600), "it would end 0.1 s too late");
+    assert!(stop.admits_call(&Durations::default(), 300, 3_000 + 7_100));
+    assert!(!stop.admits_call(&Durations::default(), 300, 3_000 + 7_300));
+}
