Do not refuse urgent prompts sooner than others for their output limit in a stop

Cause: a stopping entry refuses streams whose expected run would delay its exit. The expected run grows with the output limit, and the most urgent prompts have the highest one, which most streams do not reach.

An output limit above the mean no longer counts against a prompt. a_high_output_limit_does_not_make_a_prompt_wait_longer_than_the_mean_stream failed without the bound (1,650 ms after the signal and others) and passes.

--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -86,6 +86,9 @@
 
     /// Returns whether a stream with this expected run is admitted now, where `streams` are the durations of
     /// its service's streams and `others` the entries that could take it instead.
+    ///
+    /// Only while most others serve does its own run count, and no more than the mean: urgent prompts have the
+    /// highest output limits, which most streams do not reach.
     #[must_use]
     pub fn admits_stream(
         &self,
@@ -94,6 +97,7 @@
         others: Others,
         now_ms: u64,
     ) -> bool {
+        let run_ms = run_ms.min(streams.mean_ms().unwrap_or(run_ms));
         self.stopping_ms(now_ms) < LAST_STREAM_MS
             && self.has_time_for(streams.upper_ms().unwrap_or(PRIOR_STREAM_MS), now_ms)
             && (others.few_serve() || !delays_stop(self.signal_ms, now_ms, run_ms))
--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -100,6 +100,7 @@
 }
 
 const NONE_SERVE: Others = Others { count: 3, serving: 0 };
+const MOST_SERVE: Others = Others { count: 3, serving: 2 };
 
 /// Guards against streams that are cut off by the exit: while few other entries served, the time that is left
 /// was counted from a moment that moved, and streams were admitted over three seconds after the signal.
@@ -126,6 +127,18 @@
     assert!(!stop.admits_stream(100, &durations, NONE_SERVE, 3_000 + 3_500 - upper_ms + 1));
 }
 
+/// Guards against urgent prompts that are refused by a stopping entry while larger, less urgent ones begin: the
+/// urgent ones have the highest output limits, and with them the longest expected runs.
+#[test]
+fn a_high_output_limit_does_not_make_a_prompt_wait_longer_than_the_mean_stream() {
+    let (stop, durations) = (Deadlines::of(3_000, STOP_S), skewed_durations());
+    let mean_ms = durations.mean_ms().expect("requests have ended");
+    for after_ms in (0..3_000).step_by(50) {
+        let admits = |run_ms| stop.admits_stream(run_ms, &durations, MOST_SERVE, 3_000 + after_ms);
+        assert_eq!(admits(10 * mean_ms), admits(mean_ms), "{after_ms} ms after the signal");
+    }
+}
+
 /// Guards against a payment whose outcome its caller never learns because it is admitted just before the exit.
 #[test]
 fn a_call_is_admitted_only_if_it_is_expected_to_end_before_the_exit() {
