--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -97,6 +97,15 @@
     pub first_ms: f64,
     /// Share of the engines that are free, see [`admission::FREE_WAIT_MS`].
     pub free_share: f64,
+    /// The endpoint with the next higher cost; `None` if no other was compared.
+    pub runner_up: Option<RunnerUp<'a>>,
+}
+
+/// The second-best endpoint of a choice.
+#[derive(Clone, Copy, Debug)]
+pub struct RunnerUp<'a> {
+    pub endpoint: &'a Endpoint,
+    pub cost_ms: f64,
 }
 
 /// Selects the endpoint for a request. Endpoints that are avoided because they were unreachable are
@@ -138,7 +147,15 @@
 }
 
 fn cheapest<'a>(choices: impl Iterator<Item = Choice<'a>>) -> Option<Choice<'a>> {
-    choices.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+    choices.reduce(|best, other| {
+        let is_cheaper = other.cost_ms.total_cmp(&best.cost_ms).is_lt();
+        let (best, other) = if is_cheaper { (other, best) } else { (best, other) };
+        let other = RunnerUp { endpoint: other.endpoint, cost_ms: other.cost_ms };
+        let known = best.runner_up.into_iter().chain([other]);
+        // A new best choice has no runner-up yet, and the one it replaces was cheaper than all others.
+        let runner_up = known.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        Choice { runner_up, ..best }
+    })
 }
 
 fn choose_engine<'a>(
@@ -253,7 +270,7 @@
     if let Some(rank) = preferred.iter().position(|one| *one == Some(endpoint.key)) {
         cost_ms -= document_ms * RENDEZVOUS_WEIGHTS[rank];
     }
-    Choice { endpoint, cost_ms, unread_tokens, work, first_ms, free_share: 1.0 }
+    Choice { endpoint, cost_ms, unread_tokens, work, first_ms, free_share: 1.0, runner_up: None }
 }
 
 /// Returns the shortest response time that is known of a candidate.
@@ -270,7 +287,7 @@
     let rounds = f64::from(work.requests) / f64::from(endpoint.slots.max(1));
     let first_ms = response_ms * (1.0 + rounds);
     let cost_ms = first_ms + fixed_cost_ms(endpoint, inputs);
-    Choice { endpoint, cost_ms, unread_tokens: 0, work, first_ms, free_share: 1.0 }
+    Choice { endpoint, cost_ms, unread_tokens: 0, work, first_ms, free_share: 1.0, runner_up: None }
 }
 
 /// Returns the part of the cost that does not depend on the load.
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -160,6 +160,8 @@
             "after_event" => job.request.last_event_id, "resumes" => job.request.resumes.as_deref(),
             "priority" => job.priority, "rank" => job.rank().position,
             "attempt" => job.attempts, "cost_ms" => choice.cost_ms as u64,
+            "next" => choice.runner_up.map(|next| next.endpoint.id.as_str()),
+            "next_cost_ms" => choice.runner_up.map(|next| next.cost_ms as u64),
             "first_ms" => choice.first_ms as u64, "unread_tokens" => choice.unread_tokens,
             "ahead_tokens" => choice.work.unread_tokens, "running" => choice.work.requests,
             "load_age_ms" => self.shared.load_table().age_ms(self.now_ms()),
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -436,6 +436,27 @@
     assert!(entry.health.failed_share(endpoints[0].key, NOW_MS + 20_000) < 0.01);
 }
 
+/// Guards against a log line of a send that does not show which other endpoint was compared, and at what cost.
+#[test]
+fn a_choice_names_the_endpoint_with_the_next_higher_cost() {
+    let endpoints = endpoints(4);
+    let mut random = StdRng::seed_from_u64(5);
+    let mut entry = Entry::default();
+    for (endpoint, took_ms) in endpoints.iter().zip([40, 10, 30, 20]) {
+        entry.health.record_response(endpoint.key, true, took_ms, NOW_MS);
+    }
+    let inputs = entry.inputs();
+    for _ in 0..10 {
+        let choice = choose::choose(endpoints.iter(), None, None, &inputs, &mut random)
+            .expect("an endpoint");
+        let next = choice.runner_up.expect("a runner-up");
+        assert_eq!((choice.endpoint.key, next.endpoint.key), (endpoints[1].key, endpoints[3].key));
+        assert!(choice.cost_ms < next.cost_ms);
+        let only = choose::choose(endpoints[..1].iter(), None, None, &inputs, &mut random);
+        assert!(only.expect("an endpoint").runner_up.is_none());
+    }
+}
+
 /// Guards against an endpoint that is never used again because its last responses were slow: while another
 /// one is faster, nothing changes the average.
 #[test]
