Raise the revision of the evacuated zones with each list and with changes that cancel out

Callers: nothing was seen; found by reading. New requests would be sent to a zone that is evacuated for the second time, or a zone would stay unused after its evacuation.

Cause: of two sets the one with the higher revision of the store wins. A reader whose list equals the set it knows, or whose watch returns an end and a new beginning together, kept its old revision. An entry that knows only the state between the two has a higher revision and an older set; the reader adopted that, and its watch was already past the changes that would have corrected it.

Why it works: what a list or changes confirmed now outranks each earlier state, also for entries that are cut off from the store. A watch without changes raises nothing, so a quiet fleet sends no more than before; each entry that starts brings a list with a new revision already.

--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -6,9 +6,9 @@
 //! at the same time and all requests would queue behind that work. So documents move one after the other,
 //! each at the same time on all entries, within a fraction of the time that the operators allow.
 //!
-//! The set carries the revision of the store at which it last changed and is always sent as a whole. A newer
-//! set replaces an older one, so an entry that missed the end of an evacuation cannot spread it again, and no
-//! tombstones are needed.
+//! The set carries the revision of the store up to which a list or changes confirmed it, and is always sent as
+//! a whole. A newer set replaces an older one, so an entry that missed the end of an evacuation cannot spread
+//! it again, and no tombstones are needed.
 
 use std::collections::BTreeMap;
 
@@ -80,7 +80,7 @@
 }
 
 impl Evacuations {
-    /// Revision of the store at which the set last changed; zero if it is not known yet.
+    /// Revision of the store up to which the set was last confirmed; zero if it is not known yet.
     #[must_use]
     pub fn revision(&self) -> u64 {
         self.revision
@@ -117,6 +117,9 @@
 
     /// Applies a complete list from the store and returns whether it changed anything. A list does not say
     /// since when its zones are evacuated, so zones that it adds close immediately.
+    ///
+    /// An unchanged set takes the list's revision too: another entry may know an intermediate set, for example
+    /// without a zone that has been evacuated again, which must not replace this one.
     pub fn replace(
         &mut self,
         listed: impl Iterator<Item = CompactString>,
@@ -131,11 +134,9 @@
             .map(|zone| (known(&zone).unwrap_or(Schedule::starting_now(now_ms, 0)), zone))
             .map(|(schedule, zone)| (zone, schedule))
             .collect();
-        if self.is_known() && listed == self.zones {
-            return false;
-        }
+        let is_changed = !self.is_known() || listed != self.zones;
         self.set(listed, revision);
-        true
+        is_changed
     }
 
     /// Applies changes from a watch, up to `revision` of the store, and returns whether they changed
@@ -154,7 +155,9 @@
             return false;
         }
         let mut zones = self.zones.clone();
+        let mut has_changes = false;
         for change in changes {
+            has_changes = true;
             match change {
                 Change::Evacuated(zone) => {
                     zones.entry(zone).or_insert(Schedule::starting_now(now_ms, remaining_ms));
@@ -165,7 +168,8 @@
             }
         }
         let is_changed = zones != self.zones;
-        if is_changed {
+        // Changes that cancel each other out raise the revision, as in `replace`.
+        if has_changes {
             self.set(zones, revision);
         }
         is_changed
--- a/tests/gateway/evacuations.rs
+++ b/tests/gateway/evacuations.rs
@@ -65,6 +65,49 @@
     assert!(!evacuations.contains("a") && evacuations.contains("b"));
 }
 
+/// Guards against requests to an evacuated zone after an entry that knows only the end of an earlier
+/// evacuation has spread it: a list that contains the same zones as before is newer than that end.
+#[test]
+fn a_zone_that_a_newer_list_still_contains_is_not_restored_by_an_older_set() {
+    let mut reader = listed(&["a"], 10);
+    // The evacuation ended at revision 11 and began again at 12, within a compacted part of the history.
+    let mut behind = listed(&[], 11);
+    reader.replace(["a".into()].into_iter(), 13, NOW_MS);
+    reader.adopt(&behind.snapshot(NOW_MS), NOW_MS);
+    assert!(reader.contains("a"));
+    behind.adopt(&reader.snapshot(NOW_MS), NOW_MS);
+    assert!(behind.contains("a"));
+}
+
+/// Guards against the same after a watch that returned the end of an evacuation together with the next one.
+#[test]
+fn a_zone_that_is_evacuated_again_is_not_restored_by_an_older_set() {
+    let mut reader = listed(&["a"], 10);
+    let mut behind = listed(&[], 11);
+    let changes = [Change::Restored("a".into()), Change::Evacuated("a".into())];
+    reader.apply_changes(changes.into_iter(), 12, 0, NOW_MS);
+    reader.adopt(&behind.snapshot(NOW_MS), NOW_MS);
+    assert!(reader.contains("a"));
+    behind.adopt(&reader.snapshot(NOW_MS), NOW_MS);
+    assert!(behind.contains("a"));
+}
+
+/// Guards against a zone that stays unused after an evacuation that began and ended unnoticed by a reader of
+/// the store: an entry that knows only its beginning spreads it.
+#[test]
+fn a_short_evacuation_that_has_ended_is_not_spread_again_by_an_older_set() {
+    let begun = listed(&["a"], 11).snapshot(NOW_MS);
+    let mut by_list = listed(&[], 10);
+    by_list.replace([].into_iter(), 13, NOW_MS);
+    by_list.adopt(&begun, NOW_MS);
+    assert!(!by_list.contains("a"));
+    let mut by_watch = listed(&[], 10);
+    let changes = [Change::Evacuated("a".into()), Change::Restored("a".into())];
+    by_watch.apply_changes(changes.into_iter(), 12, LEAVE_MS, NOW_MS);
+    by_watch.adopt(&begun, NOW_MS);
+    assert!(!by_watch.contains("a"));
+}
+
 /// Guards against requests to an evacuated zone from entries that have not learned of the evacuation yet.
 #[test]
 fn an_evacuation_reaches_all_entries_within_a_second_at_any_fleet_size() {
