--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -160,6 +160,8 @@
             "after_event" => job.request.last_event_id, "resumes" => job.request.resumes.as_deref(),
             "priority" => job.priority, "rank" => job.rank().position,
             "attempt" => job.attempts, "cost_ms" => choice.cost_ms as u64,
+            "next" => choice.runner_up.map(|next| next.endpoint.id.as_str()),
+            "next_cost_ms" => choice.runner_up.map(|next| next.cost_ms as u64),
             "first_ms" => choice.first_ms as u64, "unread_tokens" => choice.unread_tokens,
             "ahead_tokens" => choice.work.unread_tokens, "running" => choice.work.requests,
             "load_age_ms" => self.shared.load_table().age_ms(self.now_ms()),
@@ -205,6 +207,18 @@
             "parts" => prompt.map(request::Prompt::shared_part_ids));
     }
 
+    /// Logs that a request goes on waiting for its endpoint because no other can take it.
+    pub(super) fn log_extended_wait(
+        &self,
+        job: &Job,
+        endpoint: &directory::Endpoint,
+        limit_ms: u64,
+    ) {
+        slog::info!(self.log, "wait extended"; "request" => job.request.id.as_str(),
+            "endpoint" => endpoint.id.as_str(), "limit_ms" => limit_ms,
+            "left_ms" => job.left_ms(self.now_ms()), "attempt" => job.attempts);
+    }
+
     /// Logs a send whose caller disconnected before the endpoint responded.
     pub(super) fn log_abandoned(
         &self,
