Take the wait for a sole endpoint in the form that answers early if it is silent

The one kept ends the wait for a silent endpoint at half of the time that is left, so that the caller can go to another entry; the one taken out waited for all of it.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,9 +15,6 @@
 /// Maximum size of a stray response body that is read to skip it, in bytes.
 const MAX_STRAY_BYTES: usize = 1 << 20;
 
-/// Interval at which a wait beyond its limit checks whether another endpoint can take the request.
-const RETRY_CHECK_MS: u64 = 100;
-
 /// Uncached prompt tokens from which a send is announced to the other entries immediately. The engine
 /// spends 40 ms or more on the prefill, and a short prompt that an entry unaware of it sends to the same
 /// engine misses its latency target.
@@ -181,7 +178,6 @@
         let head = self.gateway.exchange_matching(self.connection, bytes, self.job);
         tokio::pin!(head);
         let mut limit_ms = timeout.silent_ms.min(timeout.max_ms);
-        let mut is_extended = false;
         loop {
             let left_ms = (self.sent_ms + limit_ms).saturating_sub(self.gateway.now_ms());
             match time::timeout(Duration::from_millis(left_ms), &mut head).await {
@@ -192,15 +188,6 @@
                 {
                     limit_ms = (limit_ms + health::ALIVE_MS).min(timeout.max_ms);
                 }
-                // Time is kept for another endpoint only while one can take the request.
-                Err(_) if limit_ms < timeout.left_ms && !self.gateway.can_retry(self.job) => {
-                    if !is_extended {
-                        is_extended = true;
-                        self.gateway.mark_unreachable(self.endpoint);
-                        self.gateway.log_extended_wait(self.job, self.endpoint, limit_ms);
-                    }
-                    limit_ms = (limit_ms + RETRY_CHECK_MS).min(timeout.left_ms);
-                }
                 Err(_) => return Err(http1::Error::TimedOut),
             }
         }
@@ -233,9 +220,7 @@
 pub struct ResponseTimeout {
     /// After this time the wait continues only if the endpoint has sent data recently, on any connection.
     pub silent_ms: u64,
-    /// After this time the wait continues only while no other endpoint can take the request.
     pub max_ms: u64,
-    pub left_ms: u64,
 }
 
 impl Gateway {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -167,14 +167,14 @@
 
     /// How long to wait for the head of a response.
     ///
-    /// The wait ends before the deadline only if the request may run again and another endpoint can take
-    /// it then. The endpoint of a stream sends nothing while the request is queued, so its silence
-    /// counts only if the endpoint sends nothing on any connection.
+    /// The wait ends before the deadline only if the request may run again at another endpoint. The
+    /// endpoint of a stream sends nothing while the request is queued, so its silence counts only if
+    /// the endpoint sends nothing on any connection.
     #[must_use]
     pub(super) fn response_timeout(&self, first_ms: f64, now_ms: u64) -> ResponseTimeout {
         let left_ms = self.left_ms(now_ms);
         if !self.kind.is_repeatable() || self.attempts >= self.route().max_attempts {
-            return ResponseTimeout { silent_ms: left_ms, max_ms: left_ms, left_ms };
+            return ResponseTimeout { silent_ms: left_ms, max_ms: left_ms };
         }
         let target_ms = u64::from(self.route().latency_target_ms);
         if self.kind.is_stream() {
@@ -182,11 +182,10 @@
             return ResponseTimeout {
                 silent_ms: (timeout_ms * 2 / 5).min(left_ms),
                 max_ms: (timeout_ms / 2).max(first_ms as u64 * SLOW_RESPONSE_FACTOR).min(left_ms),
-                left_ms,
             };
         }
         // Half of the remaining time is kept for the other endpoint.
         let wait_ms = target_ms.min(left_ms / 2);
-        ResponseTimeout { silent_ms: wait_ms, max_ms: wait_ms, left_ms }
+        ResponseTimeout { silent_ms: wait_ms, max_ms: wait_ms }
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -420,7 +420,7 @@
 
     /// Whether an endpoint, an attempt and budget are left for a retry. Otherwise the caller gets the
     /// failure that the endpoint returned.
-    pub(super) fn can_retry(&self, job: &Job) -> bool {
+    fn can_retry(&self, job: &Job) -> bool {
         let now_ms = self.now_ms();
         let divisor = self.shared.retry_budget_divisor.load(Ordering::Relaxed);
         let snapshot = self.shared.snapshot.load();
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -207,18 +207,6 @@
             "parts" => prompt.map(request::Prompt::shared_part_ids));
     }
 
-    /// Logs that a request goes on waiting for its endpoint because no other can take it.
-    pub(super) fn log_extended_wait(
-        &self,
-        job: &Job,
-        endpoint: &directory::Endpoint,
-        limit_ms: u64,
-    ) {
-        slog::info!(self.log, "wait extended"; "request" => job.request.id.as_str(),
-            "endpoint" => endpoint.id.as_str(), "limit_ms" => limit_ms,
-            "left_ms" => job.left_ms(self.now_ms()), "attempt" => job.attempts);
-    }
-
     /// Logs a send whose caller disconnected before the endpoint responded.
     pub(super) fn log_abandoned(
         &self,
