Treat a request as not sent when its connection was closed before the first byte

What callers saw: a payment whose connection the endpoint had closed before anything was written got 502 with an unknown outcome, was billed, and was not sent to another endpoint.

Cause: Connection::send ignored the error of a write of which the kernel had taken nothing, and wrote on connections whose end the kernel already knew. The check of kept connections asked the runtime's cached readiness, which learns of an end only when the thread next waits for events.

Evidence: with this code without the change of http1.rs (only the variant Unsent declared), nothing_is_sent_on_a_connection_that_is_already_closed gets Err(Closed), and a_closed_connection_is_not_reused_before_the_runtime_learns_of_its_end finds the connection reusable; both fail for an orderly end first. With it both pass.

Why it works: the end is asked of the kernel right before the write, with no wait between, and a write that fails with nothing taken is Unsent, which the attempt takes for a connection that was not established: not billed, not an attempt, and the request goes on to another endpoint. An end that comes after the first byte stays unknown.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -100,7 +100,7 @@
 /// Why an attempt failed.
 #[derive(Debug)]
 pub enum Failure {
-    /// No connection was established, so the endpoint has not received the request.
+    /// Nothing was sent: no connection was established, or the endpoint closed it before the first byte.
     NotSent(http1::Error),
     /// The endpoint states that it did not run the request. Includes the time to wait, if it sent one.
     NotRun { status: u16, retry_after_ms: Option<u32> },
@@ -167,7 +167,10 @@
     ) -> Result<(http1::Head, request::ResponseInfo), Failure> {
         let result = self.wait_for_head(bytes, timeout).await;
         self.has_ended = true;
-        result.map_err(|error| Failure::Unknown { error, evidence: self.evidence() })
+        result.map_err(|error| match error {
+            http1::Error::Unsent(_) => Failure::NotSent(error),
+            _ => Failure::Unknown { error, evidence: self.evidence() },
+        })
     }
 
     async fn wait_for_head(
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -107,7 +107,7 @@
             http1::Error::TimedOut => {
                 return self.record_abandoned_request(job, endpoint.key, answered_ms);
             }
-            http1::Error::Connect(_) | http1::Error::Malformed => return,
+            http1::Error::Connect(_) | http1::Error::Unsent(_) | http1::Error::Malformed => return,
         }
         let mut checks = self.crash_checks.borrow_mut();
         if !checks.contains_key(&endpoint.key) {
--- a/src/gateway/http1.rs
+++ b/src/gateway/http1.rs
@@ -17,9 +17,10 @@
 use bytes::{Buf, Bytes, BytesMut};
 use compact_str::CompactString;
 use rustix::ioctl;
-use rustix::net::sockopt;
+use rustix::net::{self, sockopt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::WriteHalf;
 use tokio::time;
 
 /// Maximum size of a response head in bytes, twice the usual limit of servers.
@@ -41,6 +42,9 @@
     /// The connection was not established, so nothing can have been sent.
     #[display("no connection ({_0})")]
     Connect(io::Error),
+    /// The connection was closed before a byte of the request was written, so nothing has been sent.
+    #[display("connection closed before the request ({_0})")]
+    Unsent(io::Error),
     /// The connection failed or ended in the middle of a response.
     #[display("the connection broke ({_0})")]
     Broken(io::Error),
@@ -181,9 +185,24 @@
         {
             return false;
         }
-        let mut byte = [0; 1];
-        let read = self.stream.try_read(&mut byte);
-        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        matches!(self.peek(), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Returns how many of the next bytes can be read, at most one; zero if the peer has closed the connection.
+    /// Asks the kernel: the runtime learns of an end only when it next waits for events.
+    fn peek(&self) -> io::Result<usize> {
+        let flags = net::RecvFlags::PEEK | net::RecvFlags::DONTWAIT;
+        let (_, count) = net::recv(&self.stream, &mut [0; 1], flags)?;
+        Ok(count)
+    }
+
+    /// The error of a request that cannot be sent, because the peer has closed the connection.
+    fn closed_error(&self) -> Option<io::Error> {
+        match self.peek() {
+            Ok(0) => Some(io::ErrorKind::UnexpectedEof.into()),
+            Err(error) if error.kind() != io::ErrorKind::WouldBlock => Some(error),
+            _ => None,
+        }
     }
 
     /// Waits until the peer closes the connection without having sent anything; false if it does not within `limit`.
@@ -207,7 +226,7 @@
     /// whole request, the rest is not sent and the connection is not reused.
     ///
     /// # Errors
-    /// Any kind but [`Error::Connect`]; the peer may have received the request.
+    /// [`Error::Unsent`] if nothing was sent. After any other the peer may have received the request.
     pub async fn exchange(&mut self, request: &[u8]) -> Result<Head, Error> {
         self.send(request).await?;
         self.next_head().await
@@ -237,16 +256,22 @@
         self.request_fully_sent = false;
         self.framing = Framing::Head;
         self.requests = self.requests.saturating_add(1);
+        if let Some(error) = self.closed_error() {
+            return Err(Error::Unsent(error));
+        }
         let (read, mut write) = self.stream.split();
-        tokio::select! {
+        let mut sent_bytes = 0;
+        let failure = tokio::select! {
             biased;
-            written = write.write_all(request) => {
-                self.request_fully_sent = written.is_ok();
-                // The write fails if the peer closes after an early response; that response is still valid.
-            }
-            _ = read.readable() => {}
+            result = write_counted(&mut write, request, &mut sent_bytes) => result.err(),
+            _ = read.readable() => None,
+        };
+        self.request_fully_sent = sent_bytes == request.len();
+        match failure {
+            Some(error) if sent_bytes == 0 => Err(Error::Unsent(error)),
+            // The write fails if the peer closes after an early response; that response is still valid.
+            _ => Ok(()),
         }
-        Ok(())
     }
 
     /// Reads the head of the next response on this connection.
@@ -444,6 +469,21 @@
     }
 }
 
+/// Writes all bytes and adds up how many the kernel has taken.
+async fn write_counted(
+    write: &mut WriteHalf<'_>,
+    bytes: &[u8],
+    sent_bytes: &mut usize,
+) -> io::Result<()> {
+    while *sent_bytes < bytes.len() {
+        match write.write(&bytes[*sent_bytes..]).await? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            count => *sent_bytes += count,
+        }
+    }
+    Ok(())
+}
+
 /// The `timeout` of a `Keep-Alive` header.
 fn keep_alive_s(value: &str) -> Option<u64> {
     value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse().ok())
--- a/tests/gateway/connections.rs
+++ b/tests/gateway/connections.rs
@@ -189,3 +189,37 @@
     });
     assert!(matches!(end.join().expect("the endpoint ends"), Ok(0)));
 }
+
+/// Opens a connection whose peer closes it, or resets it, before anything is sent on it.
+async fn closed_connection(resets: bool) -> Connection {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let connection = Connection::open(addr, LIMIT).await.expect("a connection");
+    let (peer, _) = listener.accept().expect("a connection");
+    if resets {
+        let linger = Some(Duration::ZERO);
+        rustix::net::sockopt::set_socket_linger(&peer, linger).expect("the option is set");
+    }
+    drop(peer);
+    connection
+}
+
+/// Guards against a request counted as sent although its connection was closed before its first byte: it would
+/// be billed, and not be sent to another endpoint if it may run only once.
+#[test]
+fn nothing_is_sent_on_a_connection_that_is_already_closed() {
+    for resets in [false, true] {
+        let result = run(async { closed_connection(resets).await.exchange(REQUEST).await });
+        assert!(matches!(result, Err(Error::Unsent(_))), "resets: {resets}, {result:?}");
+    }
+}
+
+/// Guards against a kept connection that is used again after the endpoint has closed it, because the runtime has
+/// not waited for events since.
+#[test]
+fn a_closed_connection_is_not_reused_before_the_runtime_learns_of_its_end() {
+    for resets in [false, true] {
+        let is_reusable = run(async { closed_connection(resets).await.is_reusable() });
+        assert!(!is_reusable, "resets: {resets}");
+    }
+}
