Count calls that are billed although it stays unknown whether they ran

The users have decided that a call whose connection is closed before the endpoint has it is billed like one that ran and whose answer was lost, since the entry cannot tell them apart, and that a metric counts them.

briarwinch_gateway_calls_of_unknown_outcome_total counts such a call when it ends. Streams are billed from their first event, so none is unknown.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -48,13 +48,22 @@
     pub reached_endpoint: bool,
     /// An endpoint may have run the request.
     pub may_have_run: bool,
-    /// The request has been counted for its account's bill.
-    pub(super) is_billed: bool,
+    pub(super) billed: Billed,
     /// Held while a send may still prove to have run, and so have to be billed.
     pub(super) pending_count: Option<shared::PendingCount>,
     pub(super) _active: ActiveGuard,
 }
 
+/// Whether a request has been counted for its account's bill, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Billed {
+    No,
+    /// It was sent, and whether it has run is unknown.
+    OutcomeUnknown,
+    /// It has begun to run.
+    Began,
+}
+
 /// Counts a request as active until it is dropped.
 #[derive(Debug)]
 pub(super) struct ActiveGuard(Arc<shared::Shared>);
@@ -72,6 +81,14 @@
     }
 }
 
+impl Drop for Job {
+    fn drop(&mut self) {
+        if self.billed == Billed::OutcomeUnknown {
+            metrics::call_of_unknown_outcome(&self.service().name);
+        }
+    }
+}
+
 impl Job {
     #[must_use]
     pub fn route(&self) -> &route::Route {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -29,6 +29,13 @@
     .increment(1);
 }
 
+/// Counts a call that was billed although it is unknown whether an endpoint ran it.
+pub fn call_of_unknown_outcome(service: &str) {
+    metrics::counter!("briarwinch_gateway_calls_of_unknown_outcome_total",
+        "service" => service.to_owned())
+    .increment(1);
+}
+
 /// Records the time to the first event of a stream.
 pub fn first_event(service: &str, took_ms: u64) {
     metrics::histogram!("briarwinch_gateway_first_event_seconds", "service" => service.to_owned())
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use tokio::time;
 
 use super::attempt::{Failure, OpenResponse};
-use super::job::{ActiveGuard, Job};
+use super::job::{ActiveGuard, Billed, Job};
 use super::policy::choose;
 use super::request::{Request, Response};
 use super::{Gateway, event_stream, http1, metrics, request_log, shared};
@@ -125,7 +125,7 @@
             attempts: 0,
             reached_endpoint: false,
             may_have_run: false,
-            is_billed: false,
+            billed: Billed::No,
             pending_count: None,
             _active: ActiveGuard::begin(&self.shared),
             table,
@@ -200,7 +200,7 @@
             job.attempts += 1;
             let timeout = job.response_timeout(choice.first_ms, now_ms);
             self.log_choice(job, &choice);
-            if !job.kind.is_stream() && job.account.is_some() && !job.is_billed {
+            if !job.kind.is_stream() && job.account.is_some() && job.billed == Billed::No {
                 job.pending_count = Some(self.shared.begin_pending_count());
             }
             let failure = match self.attempt(job, &choice, timeout).await {
@@ -243,7 +243,7 @@
                     self.record_lost_request(job, choice.endpoint, &error, is_proven, 0);
                     // A stream is billed from its first event on, and none has arrived.
                     if !job.kind.is_stream() {
-                        self.bill(job, now_ms);
+                        self.bill_as(job, now_ms, Billed::OutcomeUnknown);
                     }
                     let took_ms = self.now_ms() - now_ms;
                     self.health.borrow_mut().record_response(
@@ -382,9 +382,17 @@
 
     /// Counts a request that has started to run for its account's bill, at most once.
     pub(super) fn bill(&self, job: &mut Job, began_ms: u64) {
-        if let Some(account) = job.account.as_deref().filter(|_| !job.is_billed) {
-            self.shared.count(account, self.now_ms().saturating_sub(began_ms));
-            job.is_billed = true;
+        self.bill_as(job, began_ms, Billed::Began);
+    }
+
+    /// Counts a request for its account's bill, at most once. Whatever becomes known last of its outcome does
+    /// not make a run unknown that has begun.
+    fn bill_as(&self, job: &mut Job, began_ms: u64, billed: Billed) {
+        if let Some(account) = job.account.as_deref() {
+            if job.billed == Billed::No {
+                self.shared.count(account, self.now_ms().saturating_sub(began_ms));
+            }
+            job.billed = job.billed.max(billed);
         }
         job.pending_count = None;
     }
