An entry is ready once it has a list of the endpoints, not at its first tick

Callers saw 503 for want of an endpoint from an entry that had just started: it said that it was ready with a configuration alone. Engines were not asked for the prompt parts that they hold, so documents were prefilled again after all entries had crashed; this is what prompts_go_to_the_engines_that_hold_their_documents_after_all_entries_crashed failed on.

Cause: update_directory notes that the list of endpoints was received, and the sender's tick (50 ms, the first one at the start) calls it to remove endpoints whose grace time is over. So the note was set before any list. The engines are asked once, when the entry is ready.

Fix: the tick removes endpoints without that note. Lists of the store and of peers set it. A peer sends a directory only if it has a newer one than asked for, so one without a list sends none. The set of evacuated zones counts as known by its revision, which no tick sets.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -133,6 +133,7 @@
     pub(super) is_lease_readable: Cell<bool>,
     /// How far this entry has recovered the state that its peers have from before its start.
     pub(super) soft_state_pull: RefCell<pulls::SoftStatePull>,
+    /// Whether a list of the endpoints was received, from the store or a peer.
     has_endpoint_list: Cell<bool>,
     /// Number of topics that this process has not listed in the store yet.
     pub(super) topics_to_list: Cell<usize>,
@@ -307,15 +308,28 @@
         self.table.borrow().as_ref().map_or(0, |table| table.version())
     }
 
-    /// Applies a change to the directory, and publishes the result if it differs.
+    /// Applies endpoints received from the store or a peer, and publishes the result if it differs.
     pub(super) fn update_directory(
         &self,
         source: &'static str,
         change: impl FnOnce(&mut directory::Directory) -> bool,
+    ) {
+        self.has_endpoint_list.set(true);
+        self.change_directory(source, change);
+    }
+
+    /// Removes endpoints whose grace period is over.
+    pub(super) fn expire_endpoints(&self, now_ms: u64) {
+        self.change_directory("grace time over", |directory| directory.expire(now_ms));
+    }
+
+    fn change_directory(
+        &self,
+        source: &'static str,
+        change: impl FnOnce(&mut directory::Directory) -> bool,
     ) {
         let before = self.directory.borrow().clone();
         let is_changed = change(&mut self.directory.borrow_mut());
-        self.has_endpoint_list.set(true);
         self.log_kept_endpoints(&before, source);
         if is_changed {
             let now_ms = self.now_ms();
