--- a/tests/gateway/connections.rs
+++ b/tests/gateway/connections.rs
@@ -131,7 +131,8 @@
 
 #[test]
 fn connecting_to_a_closed_port_is_a_connect_error() {
-    let free = TcpListener::bind("127.0.0.1:0").expect("a port");
+    // No other test listens on this address and takes the port.
+    let free = TcpListener::bind("127.9.9.9:0").expect("a port");
     let addr = free.local_addr().expect("an address");
     drop(free);
     let opened = run(Connection::open(addr, LIMIT));
