Wait for the only endpoint of a call when no other can take it

Callers saw 502 after the route's target time (300 ms in the tests) for a call that may be repeated, with most of its time left, when its only endpoint was slower than that. It had run, was billed and thrown away; a caller that tries again runs it once more.

Cause: such a call waits for the target time only, so that another endpoint can take it in the rest; whether there is another one was not asked.

Fix: when the wait is over and no other endpoint is eligible, it goes on, at most for half of the time, or beyond while the endpoint sends on any connection. The other half is left to a caller who may reach a silent endpoint through another entry. The check is made when the wait is over, so that calls that are answered in time cost nothing more.

a_lookup_waits_for_a_slow_answer_of_the_only_endpoint failed before (502 for 200) and passes; the two tests of its limits (another endpoint is idle, the only one is silent) passed before and pass.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -175,21 +175,22 @@
         bytes: &[u8],
         timeout: ResponseTimeout,
     ) -> Result<(http1::Head, request::ResponseInfo), http1::Error> {
-        let head = self.gateway.exchange_matching(self.connection, bytes, self.job);
+        let Self { gateway, job, endpoint, sent_ms, .. } = *self;
+        let head = gateway.exchange_matching(self.connection, bytes, job);
         tokio::pin!(head);
         let mut limit_ms = timeout.silent_ms.min(timeout.max_ms);
         loop {
-            let left_ms = (self.sent_ms + limit_ms).saturating_sub(self.gateway.now_ms());
-            match time::timeout(Duration::from_millis(left_ms), &mut head).await {
-                Ok(result) => return result,
-                Err(_)
-                    if limit_ms < timeout.max_ms
-                        && self.gateway.is_alive(self.endpoint.key, self.sent_ms) =>
-                {
-                    limit_ms = (limit_ms + health::ALIVE_MS).min(timeout.max_ms);
-                }
-                Err(_) => return Err(http1::Error::TimedOut),
+            let left_ms = (sent_ms + limit_ms).saturating_sub(gateway.now_ms());
+            if let Ok(result) = time::timeout(Duration::from_millis(left_ms), &mut head).await {
+                return result;
+            }
+            let is_alive = gateway.is_alive(endpoint.key, sent_ms);
+            let max_ms = if is_alive { timeout.max_ms } else { limit_ms };
+            let max_ms = max_ms.max(gateway.sole_endpoint_limit_ms(job, sent_ms, is_alive));
+            if limit_ms >= max_ms {
+                return Err(http1::Error::TimedOut);
             }
+            limit_ms = (limit_ms + health::ALIVE_MS).min(max_ms);
         }
     }
 
@@ -304,6 +305,17 @@
         })
     }
 
+    /// Returns how long after its send to wait for a call whose endpoint is the only one left; zero if the call
+    /// may go to another. Half of the time is kept for the caller, who may reach a silent endpoint through
+    /// another entry.
+    fn sole_endpoint_limit_ms(&self, job: &job::Job, sent_ms: u64, is_alive: bool) -> u64 {
+        if job.kind.is_stream() || self.has_other_endpoint(job) {
+            return 0;
+        }
+        let left_ms = job.left_ms(sent_ms);
+        if is_alive { left_ms } else { left_ms / 2 }
+    }
+
     /// Whether the chosen endpoint still accepts a request, checked again after connecting.
     fn is_still_eligible(&self, endpoint: &directory::Endpoint, now_ms: u64) -> bool {
         let snapshot = self.shared.snapshot.load();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -313,6 +313,11 @@
         )
     }
 
+    /// Whether an eligible endpoint has not been tried.
+    pub(super) fn has_other_endpoint(&self, job: &Job) -> bool {
+        self.choose_endpoint(&self.shared.snapshot.load(), job).is_some()
+    }
+
     /// Reads a complete response. `None` means that the endpoint failed and the request is to be retried.
     async fn read_complete(
         self: &Rc<Self>,
@@ -374,10 +379,9 @@
     fn can_retry(&self, job: &Job) -> bool {
         let now_ms = self.now_ms();
         let divisor = self.shared.retry_budget_divisor.load(Ordering::Relaxed);
-        let snapshot = self.shared.snapshot.load();
         job.has_attempt_left(now_ms)
             && self.budgets.borrow_mut().has_room(&job.service().name, divisor, now_ms)
-            && self.choose_endpoint(&snapshot, job).is_some()
+            && self.has_other_endpoint(job)
     }
 
     /// Counts a request that has started to run for its account's bill, at most once.
