--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -1,11 +1,15 @@
 //! Graceful shutdown of an entry: it first becomes unready for the load balancer, then serves the requests
 //! in flight and those that still arrive on open connections, and then exits.
+//!
+//! Shortly before a forced exit every request that has no answer yet gets a final one, and streams end after
+//! a complete event.
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time;
 
+use super::policy::durations;
 use super::shared;
 use crate::clock;
 
@@ -22,24 +26,93 @@
 const IDLE_MS: u64 = 600;
 /// Margin before the process is killed, within which it exits by itself.
 const EXIT_MARGIN_MS: u64 = 200;
+/// Latest time after the stop signal at which a stream is admitted: the rest of the stop is left for it.
+const LAST_STREAM_MS: u64 = 2_900;
+/// Expected duration of a stream before any has ended.
+const PRIOR_STREAM_MS: u64 = 2_000;
 /// How long before the exit no new request is admitted; callers on open connections are informed that
 /// their request did not run. Without this the exit would cut off a request that had just been forwarded.
 const CLOSED_ADMISSION_MS: u64 = 900;
 /// Idle time before the exit once admission is closed; long enough for a refusal to be sent.
 const CLOSED_IDLE_MS: u64 = 100;
+/// How long before the exit requests without an answer get a final one: enough for a busy process to write
+/// them all.
+const FINAL_ANSWERS_MS: u64 = 300;
+/// How long before the exit streams end that are still being sent.
+const END_STREAMS_MS: u64 = 60;
 
-/// Deadlines of a stop: when admission closes and when the process exits.
+/// How far a stop has come. Each phase includes the ones before it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    #[default]
+    Serving,
+    Draining,
+    /// No new request is admitted.
+    Closed,
+    /// Requests without an answer get a final one.
+    FinalAnswers,
+    /// Streams that are still being sent end.
+    EndStreams,
+}
+
+/// Times of a stop on the boot clock. They follow from the stop signal alone and do not move.
 #[derive(Clone, Copy, Debug)]
-struct Deadlines {
+pub struct Deadlines {
+    signal_ms: u64,
     close_ms: u64,
     end_ms: u64,
 }
 
 impl Deadlines {
-    fn of(since_ms: u64, stop_s: f64) -> Self {
+    /// Returns the times of a stop that was requested now; the process is killed after `stop_s`.
+    #[must_use]
+    pub fn of(signal_ms: u64, stop_s: f64) -> Self {
         let end_ms =
-            since_ms.saturating_add((stop_s * 1_000.0) as u64).saturating_sub(EXIT_MARGIN_MS);
-        Self { close_ms: end_ms.saturating_sub(CLOSED_ADMISSION_MS), end_ms }
+            signal_ms.saturating_add((stop_s * 1_000.0) as u64).saturating_sub(EXIT_MARGIN_MS);
+        Self { signal_ms, close_ms: end_ms.saturating_sub(CLOSED_ADMISSION_MS), end_ms }
+    }
+
+    /// Returns the time since the stop signal.
+    #[must_use]
+    pub fn stopping_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.signal_ms)
+    }
+
+    /// Returns whether a request that takes `took_ms` from now on is answered before the last requests get
+    /// a final answer.
+    fn has_time_for(&self, took_ms: u64, now_ms: u64) -> bool {
+        now_ms.saturating_add(took_ms) <= self.end_ms.saturating_sub(FINAL_ANSWERS_MS)
+    }
+
+    /// Returns whether a stream with this expected run is admitted now, where `streams` are the durations of
+    /// its service's streams and `others` the entries that could take it instead.
+    ///
+    /// Only while most others serve does its own run count, and no more than the mean: urgent prompts have the
+    /// highest output limits, which most streams do not reach.
+    #[must_use]
+    pub fn admits_stream(
+        &self,
+        run_ms: u64,
+        streams: &durations::Durations,
+        others: Others,
+        now_ms: u64,
+    ) -> bool {
+        let run_ms = run_ms.min(streams.mean_ms().unwrap_or(run_ms));
+        self.stopping_ms(now_ms) < LAST_STREAM_MS
+            && self.has_time_for(streams.upper_ms().unwrap_or(PRIOR_STREAM_MS), now_ms)
+            && (others.few_serve() || !delays_stop(self.signal_ms, now_ms, run_ms))
+    }
+
+    /// Returns whether a request with a single response is admitted now. One that may run only once and
+    /// is cut off leaves its caller without knowing the outcome.
+    #[must_use]
+    pub fn admits_call(
+        &self,
+        calls: &durations::Durations,
+        latency_target_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        self.has_time_for(calls.upper_ms().unwrap_or(latency_target_ms), now_ms)
     }
 }
 
@@ -53,6 +126,21 @@
     now_ms.saturating_add(run_ms) >= since_ms.saturating_add(DEREGISTRATION_MS)
 }
 
+/// The other entries of the fleet, as known to this one.
+#[derive(Clone, Copy, Debug)]
+pub struct Others {
+    pub count: usize,
+    /// Those that are not stopping.
+    pub serving: usize,
+}
+
+impl Others {
+    /// Whether a caller who is sent elsewhere probably meets another stopping entry, or none.
+    fn few_serve(self) -> bool {
+        self.serving == 0 || self.serving * 2 < self.count
+    }
+}
+
 /// Returns whether a stopping entry still accepts new callers, when `serving` of its `others` peers serve.
 ///
 /// Otherwise the last entry of a rolling restart would send all callers to the one entry that is back, and
@@ -68,6 +156,10 @@
     Wait,
     /// Close admission, then continue to call [`Stop::step`].
     Close,
+    /// Answer the requests that have no answer yet, then continue to call [`Stop::step`].
+    AnswerAll,
+    /// End the streams that are still being sent, then continue to call [`Stop::step`].
+    EndStreams,
     End,
 }
 
@@ -77,7 +169,7 @@
     begin_ms: u64,
     deadlines: Deadlines,
     idle_since_ms: u64,
-    is_closed: bool,
+    phase: Phase,
 }
 
 impl Stop {
@@ -85,7 +177,7 @@
     #[must_use]
     pub fn begin(now_ms: u64, stop_s: f64) -> Self {
         let deadlines = Deadlines::of(now_ms, stop_s);
-        Self { begin_ms: now_ms, deadlines, idle_since_ms: now_ms, is_closed: false }
+        Self { begin_ms: now_ms, deadlines, idle_since_ms: now_ms, phase: Phase::Draining }
     }
 
     /// Notes that the entry reports itself unready to the load balancer from now on.
@@ -108,29 +200,36 @@
             return Step::End;
         }
         let is_idle = idle_ms >= IDLE_MS && now_ms - self.begin_ms >= DEREGISTRATION_MS;
-        if !self.is_closed && (is_idle || now_ms >= self.deadlines.close_ms) {
-            self.is_closed = true;
-            self.idle_since_ms = now_ms;
-            return Step::Close;
+        let left_ms = self.deadlines.end_ms - now_ms;
+        match self.phase {
+            Phase::Serving | Phase::Draining if is_idle || now_ms >= self.deadlines.close_ms => {
+                self.phase = Phase::Closed;
+                self.idle_since_ms = now_ms;
+                Step::Close
+            }
+            Phase::Serving | Phase::Draining => Step::Wait,
+            _ if idle_ms >= CLOSED_IDLE_MS => Step::End,
+            Phase::Closed if left_ms <= FINAL_ANSWERS_MS => {
+                self.phase = Phase::FinalAnswers;
+                Step::AnswerAll
+            }
+            Phase::FinalAnswers if left_ms <= END_STREAMS_MS => {
+                self.phase = Phase::EndStreams;
+                Step::EndStreams
+            }
+            Phase::Closed | Phase::FinalAnswers | Phase::EndStreams => Step::Wait,
         }
-        if self.is_closed && idle_ms >= CLOSED_IDLE_MS { Step::End } else { Step::Wait }
     }
 }
 
 /// Goes on accepting new callers for a limited time while fewer than half of the other entries serve.
 async fn accept_while_few_serve(shared: &shared::Shared, begin_ms: u64, log: &slog::Logger) {
-    let others = shared.recent_entries.load(Ordering::Relaxed).saturating_sub(1);
     let mut now_ms = begin_ms;
-    while accepts_while_draining(
-        begin_ms,
-        now_ms,
-        shared.serving_peers.load(Ordering::Relaxed),
-        others,
-    ) {
+    let others = shared.others().count;
+    while accepts_while_draining(begin_ms, now_ms, shared.others().serving, others) {
         shared.accepts_while_draining.store(true, Ordering::Release);
         time::sleep(POLL).await;
         now_ms = clock::boot_ms();
-        shared.draining_since_ms.store(now_ms, Ordering::Release);
     }
     if shared.accepts_while_draining.swap(false, Ordering::AcqRel) {
         slog::info!(log, "accepted new callers while few other entries serve";
@@ -148,10 +247,8 @@
 /// Drains the entry and returns when the process may exit.
 pub async fn drain(shared: &shared::Shared, log: &slog::Logger) {
     let begin_ms = clock::boot_ms();
-    shared.stop_signal_ms.store(begin_ms, Ordering::Release);
-    shared.draining_since_ms.store(begin_ms, Ordering::Release);
-    shared.is_draining.store(true, Ordering::Release);
     let mut stop = Stop::begin(begin_ms, shared.settings.stop_s);
+    shared.begin_stop(stop.deadlines);
     slog::info!(log, "draining"; "limit_ms" => stop.deadlines.end_ms - begin_ms);
     accept_while_few_serve(shared, begin_ms, log).await;
     stop.mark_unready(clock::boot_ms());
@@ -161,7 +258,12 @@
         let last_request_ms = shared.last_request_ms.load(Ordering::Acquire);
         match stop.step(now_ms, active, last_request_ms) {
             Step::Wait => {}
-            Step::Close => shared.is_admission_closed.store(true, Ordering::Release),
+            Step::Close => shared.enter_phase(Phase::Closed),
+            Step::AnswerAll => {
+                slog::info!(log, "answering requests in flight before the exit"; "left" => active);
+                shared.enter_phase(Phase::FinalAnswers);
+            }
+            Step::EndStreams => shared.enter_phase(Phase::EndStreams),
             Step::End => {
                 deliver_counts(shared, stop.deadlines.end_ms).await;
                 slog::info!(log, "drained"; "left" => active, "took_ms" => now_ms - begin_ms);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 //! the route's attempt limit and the retry budget. A request that may run only once is sent once, and
 //! its outcome is reported to the caller as it is.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,10 +15,10 @@
 use tokio::time;
 
 use super::attempt::{Failure, OpenResponse};
-use super::job::{ActiveGuard, Job};
+use super::job::{ActiveGuard, Billed, Job};
 use super::policy::choose;
 use super::request::{Request, Response};
-use super::{Gateway, event_stream, http1, metrics, request_log, shared};
+use super::{Gateway, drain, event_stream, http1, metrics, request_log, route, shared};
 use crate::error;
 
 /// Maximum size of a response body that is buffered before it is sent to the caller, in bytes.
@@ -40,6 +40,13 @@
 /// another entry.
 const DRAINING_RETRY_MS: u32 = 50;
 
+/// Response of an endpoint to a forwarded request.
+enum Forwarded {
+    Complete(http1::Head, bytes::Bytes),
+    /// A stream of which only the head has been read.
+    Stream(Box<OpenResponse>),
+}
+
 impl Gateway {
     /// Serves a request of a caller and logs its outcome.
     pub async fn serve(self: &Rc<Self>, request: Request) -> Response {
@@ -50,7 +57,7 @@
         let (response, service) = match self.admit(request) {
             Ok(job) => {
                 let service = job.service().name.clone();
-                (self.forward(job).await, service)
+                (self.forward_until_exit(job).await, service)
             }
             Err(refusal) => {
                 metrics::refused(refusal.kind.answer().code);
@@ -95,14 +102,10 @@
         let service = table
             .draw_service(route, rand::rng().random())
             .ok_or_else(|| refuse(error::Kind::UnknownService))?;
-        if route.kind.is_stream() {
-            let output_tokens =
-                request.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens);
-            let run_ms =
-                self.shared.prefill_model(&table.service(service).name).run_ms(output_tokens);
-            if self.shared.delays_stop(run_ms) {
-                return Err(refuse(error::Kind::Draining).retry_after_ms(DRAINING_RETRY_MS));
-            }
+        let output_tokens = request.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens);
+        let service_name = &table.service(service).name;
+        if !self.has_time_to_answer(route, service_name, output_tokens, arrived_ms) {
+            return Err(refuse(error::Kind::Draining).retry_after_ms(DRAINING_RETRY_MS));
         }
         let wait_ms = request.deadline_ms.unwrap_or(u32::MAX).min(route.timeout_ms);
         let kind = route.kind;
@@ -125,37 +128,80 @@
             attempts: 0,
             reached_endpoint: false,
             may_have_run: false,
-            is_billed: false,
+            is_at_endpoint: Cell::new(false),
+            billed: Billed::No,
             pending_count: None,
             _active: ActiveGuard::begin(&self.shared),
             table,
         })
     }
 
-    /// Sends the request until an endpoint responds or no attempt is left.
-    async fn forward(self: &Rc<Self>, mut job: Job) -> Response {
-        if let Err(refusal) = self.pin_version(&mut job).await {
-            return Response::Refused(refusal);
+    /// Whether this process, if it is stopping, has the time to answer a request that arrives now.
+    fn has_time_to_answer(
+        &self,
+        route: &route::Route,
+        service: &str,
+        output_tokens: u32,
+        now_ms: u64,
+    ) -> bool {
+        let Some(stop) = self.shared.stop() else {
+            return true;
+        };
+        let durations = self.shared.durations(service);
+        if !route.kind.is_stream() {
+            return stop.admits_call(&durations, u64::from(route.latency_target_ms), now_ms);
         }
+        let run_ms = self.shared.prefill_model(service).run_ms(output_tokens);
+        stop.admits_stream(run_ms, &durations, self.shared.others(), now_ms)
+    }
+
+    /// Forwards a request. One that has no answer shortly before the exit of this process gets a final
+    /// refusal.
+    async fn forward_until_exit(self: &Rc<Self>, mut job: Job) -> Response {
+        let response = tokio::select! {
+            biased;
+            response = self.forward(&mut job) => Some(response),
+            () = self.shared.phase_reached(drain::Phase::FinalAnswers) => None,
+        };
+        let response = response.unwrap_or_else(|| Err(self.interrupt(&mut job)));
+        let opened = match response {
+            Ok(Forwarded::Complete(head, body)) => return Response::Complete { head, body },
+            Ok(Forwarded::Stream(response)) => event_stream::open(self, job, *response).await,
+            Err(refusal) => Err(refusal),
+        };
+        match opened {
+            Ok((head, body)) => Response::Stream { head, body },
+            Err(refusal) => Response::Refused(refusal),
+        }
+    }
+
+    /// Sends the request until an endpoint responds or no attempt is left.
+    async fn forward(self: &Rc<Self>, job: &mut Job) -> Result<Forwarded, error::Refusal> {
+        self.pin_version(job).await?;
         loop {
-            let response = match self.send(&mut job).await {
-                Ok(response) => response,
-                Err(refusal) => return Response::Refused(refusal),
-            };
+            let response = self.send(job).await?;
             if job.kind.is_stream() && (200..300).contains(&response.head.status) {
-                return match event_stream::open(self, job, response).await {
-                    Ok((head, body)) => Response::Stream { head, body },
-                    Err(refusal) => Response::Refused(refusal),
-                };
+                return Ok(Forwarded::Stream(Box::new(response)));
             }
-            match self.read_complete(&mut job, response).await {
-                Ok(Some((head, body))) => return Response::Complete { head, body },
-                Ok(None) => {}
-                Err(refusal) => return Response::Refused(refusal),
+            if let Some((head, body)) = self.read_complete(job, response).await? {
+                return Ok(Forwarded::Complete(head, body));
             }
         }
     }
 
+    /// The refusal of a request that has no answer when this process is about to exit.
+    pub(super) fn interrupt(&self, job: &mut Job) -> error::Refusal {
+        if !job.may_have_run && !job.is_at_endpoint.get() {
+            let refusal = error::Refusal::not_run(error::Kind::Draining);
+            return refusal.retry_after_ms(DRAINING_RETRY_MS);
+        }
+        // A stream is billed from its first event on, and none has arrived.
+        if !job.kind.is_stream() {
+            self.bill_as(job, job.arrived_ms, Billed::OutcomeUnknown);
+        }
+        error::Refusal::unknown(error::Kind::Interrupted)
+    }
+
     /// Sends the request to one endpoint after another until one starts to respond.
     pub(super) async fn send(
         self: &Rc<Self>,
@@ -200,10 +246,12 @@
             job.attempts += 1;
             let timeout = job.response_timeout(choice.first_ms, now_ms);
             self.log_choice(job, &choice);
-            if !job.kind.is_stream() && job.account.is_some() && !job.is_billed {
+            if !job.kind.is_stream() && job.account.is_some() && job.billed == Billed::No {
                 job.pending_count = Some(self.shared.begin_pending_count());
             }
-            let failure = match self.attempt(job, &choice, timeout).await {
+            let result = self.attempt(job, &choice, timeout).await;
+            job.is_at_endpoint.set(result.is_ok());
+            let failure = match result {
                 Ok(response) => {
                     job.reached_endpoint = true;
                     metrics::send_outcome(&job.service().name, "answered");
@@ -243,7 +291,7 @@
                     self.record_lost_request(job, choice.endpoint, &error, is_proven, 0);
                     // A stream is billed from its first event on, and none has arrived.
                     if !job.kind.is_stream() {
-                        self.bill(job, now_ms);
+                        self.bill_as(job, now_ms, Billed::OutcomeUnknown);
                     }
                     let took_ms = self.now_ms() - now_ms;
                     self.health.borrow_mut().record_response(
@@ -313,6 +361,11 @@
         )
     }
 
+    /// Whether an eligible endpoint has not been tried.
+    pub(super) fn has_other_endpoint(&self, job: &Job) -> bool {
+        self.choose_endpoint(&self.shared.snapshot.load(), job).is_some()
+    }
+
     /// Reads a complete response. `None` means that the endpoint failed and the request is to be retried.
     async fn read_complete(
         self: &Rc<Self>,
@@ -354,6 +407,7 @@
         match body {
             Some(body) if is_success => {
                 self.record_success(job);
+                self.shared.observe_duration(&job.service().name, now_ms - job.arrived_ms);
                 self.pool.borrow_mut().put(response.endpoint.addr, response.connection, now_ms);
                 Ok(Some((response.head, body)))
             }
@@ -374,17 +428,24 @@
     fn can_retry(&self, job: &Job) -> bool {
         let now_ms = self.now_ms();
         let divisor = self.shared.retry_budget_divisor.load(Ordering::Relaxed);
-        let snapshot = self.shared.snapshot.load();
         job.has_attempt_left(now_ms)
             && self.budgets.borrow_mut().has_room(&job.service().name, divisor, now_ms)
-            && self.choose_endpoint(&snapshot, job).is_some()
+            && self.has_other_endpoint(job)
     }
 
     /// Counts a request that has started to run for its account's bill, at most once.
     pub(super) fn bill(&self, job: &mut Job, began_ms: u64) {
-        if let Some(account) = job.account.as_deref().filter(|_| !job.is_billed) {
-            self.shared.count(account, self.now_ms().saturating_sub(began_ms));
-            job.is_billed = true;
+        self.bill_as(job, began_ms, Billed::Began);
+    }
+
+    /// Counts a request for its account's bill, at most once. Whatever becomes known last of its outcome does
+    /// not make a run unknown that has begun.
+    fn bill_as(&self, job: &mut Job, began_ms: u64, billed: Billed) {
+        if let Some(account) = job.account.as_deref() {
+            if job.billed == Billed::No {
+                self.shared.count(account, self.now_ms().saturating_sub(began_ms));
+            }
+            job.billed = job.billed.max(billed);
         }
         job.pending_count = None;
     }
