--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -252,7 +252,7 @@
             }
         }
         load_guard.mark_sent(now_ms);
-        job.is_at_endpoint.set(true);
+        job.at_endpoint_since_ms.set(Some(now_ms));
         let bytes = self.protocol.encode(&job.endpoint_request(&endpoint.id, now_ms));
         let pending = PendingSend {
             gateway: self,
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -28,8 +28,10 @@
 const EXIT_MARGIN_MS: u64 = 200;
 /// Latest time after the stop signal at which a stream is admitted: the rest of the stop is left for it.
 const LAST_STREAM_MS: u64 = 2_900;
-/// Expected duration of a stream before any has ended.
-const PRIOR_STREAM_MS: u64 = 2_000;
+/// Mean duration of streams before any has ended.
+const PRIOR_MEAN_MS: u64 = 1_000;
+/// Duration that few streams exceed before any has ended.
+const PRIOR_UPPER_MS: u64 = 2_000;
 /// How long before the exit no new request is admitted; callers on open connections are informed that
 /// their request did not run. Without this the exit would cut off a request that had just been forwarded.
 const CLOSED_ADMISSION_MS: u64 = 900;
@@ -87,8 +89,10 @@
     /// Returns whether a stream with this expected run is admitted now, where `streams` are the durations of
     /// its service's streams and `others` the entries that could take it instead.
     ///
-    /// Only while most others serve does its own run count, and no more than the mean: urgent prompts have the
-    /// highest output limits, which most streams do not reach.
+    /// While few others serve, a refused caller probably gets nothing, so a stream is admitted if one of mean
+    /// duration ends before the exit. While most serve, also a long one has to end before it, and the stream must
+    /// not delay the stop. Its own run counts for no more than the mean then: urgent prompts have the highest
+    /// output limits, which most streams do not reach.
     #[must_use]
     pub fn admits_stream(
         &self,
@@ -97,10 +101,15 @@
         others: Others,
         now_ms: u64,
     ) -> bool {
-        let run_ms = run_ms.min(streams.mean_ms().unwrap_or(run_ms));
-        self.stopping_ms(now_ms) < LAST_STREAM_MS
-            && self.has_time_for(streams.upper_ms().unwrap_or(PRIOR_STREAM_MS), now_ms)
-            && (others.few_serve() || !delays_stop(self.signal_ms, now_ms, run_ms))
+        let mean_ms = streams.mean_ms().unwrap_or(PRIOR_MEAN_MS);
+        if self.stopping_ms(now_ms) >= LAST_STREAM_MS {
+            return false;
+        }
+        if others.few_serve() {
+            return self.has_time_for(mean_ms, now_ms);
+        }
+        self.has_time_for(streams.upper_ms().unwrap_or(PRIOR_UPPER_MS), now_ms)
+            && !delays_stop(self.signal_ms, now_ms, run_ms.min(mean_ms))
     }
 
     /// Returns whether a request with a single response is admitted now. One that may run only once and
@@ -190,17 +199,14 @@
     /// `last_request_ms`.
     ///
     /// Admission always closes before the exit is decided. A request admitted between that decision and the
-    /// exit would be sent to an endpoint and cut off.
+    /// exit would be sent to an endpoint and cut off. No phase is skipped, however late this is called.
     pub fn step(&mut self, now_ms: u64, active: u32, last_request_ms: u64) -> Step {
         if active > 0 {
             self.idle_since_ms = now_ms;
         }
         let idle_ms = now_ms.saturating_sub(self.idle_since_ms.max(last_request_ms));
-        if now_ms >= self.deadlines.end_ms {
-            return Step::End;
-        }
         let is_idle = idle_ms >= IDLE_MS && now_ms - self.begin_ms >= DEREGISTRATION_MS;
-        let left_ms = self.deadlines.end_ms - now_ms;
+        let left_ms = self.deadlines.end_ms.saturating_sub(now_ms);
         match self.phase {
             Phase::Serving | Phase::Draining if is_idle || now_ms >= self.deadlines.close_ms => {
                 self.phase = Phase::Closed;
@@ -217,6 +223,7 @@
                 self.phase = Phase::EndStreams;
                 Step::EndStreams
             }
+            Phase::EndStreams if left_ms == 0 => Step::End,
             Phase::Closed | Phase::FinalAnswers | Phase::EndStreams => Step::Wait,
         }
     }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -48,8 +48,8 @@
     pub reached_endpoint: bool,
     /// An endpoint may have run the request.
     pub may_have_run: bool,
-    /// An endpoint has the request now, or may have it.
-    pub(super) is_at_endpoint: Cell<bool>,
+    /// When the request was sent to the endpoint that has it now, or may have it.
+    pub(super) at_endpoint_since_ms: Cell<Option<u64>>,
     pub(super) billed: Billed,
     /// Held while a send may still prove to have run, and so have to be billed.
     pub(super) pending_count: Option<shared::PendingCount>,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -128,7 +128,7 @@
             attempts: 0,
             reached_endpoint: false,
             may_have_run: false,
-            is_at_endpoint: Cell::new(false),
+            at_endpoint_since_ms: Cell::new(None),
             billed: Billed::No,
             pending_count: None,
             _active: ActiveGuard::begin(&self.shared),
@@ -191,13 +191,14 @@
 
     /// The refusal of a request that has no answer when this process is about to exit.
     pub(super) fn interrupt(&self, job: &mut Job) -> error::Refusal {
-        if !job.may_have_run && !job.is_at_endpoint.get() {
+        let sent_ms = job.at_endpoint_since_ms.get();
+        if !job.may_have_run && sent_ms.is_none() {
             let refusal = error::Refusal::not_run(error::Kind::Draining);
             return refusal.retry_after_ms(DRAINING_RETRY_MS);
         }
         // A stream is billed from its first event on, and none has arrived.
         if !job.kind.is_stream() {
-            self.bill_as(job, job.arrived_ms, Billed::OutcomeUnknown);
+            self.bill_as(job, sent_ms.unwrap_or(job.arrived_ms), Billed::OutcomeUnknown);
         }
         error::Refusal::unknown(error::Kind::Interrupted)
     }
@@ -250,7 +251,9 @@
                 job.pending_count = Some(self.shared.begin_pending_count());
             }
             let result = self.attempt(job, &choice, timeout).await;
-            job.is_at_endpoint.set(result.is_ok());
+            if result.is_err() {
+                job.at_endpoint_since_ms.set(None);
+            }
             let failure = match result {
                 Ok(response) => {
                     job.reached_endpoint = true;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -254,6 +254,7 @@
 
     /// Counts a request that began to run `ago_ms` before now.
     pub fn count(&self, account: &str, ago_ms: u64) {
+        self.counts_delivered.store(false, Ordering::Release);
         self.tally().add(self.boot, self.window(ago_ms), account);
     }
 
