--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -60,18 +60,27 @@
 /// Times of a stop on the boot clock. They follow from the stop signal alone and do not move.
 #[derive(Clone, Copy, Debug)]
 pub struct Deadlines {
+    /// Whether few other entries served at the signal. An entry that others can stand in for leaves soon, so that
+    /// it is back before the last ones of a rolling restart leave.
+    is_among_last: bool,
     signal_ms: u64,
     close_ms: u64,
     end_ms: u64,
 }
 
 impl Deadlines {
-    /// Returns the times of a stop that was requested now; the process is killed after `stop_s`.
+    /// Returns the times of a stop that was requested now, when `others` were the other entries; the process is
+    /// killed after `stop_s`.
     #[must_use]
-    pub fn of(signal_ms: u64, stop_s: f64) -> Self {
+    pub fn of(signal_ms: u64, stop_s: f64, others: Others) -> Self {
         let end_ms =
             signal_ms.saturating_add((stop_s * 1_000.0) as u64).saturating_sub(EXIT_MARGIN_MS);
-        Self { signal_ms, close_ms: end_ms.saturating_sub(CLOSED_ADMISSION_MS), end_ms }
+        Self {
+            is_among_last: others.few_serve(),
+            signal_ms,
+            close_ms: end_ms.saturating_sub(CLOSED_ADMISSION_MS),
+            end_ms,
+        }
     }
 
     /// Returns the time since the stop signal.
@@ -89,8 +98,8 @@
     /// Returns whether a stream with this expected run is admitted now, where `streams` are the durations of
     /// its service's streams and `others` the entries that could take it instead.
     ///
-    /// While few others serve, a refused caller probably gets nothing, so a stream is admitted if one of mean
-    /// duration ends before the exit. While most serve, also a long one has to end before it, and the stream must
+    /// While few others serve, as at the signal, a refused caller probably gets nothing, so a stream is admitted if
+    /// one of mean duration ends before the exit. Otherwise also a long one has to end before it, and the stream must
     /// not delay the stop. Its own run counts for no more than the mean then: urgent prompts have the highest
     /// output limits, which most streams do not reach.
     #[must_use]
@@ -105,7 +114,7 @@
         if self.stopping_ms(now_ms) >= LAST_STREAM_MS {
             return false;
         }
-        if others.few_serve() {
+        if self.is_among_last && others.few_serve() {
             return self.has_time_for(mean_ms, now_ms);
         }
         self.has_time_for(streams.upper_ms().unwrap_or(PRIOR_UPPER_MS), now_ms)
@@ -184,8 +193,8 @@
 impl Stop {
     /// Begins a stop that was requested now; the process is killed after `stop_s`.
     #[must_use]
-    pub fn begin(now_ms: u64, stop_s: f64) -> Self {
-        let deadlines = Deadlines::of(now_ms, stop_s);
+    pub fn begin(now_ms: u64, stop_s: f64, others: Others) -> Self {
+        let deadlines = Deadlines::of(now_ms, stop_s, others);
         Self { begin_ms: now_ms, deadlines, idle_since_ms: now_ms, phase: Phase::Draining }
     }
 
@@ -254,7 +263,7 @@
 /// Drains the entry and returns when the process may exit.
 pub async fn drain(shared: &shared::Shared, log: &slog::Logger) {
     let begin_ms = clock::boot_ms();
-    let mut stop = Stop::begin(begin_ms, shared.settings.stop_s);
+    let mut stop = Stop::begin(begin_ms, shared.settings.stop_s, shared.others());
     shared.begin_stop(stop.deadlines);
     slog::info!(log, "draining"; "limit_ms" => stop.deadlines.end_ms - begin_ms);
     accept_while_few_serve(shared, begin_ms, log).await;
--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -15,7 +15,7 @@
 /// the entry decides to exit, and the next request arrives in the 10 ms until the process is gone.
 #[test]
 fn a_request_between_the_exit_decision_and_the_exit_is_not_cut_off() {
-    let mut stop = Stop::begin(3_000, STOP_S);
+    let mut stop = Stop::begin(3_000, STOP_S, NONE_SERVE);
     let (closed_ms, step) = next_step(&mut stop, 3_000, 8_000);
     assert_eq!(step, Step::Close, "admission closes first");
     assert_eq!(stop.step(closed_ms + 5, 1, closed_ms + 5), Step::Wait, "a request has just begun");
@@ -29,7 +29,7 @@
 /// would cut off other requests as well.
 #[test]
 fn an_endless_request_does_not_delay_a_stop_until_the_kill() {
-    let mut stop = Stop::begin(3_000, STOP_S);
+    let mut stop = Stop::begin(3_000, STOP_S, NONE_SERVE);
     let steps: Vec<(u64, Step)> =
         (3_000..11_000).step_by(20).map(|at| (at, stop.step(at, 1, 3_000))).collect();
     let close = steps.iter().find(|(_, step)| *step == Step::Close).expect("admission closes");
@@ -42,7 +42,7 @@
 /// time to write it, and streams end in between two events.
 #[test]
 fn all_requests_in_flight_are_answered_before_a_forced_exit() {
-    let mut stop = Stop::begin(3_000, STOP_S);
+    let mut stop = Stop::begin(3_000, STOP_S, NONE_SERVE);
     let steps: Vec<(u64, Step)> =
         (3_000..11_000).step_by(20).map(|at| (at, stop.step(at, 1, 3_000))).collect();
     let first = |step| steps.iter().find(|(_, one)| *one == step).map(|(at, _)| *at);
@@ -58,7 +58,7 @@
 /// only after the time for them has passed.
 #[test]
 fn no_phase_is_skipped_if_the_process_wakes_up_late() {
-    let mut stop = Stop::begin(3_000, STOP_S);
+    let mut stop = Stop::begin(3_000, STOP_S, NONE_SERVE);
     let steps: Vec<Step> = (0..4).map(|turn| stop.step(10_850 + turn * 20, 1, 3_000)).collect();
     assert_eq!(steps, [Step::Close, Step::AnswerAll, Step::EndStreams, Step::End]);
 }
@@ -66,7 +66,7 @@
 /// Guards against an idle entry that exits while the load balancer still sends new callers to it.
 #[test]
 fn an_idle_entry_waits_until_the_load_balancer_has_noticed() {
-    let mut stop = Stop::begin(3_000, STOP_S);
+    let mut stop = Stop::begin(3_000, STOP_S, NONE_SERVE);
     let (closed_ms, _) = next_step(&mut stop, 3_000, 0);
     assert!(closed_ms >= 3_000 + 2_600);
 }
@@ -115,7 +115,7 @@
 /// was counted from a moment that moved, and streams were admitted over three seconds after the signal.
 #[test]
 fn no_stream_is_admitted_late_in_a_stop_even_if_no_other_entry_serves() {
-    let stop = Deadlines::of(3_000, STOP_S);
+    let stop = Deadlines::of(3_000, STOP_S, NONE_SERVE);
     let admits =
         |after_ms: u64| stop.admits_stream(0, &Durations::default(), NONE_SERVE, 3_000 + after_ms);
     assert!(admits(0) && admits(2_800));
@@ -131,21 +131,34 @@
     let durations = skewed_durations();
     let upper_ms = durations.upper_ms().expect("requests have ended");
     assert!(upper_ms >= 2_000, "{upper_ms}");
-    let stop = Deadlines::of(3_000, 4.0);
+    let stop = Deadlines::of(3_000, 4.0, MOST_SERVE);
     assert!(stop.admits_stream(100, &durations, MOST_SERVE, 3_000));
     assert!(!stop.admits_stream(100, &durations, MOST_SERVE, 3_000 + 3_500 - upper_ms + 1));
-    let short = Deadlines::of(3_000, 1.0);
+    let short = Deadlines::of(3_000, 1.0, NONE_SERVE);
     assert!(
         !short.admits_stream(100, &durations, NONE_SERVE, 3_000),
         "not even one of mean length"
     );
 }
 
+/// Guards against a rolling restart without a serving entry: the first entries to stop take streams again as the
+/// others begin to stop, and are not back before the last ones leave.
+#[test]
+fn an_entry_that_others_could_stand_in_for_takes_no_long_streams_when_they_stop_as_well() {
+    let durations = skewed_durations();
+    let admits = |at_signal| {
+        let stop = Deadlines::of(3_000, STOP_S, at_signal);
+        stop.admits_stream(2_000, &durations, NONE_SERVE, 3_000 + 2_500)
+    };
+    assert!(admits(NONE_SERVE));
+    assert!(!admits(MOST_SERVE));
+}
+
 /// Guards against urgent prompts that are refused by a stopping entry while larger, less urgent ones begin: the
 /// urgent ones have the highest output limits, and with them the longest expected runs.
 #[test]
 fn a_high_output_limit_does_not_make_a_prompt_wait_longer_than_the_mean_stream() {
-    let stop = Deadlines::of(3_000, STOP_S);
+    let stop = Deadlines::of(3_000, STOP_S, NONE_SERVE);
     for durations in [skewed_durations(), Durations::default()] {
         let mean_ms = durations.mean_ms().unwrap_or(1_000);
         for after_ms in (0..3_000).step_by(50) {
@@ -159,7 +172,7 @@
 /// Guards against a payment whose outcome its caller never learns because it is admitted just before the exit.
 #[test]
 fn a_call_is_admitted_only_if_it_is_expected_to_end_before_the_exit() {
-    let stop = Deadlines::of(3_000, STOP_S);
+    let stop = Deadlines::of(3_000, STOP_S, NONE_SERVE);
     let mut slow = Durations::default();
     (0..20).for_each(|_| slow.observe(3_000));
     assert!(stop.admits_call(&slow, 300, 3_000 + 4_400));
