--- /dev/null
+++ b/src/gateway/admit.rs
@@ -0,0 +1,102 @@
+//! Admission of a request: finds its route, client account and service, and refuses what this entry cannot
+//! serve, in its present state or in the time that a stop leaves.
+
+use std::cell::{Cell, OnceCell};
+use std::sync::atomic::Ordering;
+
+use rand::Rng;
+
+use super::job::{ActiveGuard, Billed, Job};
+use super::request::Request;
+use super::{Gateway, route};
+use crate::error;
+
+/// Retry delay for callers of an entry that has just started and has no configuration yet.
+const STARTING_RETRY_MS: std::ops::Range<u32> = 600..1_800;
+/// Retry delay for callers refused by a stopping entry. It is short, since the next attempt reaches
+/// another entry.
+pub(super) const DRAINING_RETRY_MS: u32 = 50;
+
+impl Gateway {
+    /// Admits a request: finds its route, account and service, or returns the refusal.
+    pub(super) fn admit(&self, request: Request) -> Result<Job, error::Refusal> {
+        let refuse = error::Refusal::not_run;
+        let arrived_ms = self.now_ms();
+        self.shared.last_request_ms.store(arrived_ms, Ordering::Release);
+        if self.shared.is_admission_closed() {
+            return Err(refuse(error::Kind::Draining).retry_after_ms(DRAINING_RETRY_MS));
+        }
+        let snapshot = self.shared.snapshot.load();
+        let table = snapshot.table.clone().ok_or_else(|| {
+            let wait_ms = rand::rng().random_range(STARTING_RETRY_MS);
+            refuse(error::Kind::NotReady).retry_after_ms(wait_ms)
+        })?;
+        let key = table
+            .find(&request.host, request.path())
+            .ok_or_else(|| refuse(error::Kind::UnknownPath))?;
+        let route = table.route(key);
+        let account = if route.is_public || !table.has_accounts() {
+            None
+        } else {
+            let sent = request.api_key.as_deref().ok_or_else(|| refuse(error::Kind::MissingKey))?;
+            Some(table.account_for_key(sent).ok_or_else(|| refuse(error::Kind::InvalidKey))?)
+        };
+        if request.body.len() > table.max_body_bytes() {
+            return Err(refuse(error::Kind::BodyTooLarge));
+        }
+        let service = table
+            .draw_service(route, rand::rng().random())
+            .ok_or_else(|| refuse(error::Kind::UnknownService))?;
+        let output_tokens = request.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens);
+        let service_name = &table.service(service).name;
+        if !self.has_time_to_answer(route, service_name, output_tokens, arrived_ms) {
+            return Err(refuse(error::Kind::Draining).retry_after_ms(DRAINING_RETRY_MS));
+        }
+        let wait_ms = request.deadline_ms.unwrap_or(u32::MAX).min(route.timeout_ms);
+        let kind = route.kind;
+        let priority = account.and_then(|one| one.priority).unwrap_or(route.priority);
+        let account = account.map(|one| one.name.clone());
+        self.budgets.borrow_mut().record_request(&table.service(service).name, arrived_ms);
+        Ok(Job {
+            request,
+            route: key,
+            service,
+            kind,
+            account,
+            fingerprint: OnceCell::new(),
+            priority,
+            arrived_ms,
+            deadline_ms: arrived_ms + u64::from(wait_ms),
+            version: None,
+            tried_endpoints: Vec::new(),
+            unreachable_zones: Vec::new(),
+            attempts: 0,
+            reached_endpoint: false,
+            may_have_run: false,
+            at_endpoint_since_ms: Cell::new(None),
+            billed: Billed::No,
+            pending_count: None,
+            _active: ActiveGuard::begin(&self.shared),
+            table,
+        })
+    }
+
+    /// Whether this process, if it is stopping, has the time to answer a request that arrives now.
+    fn has_time_to_answer(
+        &self,
+        route: &route::Route,
+        service: &str,
+        output_tokens: u32,
+        now_ms: u64,
+    ) -> bool {
+        let Some(stop) = self.shared.stop() else {
+            return true;
+        };
+        let durations = self.shared.durations(service);
+        if !route.kind.is_stream() {
+            return stop.admits_call(&durations, u64::from(route.latency_target_ms), now_ms);
+        }
+        let run_ms = self.shared.prefill_model(service).run_ms(output_tokens);
+        stop.admits_stream(run_ms, &durations, self.shared.others(), now_ms)
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! entries and competes for the duties' leases. Platform-specific protocols are adapters that
 //! implement [`request::EndpointProtocol`] and [`control::Platform`].
 
+mod admit;
 pub mod attempt;
 mod continuation;
 pub mod control;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,11 +1,9 @@
-//! Forwarding of a request: finds the route and the client account, chooses an endpoint and relays the
-//! response.
+//! Forwarding of an admitted request: chooses an endpoint and relays the response.
 //!
 //! A request that may run more than once is retried at another endpoint when the first fails, within
 //! the route's attempt limit and the retry budget. A request that may run only once is sent once, and
 //! its outcome is reported to the caller as it is.
 
-use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,10 +13,10 @@
 use tokio::time;
 
 use super::attempt::{Failure, OpenResponse};
-use super::job::{ActiveGuard, Billed, Job};
+use super::job::{Billed, Job};
 use super::policy::choose;
 use super::request::{Request, Response};
-use super::{Gateway, drain, event_stream, http1, metrics, request_log, route, shared};
+use super::{Gateway, admit, drain, event_stream, http1, metrics, request_log, shared};
 use crate::error;
 
 /// Maximum size of a response body that is buffered before it is sent to the caller, in bytes.
@@ -34,11 +32,6 @@
 /// Retry delay after a refusal for callers of the most urgent priority. Each lower priority adds the
 /// same amount. A queue of one second drains within three of these delays.
 const RETRY_AFTER_STEP_MS: f64 = 300.0;
-/// Retry delay for callers of an entry that has just started and has no configuration yet.
-const STARTING_RETRY_MS: std::ops::Range<u32> = 600..1_800;
-/// Retry delay for callers refused by a stopping entry. It is short, since the next attempt reaches
-/// another entry.
-const DRAINING_RETRY_MS: u32 = 50;
 
 /// Response of an endpoint to a forwarded request.
 enum Forwarded {
@@ -73,88 +66,6 @@
         response
     }
 
-    /// Admits a request: finds its route, account and service, or returns the refusal.
-    fn admit(&self, request: Request) -> Result<Job, error::Refusal> {
-        let refuse = error::Refusal::not_run;
-        let arrived_ms = self.now_ms();
-        self.shared.last_request_ms.store(arrived_ms, Ordering::Release);
-        if self.shared.is_admission_closed() {
-            return Err(refuse(error::Kind::Draining).retry_after_ms(DRAINING_RETRY_MS));
-        }
-        let snapshot = self.shared.snapshot.load();
-        let table = snapshot.table.clone().ok_or_else(|| {
-            let wait_ms = rand::rng().random_range(STARTING_RETRY_MS);
-            refuse(error::Kind::NotReady).retry_after_ms(wait_ms)
-        })?;
-        let key = table
-            .find(&request.host, request.path())
-            .ok_or_else(|| refuse(error::Kind::UnknownPath))?;
-        let route = table.route(key);
-        let account = if route.is_public || !table.has_accounts() {
-            None
-        } else {
-            let sent = request.api_key.as_deref().ok_or_else(|| refuse(error::Kind::MissingKey))?;
-            Some(table.account_for_key(sent).ok_or_else(|| refuse(error::Kind::InvalidKey))?)
-        };
-        if request.body.len() > table.max_body_bytes() {
-            return Err(refuse(error::Kind::BodyTooLarge));
-        }
-        let service = table
-            .draw_service(route, rand::rng().random())
-            .ok_or_else(|| refuse(error::Kind::UnknownService))?;
-        let output_tokens = request.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens);
-        let service_name = &table.service(service).name;
-        if !self.has_time_to_answer(route, service_name, output_tokens, arrived_ms) {
-            return Err(refuse(error::Kind::Draining).retry_after_ms(DRAINING_RETRY_MS));
-        }
-        let wait_ms = request.deadline_ms.unwrap_or(u32::MAX).min(route.timeout_ms);
-        let kind = route.kind;
-        let priority = account.and_then(|one| one.priority).unwrap_or(route.priority);
-        let account = account.map(|one| one.name.clone());
-        self.budgets.borrow_mut().record_request(&table.service(service).name, arrived_ms);
-        Ok(Job {
-            request,
-            route: key,
-            service,
-            kind,
-            account,
-            fingerprint: OnceCell::new(),
-            priority,
-            arrived_ms,
-            deadline_ms: arrived_ms + u64::from(wait_ms),
-            version: None,
-            tried_endpoints: Vec::new(),
-            unreachable_zones: Vec::new(),
-            attempts: 0,
-            reached_endpoint: false,
-            may_have_run: false,
-            at_endpoint_since_ms: Cell::new(None),
-            billed: Billed::No,
-            pending_count: None,
-            _active: ActiveGuard::begin(&self.shared),
-            table,
-        })
-    }
-
-    /// Whether this process, if it is stopping, has the time to answer a request that arrives now.
-    fn has_time_to_answer(
-        &self,
-        route: &route::Route,
-        service: &str,
-        output_tokens: u32,
-        now_ms: u64,
-    ) -> bool {
-        let Some(stop) = self.shared.stop() else {
-            return true;
-        };
-        let durations = self.shared.durations(service);
-        if !route.kind.is_stream() {
-            return stop.admits_call(&durations, u64::from(route.latency_target_ms), now_ms);
-        }
-        let run_ms = self.shared.prefill_model(service).run_ms(output_tokens);
-        stop.admits_stream(run_ms, &durations, self.shared.others(), now_ms)
-    }
-
     /// Forwards a request. One that has no answer shortly before the exit of this process gets a final
     /// refusal.
     async fn forward_until_exit(self: &Rc<Self>, mut job: Job) -> Response {
@@ -194,7 +105,7 @@
         let sent_ms = job.at_endpoint_since_ms.get();
         if !job.may_have_run && sent_ms.is_none() {
             let refusal = error::Refusal::not_run(error::Kind::Draining);
-            return refusal.retry_after_ms(DRAINING_RETRY_MS);
+            return refusal.retry_after_ms(admit::DRAINING_RETRY_MS);
         }
         // A stream is billed from its first event on, and none has arrived.
         if !job.kind.is_stream() {
