Bill streams that ran without an event reaching the entry

A signed failure says that the endpoint ran the request. A connection that breaks while the endpoint stays alive (the check for a crash connects to it) has lost only the response. Both are billed once now; a stream whose endpoint has ended is still not billed.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -1,7 +1,7 @@
 //! Admission of a request: finds its route, client account and service, and refuses what this entry cannot
 //! serve, in its present state or in the time that a stop leaves.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 
 use rand::Rng;
@@ -73,7 +73,7 @@
             may_have_run: false,
             lost_sends: 0,
             at_endpoint_since_ms: Rc::default(),
-            billed: Billed::No,
+            billed: Rc::new(Cell::new(Billed::No)),
             pending_count: None,
             _active: ActiveGuard::begin(&self.shared),
             table,
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -1,16 +1,18 @@
 //! Finds out whether an endpoint's process has ended when requests are lost with its connections, and records what
 //! was under way there.
 
+use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use tokio::{task, time};
 
-use super::job::Job;
+use super::job::{Billed, Job};
 use super::policy::quarantine::{self, Key, Loss};
-use super::{Gateway, directory, http1, pool, request_log};
+use super::{Gateway, directory, http1, pool, request_log, shared};
 use crate::error;
 
 /// Time between a loss and the check: other losses with the same endpoint are found meanwhile.
@@ -36,11 +38,29 @@
     has_proven_connection: bool,
     /// Keys of the requests, with the longest time for which the endpoint had been answering one of them.
     answered_ms: HashMap<Key, u64>,
+    unbilled: Vec<UnbilledStream>,
+}
+
+/// A stream that was lost before its first event. It has run if its endpoint is alive, since then only the response
+/// was lost.
+#[derive(Debug)]
+struct UnbilledStream {
+    account: CompactString,
+    lost_ms: u64,
+    billed: Rc<Cell<Billed>>,
+    /// Keeps the billing window open until the endpoint has been checked.
+    _pending: shared::PendingCount,
 }
 
 impl Losses {
     fn new(at_ms: u64) -> Self {
-        Self { at_ms, requests: 0, has_proven_connection: false, answered_ms: HashMap::new() }
+        Self {
+            at_ms,
+            requests: 0,
+            has_proven_connection: false,
+            answered_ms: HashMap::new(),
+            unbilled: Vec::new(),
+        }
     }
 
     fn add(&mut self, loss: Loss) {
@@ -117,6 +137,28 @@
         losses.requests += 1;
         losses.has_proven_connection |= is_proven_connection;
         keys(job).for_each(|key| losses.add(Loss { key, answered_ms }));
+        losses.unbilled.extend(self.unbilled_stream(job));
+    }
+
+    /// Returns what is needed to bill a stream that may have run without an event. Other requests are billed when
+    /// their outcome becomes unknown.
+    fn unbilled_stream(&self, job: &Job) -> Option<UnbilledStream> {
+        let is_unbilled = job.kind.is_stream() && job.billed.get() == Billed::No;
+        let account = job.account.clone().filter(|_| is_unbilled)?;
+        Some(UnbilledStream {
+            account,
+            lost_ms: self.now_ms(),
+            billed: Rc::clone(&job.billed),
+            _pending: self.shared.begin_pending_count(),
+        })
+    }
+
+    /// Bills streams that have run, unless another endpoint has begun them since.
+    fn bill_streams(&self, streams: &[UnbilledStream]) {
+        for stream in streams.iter().filter(|stream| stream.billed.get() == Billed::No) {
+            self.shared.count(&stream.account, self.now_ms().saturating_sub(stream.lost_ms));
+            stream.billed.set(Billed::Began);
+        }
     }
 
     /// Records that this entry no longer waits for an endpoint that may still be at work on a request.
@@ -186,6 +228,7 @@
             "outcome" => outcome.to_string(), "lost" => losses.requests,
             "checked_after_ms" => self.now_ms() - losses.at_ms);
         if outcome == Outcome::Alive {
+            self.bill_streams(&losses.unbilled);
             if let Ok(connection) = connected {
                 self.pool.borrow_mut().put(endpoint.addr, connection, self.now_ms());
             }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -53,7 +53,8 @@
     pub lost_sends: u32,
     /// When the request was sent to the endpoint that has it now, or may have it.
     pub(super) at_endpoint_since_ms: Rc<Cell<Option<u64>>>,
-    pub(super) billed: Billed,
+    /// Shared with the check of an endpoint at which the request may have run.
+    pub(super) billed: Rc<Cell<Billed>>,
     /// Held while a send may still prove to have run, and so have to be billed.
     pub(super) pending_count: Option<shared::PendingCount>,
     pub(super) _active: ActiveGuard,
@@ -88,7 +89,7 @@
 
 impl Drop for Job {
     fn drop(&mut self) {
-        if self.billed == Billed::OutcomeUnknown {
+        if self.billed.get() == Billed::OutcomeUnknown {
             metrics::call_of_unknown_outcome(&self.service().name);
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -187,7 +187,7 @@
             job.attempts += 1;
             let timeout = job.response_timeout(choice.first_ms, now_ms);
             self.log_choice(job, &choice);
-            if !job.kind.is_stream() && job.account.is_some() && job.billed == Billed::No {
+            if !job.kind.is_stream() && job.account.is_some() && job.billed.get() == Billed::No {
                 job.pending_count = Some(self.shared.begin_pending_count());
             }
             let sent_ms = Rc::clone(&job.at_endpoint_since_ms);
@@ -249,7 +249,7 @@
                     }
                     let is_proven = evidence.has_lost_proven_connection();
                     self.record_lost_request(job, choice.endpoint, &error, is_proven, 0);
-                    // A stream is billed from its first event on, and none has arrived.
+                    // A stream is billed once its endpoint proves to be alive, see `record_lost_request`.
                     if !job.kind.is_stream() {
                         self.bill_as(job, now_ms, Billed::OutcomeUnknown);
                     }
@@ -345,10 +345,10 @@
     /// not make a run unknown that has begun.
     fn bill_as(&self, job: &mut Job, began_ms: u64, billed: Billed) {
         if let Some(account) = job.account.as_deref() {
-            if job.billed == Billed::No {
+            if job.billed.get() == Billed::No {
                 self.shared.count(account, self.now_ms().saturating_sub(began_ms));
             }
-            job.billed = job.billed.max(billed);
+            job.billed.set(job.billed.get().max(billed));
         }
         job.pending_count = None;
     }
--- a/src/gateway/whole_response.rs
+++ b/src/gateway/whole_response.rs
@@ -30,8 +30,9 @@
         job: &mut Job,
         mut response: OpenResponse,
     ) -> Result<Answer, error::Refusal> {
-        // A stream that ends with an error status has sent no event, so it has not begun to run.
-        if !job.kind.is_stream() {
+        // An error status with the endpoint's signature says that the endpoint ran the request; one without may come
+        // from something else at its address, which has begun no stream.
+        if !job.kind.is_stream() || response.info.is_signed {
             self.bill(job, response.sent_ms);
         }
         let left = Duration::from_millis(job.left_ms(self.now_ms()));
