Keep the reported duration of work at each endpoint

One speed was assumed for all endpoints of a service. WorkDurations keeps the last report of each and its average; nothing uses it yet. Compiles; its tests come with its use.

--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -16,5 +16,6 @@
 pub mod prefix_index;
 pub mod quarantine;
 pub mod warmup;
+pub mod work_duration;
 
 pub use crate::durations;
