Choose endpoints by the duration of work that they report

Cause: the estimates of a service knew one speed. A response from a slow machine raised the estimate of all, and a fast one looked as slow as the rest.

Change: X-Server-Load is decoded whole; a malformed or implausible number is dropped and logged once a minute for each endpoint. First event, slot wait, free share and response time of a candidate have its factor, and observed times are divided by it before they are fitted. Prefill, first event and decode step are fitted by tokens and running requests where an endpoint of the service reports; elsewhere the constants stay.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -35,6 +35,8 @@
     work: load::Work,
     /// Prompt tokens to prefill before the first event, including those of requests ahead in the queue.
     prefill_tokens: u64,
+    /// Other requests at the endpoint, as of the time of the send.
+    requests_at_send: u32,
     /// Key of the request among those that were sent and have not ended.
     open_send: Option<usize>,
 }
@@ -45,7 +47,14 @@
         gateway.shared.load_table().add(choice.endpoint.key, work, gateway.now_ms());
         let prefill_tokens = choice.work.unread_tokens + work.unread_tokens;
         let endpoint = choice.endpoint.key;
-        Self { gateway: Rc::clone(gateway), endpoint, work, prefill_tokens, open_send: None }
+        Self {
+            gateway: Rc::clone(gateway),
+            endpoint,
+            work,
+            prefill_tokens,
+            requests_at_send: choice.work.requests,
+            open_send: None,
+        }
     }
 
     /// Records that the request is sent now, on an established connection.
@@ -60,6 +69,12 @@
         self.prefill_tokens
     }
 
+    /// Other requests at the endpoint, as of the time of the send.
+    #[must_use]
+    pub fn requests_at_send(&self) -> u32 {
+        self.requests_at_send
+    }
+
     /// Removes the prompt's tokens from the load table once the first event has arrived.
     pub fn prefill_done(&mut self) {
         let read = load::Work { requests: 0, unread_tokens: self.work.unread_tokens };
@@ -220,6 +235,7 @@
                 now_ms,
             );
         }
+        self.record_work_duration(endpoint, info, now_ms);
         if let Some(wait_ms) = info.retry_after_ms {
             self.backoff.borrow_mut().record_wait(endpoint, wait_ms, now_ms);
         }
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -321,13 +321,7 @@
         let Some(response) = &self.response else {
             return;
         };
-        let took_ms = self.gateway.now_ms() - response.sent_ms;
-        let service = &self.job.service().name;
-        self.gateway.shared.observe_first_event(
-            service,
-            response.load_guard.prefill_tokens(),
-            took_ms,
-        );
+        self.gateway.learn_first_event(&self.job.service().name, response);
     }
 
     /// Records that the endpoint of the stream failed.
@@ -339,7 +333,7 @@
         let (gateway, endpoint) = (&self.gateway, &response.endpoint);
         let now_ms = gateway.now_ms();
         let took_ms = now_ms - response.sent_ms;
-        gateway.health.borrow_mut().record_response(endpoint.key, false, took_ms, now_ms);
+        gateway.record_response_time(endpoint, false, took_ms, now_ms);
         let answered_ms = self.answering.total_ms();
         gateway.record_lost_request(&self.job, endpoint, error, true, answered_ms);
         if matches!(error, http1::Error::TimedOut) && now_ms < self.job.deadline_ms {
@@ -369,7 +363,7 @@
         let now_ms = self.gateway.now_ms();
         let endpoint = &response.endpoint;
         let took_ms = now_ms - response.sent_ms;
-        self.gateway.health.borrow_mut().record_response(endpoint.key, true, took_ms, now_ms);
+        self.gateway.record_response_time(endpoint, true, took_ms, now_ms);
         self.gateway.pool.borrow_mut().put(endpoint.addr, response.connection, now_ms);
         self.gateway.event_gaps.borrow_mut().record_stream(
             endpoint.key,
@@ -381,7 +375,8 @@
         if let Some(first_ms) = self.timing.first_ms {
             let output_tokens = output_tokens.unwrap_or(0);
             let service = &self.job.service().name;
-            self.gateway.shared.observe_run(service, output_tokens, now_ms - first_ms);
+            let requests = response.load_guard.requests_at_send();
+            self.gateway.learn_run(service, endpoint, output_tokens, requests, now_ms - first_ms);
             self.gateway.shared.durations.observe(service, now_ms - self.job.arrived_ms);
         }
         metrics::stream_ended(&self.job.service().name, "whole");
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -149,6 +149,7 @@
         peers.live_count(now_ms),
         control.holds_duties.get(),
     );
+    metrics::work_durations(control.shared.work_durations().averages(now_ms));
 }
 
 pub(super) fn send_all<P>(control: &Control<P>, outgoing: Vec<Outgoing>) {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -63,6 +63,28 @@
         .increment(messages * bytes);
 }
 
+/// Counts a load report of an endpoint of which a part was dropped.
+pub fn malformed_load(service: &str) {
+    metrics::counter!("briarwinch_gateway_malformed_load_reports_total",
+        "service" => service.to_owned())
+    .increment(1);
+}
+
+/// Sets the gauges of the reported durations of work. `averages` are those of the endpoints that report
+/// one; the fastest and the slowest are zero if there are none.
+pub fn work_durations(averages: impl Iterator<Item = f64>) {
+    let (mut count, mut fastest, mut slowest) = (0_u32, f64::INFINITY, 0.0_f64);
+    for average in averages {
+        count += 1;
+        fastest = fastest.min(average);
+        slowest = slowest.max(average);
+    }
+    let fastest = if count == 0 { 0.0 } else { fastest };
+    metrics::gauge!("briarwinch_gateway_endpoints_with_duration").set(f64::from(count));
+    metrics::gauge!("briarwinch_gateway_work_duration_ratio", "endpoint" => "fastest").set(fastest);
+    metrics::gauge!("briarwinch_gateway_work_duration_ratio", "endpoint" => "slowest").set(slowest);
+}
+
 /// Sets the gauges of the control thread's state.
 pub fn control_state(
     snapshot: &shared::Snapshot,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 pub mod stream_versions;
 pub mod watch;
 mod whole_response;
+mod work_times;
 
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
@@ -126,6 +127,7 @@
         let is_known = |endpoint| snapshot.directory.find(endpoint).is_some();
         gateway.health.borrow_mut().retain(is_known);
         gateway.event_gaps.borrow_mut().retain(is_known);
+        gateway.shared.work_durations().retain(is_known);
         gateway.cold_sends.borrow_mut().sweep(now_ms);
         gateway.backoff.borrow_mut().sweep(now_ms);
         gateway.sweep_abandoned(now_ms);
--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -21,12 +21,12 @@
 use xxhash_rust::xxh3;
 
 use crate::gateway::directory::{Endpoint, EndpointKey};
-use crate::gateway::policy::{admission, event_gaps, health, load, prefill, prefix_index};
+use crate::gateway::policy::{
+    admission, engine_times, event_gaps, health, load, prefill, prefix_index, work_duration,
+};
 use crate::gateway::request::{Prompt, PromptPart};
 use crate::gateway::route;
 
-/// Time that each running request adds to a first event, through its part of each decoding step.
-const PER_REQUEST_MS: f64 = 3.0;
 /// Weight of the time to prefill a document again, on top of the wait of the request itself: all
 /// later requests are delayed by the same time, and the document displaces others from the cache.
 const DOCUMENT_WEIGHT: f64 = 16.0;
@@ -72,6 +72,7 @@
     pub health: &'a health::Health,
     pub prefill_model: &'a prefill::PrefillModel,
     pub event_gaps: &'a event_gaps::EventGaps,
+    pub work_durations: &'a work_duration::WorkDurations,
     /// Longest gap between events that is in time for the caller; zero if there is no limit.
     pub gap_limit_ms: u32,
     pub zone: &'a str,
@@ -97,10 +98,21 @@
     pub first_ms: f64,
     /// Share of the engines that are free, see [`admission::FREE_WAIT_MS`].
     pub free_share: f64,
+    /// Duration of work there relative to the usual one, and the age of the report that says so.
+    pub duration_factor: f64,
+    pub duration_age_ms: Option<u64>,
     /// The endpoint with the next higher cost; `None` if no other was compared.
     pub runner_up: Option<RunnerUp<'a>>,
 }
 
+impl Choice<'_> {
+    /// Duration of work there in percent of the usual one; `None` if it is not reported.
+    #[must_use]
+    pub fn duration_percent(&self) -> Option<u32> {
+        self.duration_age_ms.map(|_| (self.duration_factor * 100.0).round() as u32)
+    }
+}
+
 /// The second-best endpoint of a choice.
 #[derive(Clone, Copy, Debug)]
 pub struct RunnerUp<'a> {
@@ -165,7 +177,11 @@
     inputs: &Inputs<'_>,
 ) -> Option<Choice<'a>> {
     let preferred = rendezvous(candidates, prompt, inputs);
-    let free_share = free_share(candidates, engine, inputs);
+    let basis = match inputs.work_durations.is_reported_by_any(candidates, inputs.now_ms) {
+        true => engine_times::Basis::Fitted,
+        false => engine_times::Basis::ServiceWide,
+    };
+    let free_share = free_share(candidates, engine, basis, inputs);
     let sample = (candidates.len() as f64 * SAMPLE_SHARE).ceil() as usize;
     let mut remaining = sample.max(MIN_SAMPLE);
     let compared = candidates.iter().copied().filter(|one| {
@@ -177,7 +193,7 @@
         is_sampled
     });
     let choices =
-        compared.map(|endpoint| engine_choice(endpoint, engine, prompt, preferred, inputs));
+        compared.map(|endpoint| engine_choice(endpoint, engine, prompt, preferred, basis, inputs));
     cheapest(choices).map(|choice| Choice { free_share, ..choice })
 }
 
@@ -194,18 +210,31 @@
 
 /// Returns the share of the engines at which a prompt gets a slot and begins to be prefilled within
 /// [`admission::FREE_WAIT_MS`].
-fn free_share(candidates: &[&Endpoint], engine: &route::Engine, inputs: &Inputs<'_>) -> f64 {
+fn free_share(
+    candidates: &[&Endpoint],
+    engine: &route::Engine,
+    basis: engine_times::Basis,
+    inputs: &Inputs<'_>,
+) -> f64 {
     let is_free = |one: &&&Endpoint| {
         let work = inputs.load_table.work_at(one.key, inputs.now_ms);
-        let slot_wait_ms =
-            inputs.prefill_model.slot_wait_ms(occupied_slots(one, work, inputs), engine.slots);
-        slot_wait_ms + inputs.prefill_model.prefill_ms(work.unread_tokens)
-            <= admission::FREE_WAIT_MS
+        let times = times_of(one, basis, inputs);
+        let slot_wait_ms = times.slot_wait_ms(occupied_slots(one, work, inputs), engine.slots);
+        slot_wait_ms + times.prefill_ms(work.unread_tokens) <= admission::FREE_WAIT_MS
     };
     let free = candidates.iter().filter(is_free).count();
     free as f64 / candidates.len().max(1) as f64
 }
 
+fn times_of<'a>(
+    endpoint: &Endpoint,
+    basis: engine_times::Basis,
+    inputs: &Inputs<'a>,
+) -> engine_times::Estimate<'a> {
+    let factor = inputs.work_durations.factor(endpoint, inputs.now_ms);
+    engine_times::Estimate { model: inputs.prefill_model, basis, factor }
+}
+
 /// First and second choice by rendezvous hashing.
 type Preferred = [Option<EndpointKey>; RENDEZVOUS_WEIGHTS.len()];
 
@@ -237,8 +266,10 @@
     engine: &route::Engine,
     prompt: &Prompt,
     preferred: Preferred,
+    basis: engine_times::Basis,
     inputs: &Inputs<'_>,
 ) -> Choice<'a> {
+    let times = times_of(endpoint, basis, inputs);
     let work = inputs.load_table.work_at(endpoint.key, inputs.now_ms);
     let has_tokens = inputs.prefix_index.cached_tokens(endpoint.key, &prompt.parts, inputs.now_ms);
     let unread_tokens = prompt.tokens.saturating_sub(has_tokens);
@@ -246,14 +277,12 @@
     let missing_tokens = shared_tokens.saturating_sub(has_tokens);
     let document_tokens =
         prompt.shared_parts().last().map_or(0, |part| part.tokens).min(missing_tokens);
-    let document_ms = inputs.prefill_model.prefill_ms(u64::from(document_tokens));
-    let common_prefix_ms =
-        inputs.prefill_model.prefill_ms(u64::from(missing_tokens - document_tokens));
-    let concurrency_ms = f64::from(work.requests) * PER_REQUEST_MS
-        + inputs.prefill_model.slot_wait_ms(occupied_slots(endpoint, work, inputs), engine.slots);
-    let first_ms =
-        inputs.prefill_model.first_event_ms(work.unread_tokens + u64::from(unread_tokens))
-            + concurrency_ms;
+    // The home of a document outlasts the phases of an engine, and all entries must agree on it.
+    let document_ms = times.usual_prefill_ms(u64::from(document_tokens));
+    let common_prefix_ms = times.usual_prefill_ms(u64::from(missing_tokens - document_tokens));
+    let prefill_tokens = work.unread_tokens + u64::from(unread_tokens);
+    let slot_wait_ms = times.slot_wait_ms(occupied_slots(endpoint, work, inputs), engine.slots);
+    let first_ms = times.first_event_ms(prefill_tokens, work.requests, slot_wait_ms);
     let timeout_risk_ms = (first_ms - inputs.max_wait_ms * TIMEOUT_SHARE).max(0.0);
     let late_ms = (first_ms - inputs.latency_target_ms * LATE_SHARE).max(0.0);
     let mut cost_ms = first_ms
@@ -270,10 +299,20 @@
     if let Some(rank) = preferred.iter().position(|one| *one == Some(endpoint.key)) {
         cost_ms -= document_ms * RENDEZVOUS_WEIGHTS[rank];
     }
-    Choice { endpoint, cost_ms, unread_tokens, work, first_ms, free_share: 1.0, runner_up: None }
+    Choice {
+        endpoint,
+        cost_ms,
+        unread_tokens,
+        work,
+        first_ms,
+        free_share: 1.0,
+        duration_factor: times.factor,
+        duration_age_ms: inputs.work_durations.age_ms(endpoint, inputs.now_ms),
+        runner_up: None,
+    }
 }
 
-/// Returns the shortest response time that is known of a candidate.
+/// Returns the shortest response time that is known of a candidate, at the usual duration of work.
 fn fastest_response_ms(candidates: &[&Endpoint], inputs: &Inputs<'_>) -> f64 {
     let known = candidates.iter();
     let known = known.filter_map(|one| inputs.health.response_ms(one.key, inputs.now_ms));
@@ -281,13 +320,26 @@
 }
 
 /// An endpoint whose response time is not known is taken to be as fast as the fastest, so that it is tried.
+/// Response times are known at the usual duration, and one that has reported its duration has that.
 fn plain_choice<'a>(endpoint: &'a Endpoint, fastest_ms: f64, inputs: &Inputs<'_>) -> Choice<'a> {
     let work = inputs.load_table.work_at(endpoint.key, inputs.now_ms);
-    let response_ms = inputs.health.response_ms(endpoint.key, inputs.now_ms).unwrap_or(fastest_ms);
+    let usual_ms = inputs.health.response_ms(endpoint.key, inputs.now_ms).unwrap_or(fastest_ms);
+    let duration_factor = inputs.work_durations.factor(endpoint, inputs.now_ms);
+    let response_ms = usual_ms * duration_factor;
     let rounds = f64::from(work.requests) / f64::from(endpoint.slots.max(1));
     let first_ms = response_ms * (1.0 + rounds);
     let cost_ms = first_ms + fixed_cost_ms(endpoint, inputs);
-    Choice { endpoint, cost_ms, unread_tokens: 0, work, first_ms, free_share: 1.0, runner_up: None }
+    Choice {
+        endpoint,
+        cost_ms,
+        unread_tokens: 0,
+        work,
+        first_ms,
+        free_share: 1.0,
+        duration_factor,
+        duration_age_ms: inputs.work_durations.age_ms(endpoint, inputs.now_ms),
+        runner_up: None,
+    }
 }
 
 /// Returns the part of the cost that does not depend on the load.
--- a/src/gateway/policy/health.rs
+++ b/src/gateway/policy/health.rs
@@ -82,7 +82,8 @@
             .is_some_and(|observed| now_ms < observed.last_bytes_ms + ALIVE_MS)
     }
 
-    /// Records the end of a response, its success and its duration.
+    /// Records the end of a response, its success and its duration, which for an endpoint that reports how
+    /// long its work takes is divided by that.
     pub fn record_response(
         &mut self,
         endpoint: EndpointKey,
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod choose;
+pub mod engine_times;
 pub mod event_gaps;
 pub mod health;
 pub mod limits;
--- a/src/gateway/policy/prefill.rs
+++ b/src/gateway/policy/prefill.rs
@@ -5,6 +5,8 @@
 //! own. The slope is a least-squares fit through the origin with exponential decay of older
 //! responses.
 
+use crate::gateway::policy::engine_times;
+
 /// Slope before any response was observed, in ms per token.
 const PRIOR_MS_PER_TOKEN: f64 = 0.02;
 /// Weight of the prior, in squared tokens: that of five responses to prompts of 4,000 tokens.
@@ -35,6 +37,8 @@
     tokens_squared: f64,
     run_ms: f64,
     ms_per_output_token: f64,
+    /// Times at the usual duration of work, for services whose endpoints report it.
+    pub fitted: engine_times::EngineTimes,
 }
 
 impl Default for PrefillModel {
@@ -44,6 +48,7 @@
             tokens_squared: PRIOR_WEIGHT,
             run_ms: PRIOR_RUN_MS,
             ms_per_output_token: PRIOR_MS_PER_OUTPUT_TOKEN,
+            fitted: engine_times::EngineTimes::default(),
         }
     }
 }
@@ -81,8 +86,7 @@
     /// or queued. Part of the slots is kept free, see [`SPARE_ONE_IN`].
     #[must_use]
     pub fn slot_wait_ms(&self, requests: u32, slots: u32) -> f64 {
-        let over = (requests + 1).saturating_sub(slots - slots / SPARE_ONE_IN);
-        f64::from(over) * self.run_ms / f64::from(slots.max(1))
+        slot_wait_ms(requests, slots, self.run_ms)
     }
 
     /// Returns the time to prefill this many tokens.
@@ -97,3 +101,10 @@
         BASE_MS + self.prefill_ms(tokens)
     }
 }
+
+/// Returns how long one more request waits for a slot where requests take `run_ms`.
+#[must_use]
+pub fn slot_wait_ms(requests: u32, slots: u32, run_ms: f64) -> f64 {
+    let over = (requests + 1).saturating_sub(slots - slots / SPARE_ONE_IN);
+    f64::from(over) * run_ms / f64::from(slots.max(1))
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -254,12 +254,7 @@
                         self.bill_as(job, now_ms, Billed::OutcomeUnknown);
                     }
                     let took_ms = self.now_ms() - now_ms;
-                    self.health.borrow_mut().record_response(
-                        choice.endpoint.key,
-                        false,
-                        took_ms,
-                        now_ms,
-                    );
+                    self.record_response_time(choice.endpoint, false, took_ms, now_ms);
                     if !job.kind.is_repeatable() {
                         let is_expired = job.left_ms(self.now_ms()) == 0;
                         let expired = error::Kind::DeadlineExceeded;
@@ -299,11 +294,13 @@
         let prefix_index = self.shared.prefix_index();
         let health = self.health.borrow();
         let event_gaps = self.event_gaps.borrow();
+        let work_durations = self.shared.work_durations();
         let inputs = choose::Inputs {
             load_table: &load_table,
             prefix_index: &prefix_index,
             health: &health,
             event_gaps: &event_gaps,
+            work_durations: &work_durations,
             gap_limit_ms: job.route().gap_target_ms,
             zone: &self.shared.settings.zone,
             now_ms,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -122,6 +122,8 @@
     /// The response carries the endpoint's signature.
     pub is_signed: bool,
     pub load: Option<ReportedLoad>,
+    /// The load that the endpoint reports, as sent, if part of it is malformed or implausible.
+    pub malformed_load: Option<CompactString>,
     /// How long the endpoint, having rejected the request, asks this entry to send no further ones.
     pub retry_after_ms: Option<u32>,
     /// The endpoint is leaving and accepts no further requests.
@@ -135,6 +137,10 @@
 pub struct ReportedLoad {
     pub running: u32,
     pub waiting: u32,
+    /// `None` if it was not sent or is malformed.
+    pub slots: Option<u32>,
+    /// How long work takes there now, in percent of the usual duration; `None` as above.
+    pub duration_percent: Option<u32>,
 }
 
 /// Protocol between entry and endpoint, implemented by a platform adapter.
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -84,6 +84,11 @@
         "before_per_s" => change.before.map(limits::Rate::per_s), "source" => source);
 }
 
+/// Logs that part of a load report of an endpoint was dropped.
+pub(super) fn log_malformed_load(log: &slog::Logger, endpoint: &str, header: &str) {
+    slog::warn!(log, "malformed load report"; "endpoint" => endpoint, "header" => header);
+}
+
 /// Logs requests and prompt parts that came into quarantine or were released.
 pub(super) fn log_quarantine(
     log: &slog::Logger,
@@ -156,6 +161,8 @@
             "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
             "version" => job.table.version(), "priority" => job.priority,
             "free_share" => choice.free_share, "first_ms" => choice.first_ms as u64,
+            "duration_percent" => choice.duration_percent(),
+            "duration_age_ms" => choice.duration_age_ms,
             "load_age_ms" => self.shared.load_table().age_ms(self.now_ms()));
     }
 
@@ -174,6 +181,8 @@
             "first_ms" => choice.first_ms as u64, "unread_tokens" => choice.unread_tokens,
             "ahead_tokens" => choice.work.unread_tokens, "running" => choice.work.requests,
             "load_age_ms" => self.shared.load_table().age_ms(self.now_ms()),
+            "duration_percent" => choice.duration_percent(),
+            "duration_age_ms" => choice.duration_age_ms,
             "limit_per_s" => limit.map(limits::Rate::per_s),
             "left_ms" => job.left_ms(self.now_ms()), "output_tokens" => job.output_tokens(),
             "run_ms" => self.expected_run_ms(job), "stopping_ms" => self.shared.stop.stopping_ms());
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -10,7 +10,7 @@
 
 use super::duties::tally;
 use super::policy::{
-    admission, durations, limits, load, prefill, prefix_index, quarantine, warmup,
+    admission, durations, limits, load, prefill, prefix_index, quarantine, warmup, work_duration,
 };
 use super::{
     buffer_allowance, departures, directory, evacuation, route, served_versions, settings,
@@ -100,6 +100,7 @@
     pub durations: durations::ByService,
     /// Measured prefill speed and run times of the engines, by service.
     prefill_models: Mutex<HashMap<CompactString, prefill::PrefillModel>>,
+    work_durations: Mutex<work_duration::WorkDurations>,
 }
 
 impl Shared {
@@ -134,6 +135,7 @@
             pending_counts: Mutex::default(),
             durations: durations::ByService::default(),
             prefill_models: Mutex::default(),
+            work_durations: Mutex::default(),
         }
     }
 
@@ -193,20 +195,18 @@
         lock(&self.prefill_models).get(service).copied().unwrap_or_default()
     }
 
-    /// Records a response whose first event came after `took_ms`, with `tokens` to prefill before it.
-    pub fn observe_first_event(&self, service: &CompactString, tokens: u64, took_ms: u64) {
-        lock(&self.prefill_models)
-            .entry(service.clone())
-            .or_default()
-            .observe_first_event(tokens, took_ms);
+    /// Updates the measured prefill speed and run times of a service's engines.
+    pub fn update_prefill_model(
+        &self,
+        service: &CompactString,
+        update: impl FnOnce(&mut prefill::PrefillModel),
+    ) {
+        update(lock(&self.prefill_models).entry(service.clone()).or_default());
     }
 
-    /// Records the run time of a completed stream.
-    pub fn observe_run(&self, service: &CompactString, output_tokens: u32, ran_ms: u64) {
-        lock(&self.prefill_models)
-            .entry(service.clone())
-            .or_default()
-            .observe_run(output_tokens, ran_ms);
+    /// Locks the durations of work that the endpoints have reported.
+    pub fn work_durations(&self) -> MutexGuard<'_, work_duration::WorkDurations> {
+        lock(&self.work_durations)
     }
 
     /// Length of a billing window.
--- a/src/gateway/whole_response.rs
+++ b/src/gateway/whole_response.rs
@@ -53,12 +53,7 @@
             Ok(Ok(body)) => Some(body),
         };
         let is_success = body.is_some() && !is_failure;
-        self.health.borrow_mut().record_response(
-            response.endpoint.key,
-            is_success,
-            took_ms,
-            now_ms,
-        );
+        self.record_response_time(&response.endpoint, is_success, took_ms, now_ms);
         if !is_success {
             job.may_have_run = true;
             slog::info!(self.log, "endpoint failed"; "request" => job.request.id.as_str(),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod versions;
 mod virtual_fleet;
 mod warmup;
+mod work_duration;
 
 use proptest::test_runner::{Config, RngSeed};
 
