--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod choose;
+pub mod engine_times;
 pub mod event_gaps;
 pub mod health;
 pub mod limits;
@@ -16,5 +17,6 @@
 pub mod prefix_index;
 pub mod quarantine;
 pub mod warmup;
+pub mod work_duration;
 
 pub use crate::durations;
