Read ahead for slow callers within an allowance sized by memory_mb

Cause: a caller that stops reading made the entry stop reading its endpoint, which cuts the response off, and what the HTTP server held of complete responses was not counted. Without overload_control nothing changes.

--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -227,7 +227,7 @@
             let Some(events) = self.splitter.push(&piece) else {
                 return Step::Lost(http1::Error::Malformed);
             };
-            if !self.reservation.resize(self.splitter.pending_bytes()) {
+            if !self.gateway.reserve(&mut self.reservation, self.splitter.pending_bytes()) {
                 return Step::Lost(http1::Error::Malformed);
             }
             if events.bytes.is_empty() {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -49,6 +49,18 @@
     .increment(1);
 }
 
+/// Sets what the entry buffers of the responses to callers and from endpoints, and the allowance for it.
+pub fn buffered(buffered_bytes: usize, allowance_bytes: usize) {
+    metrics::gauge!("briarwinch_gateway_buffered_bytes").set(buffered_bytes as f64);
+    metrics::gauge!("briarwinch_gateway_buffer_allowance_bytes").set(allowance_bytes as f64);
+}
+
+/// Counts a response that was ended because its caller did not read it.
+pub fn slow_reader_dropped(cause: &'static str) {
+    metrics::counter!("briarwinch_gateway_slow_readers_dropped_total", "cause" => cause)
+        .increment(1);
+}
+
 /// Counts a call to the store by operation, kind of object and outcome.
 pub fn store_call(call: &'static str, kind: String, outcome: &'static str) {
     metrics::counter!("briarwinch_gateway_store_calls_total",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod admit;
 pub mod attempt;
 pub mod buffer_allowance;
+pub mod caller_buffers;
 mod continuation;
 pub mod control;
 mod crash_check;
@@ -64,6 +65,7 @@
     pool: RefCell<pool::Pool>,
     health: RefCell<health::Health>,
     event_gaps: RefCell<event_gaps::EventGaps>,
+    caller_buffers: caller_buffers::CallerBuffers,
     budgets: RefCell<budget::RetryBudgets>,
     cold_sends: RefCell<warmup::ColdSends>,
     backoff: RefCell<backoff::Backoff>,
@@ -93,6 +95,7 @@
             pool: RefCell::default(),
             health: RefCell::default(),
             event_gaps: RefCell::default(),
+            caller_buffers: caller_buffers::CallerBuffers::default(),
             cold_sends: RefCell::default(),
             backoff: RefCell::default(),
             crash_checks: RefCell::default(),
@@ -101,6 +104,9 @@
             log,
         });
         task::spawn_local(sweep(Rc::clone(&gateway)));
+        if gateway.shared.settings.overload_control {
+            task::spawn_local(caller_buffers::watch(Rc::clone(&gateway)));
+        }
         gateway
     }
 
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -15,6 +15,7 @@
 pub mod prefill;
 pub mod prefix_index;
 pub mod quarantine;
+pub mod slow_readers;
 pub mod warmup;
 
 pub use crate::durations;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -76,6 +76,12 @@
     /// Tolerance for cold endpoints; none where endpoints are never cold.
     #[serde(default)]
     pub cold_rate: Option<ColdRate>,
+    /// Whether the entry limits what it takes on under overload.
+    #[serde(default)]
+    pub overload_control: bool,
+    /// Memory of this instance in units of 1,000,000 bytes; none if it is unknown.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// Time from the request to stop until the process is killed.
     pub stop_s: f64,
     /// CPU share of this process on its instance, in cores.
@@ -126,6 +132,11 @@
             crate::path!["cold_rate"],
             "factor must be above zero and extra must not be negative",
         )?;
+        require(
+            self.memory_mb != Some(0),
+            crate::path!["memory_mb"],
+            "the memory must be more than zero",
+        )?;
         require(
             self.retries.window_s > 0.0,
             crate::path!["retries", "window_s"],
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -105,6 +105,10 @@
 impl Shared {
     #[must_use]
     pub fn new(settings: settings::Gateway, boot: u64) -> Self {
+        let buffer_allowance = match settings.overload_control {
+            true => buffer_allowance::BufferAllowance::of_memory(settings.memory_mb),
+            false => buffer_allowance::BufferAllowance::default(),
+        };
         Self {
             urgent_update: Notify::new(),
             stream_versions_due: Notify::new(),
@@ -121,7 +125,7 @@
             counts_delivered: AtomicBool::new(true),
             serving_peers: AtomicUsize::new(0),
             admission: admission::AdmissionControl::default(),
-            buffer_allowance: Arc::default(),
+            buffer_allowance: Arc::new(buffer_allowance),
             load_table: Mutex::default(),
             rejections: Mutex::default(),
             limits: Mutex::default(),
--- a/src/gateway/whole_response.rs
+++ b/src/gateway/whole_response.rs
@@ -97,7 +97,9 @@
         let half_ms = now_ms + job.left_ms(now_ms) / 2;
         let length = response.head.header("content-length");
         let stated_bytes: usize = length.and_then(|value| value.trim().parse().ok()).unwrap_or(0);
-        while stated_bytes <= MAX_BUFFERED_BYTES && !reservation.resize(stated_bytes) {
+        while stated_bytes <= MAX_BUFFERED_BYTES
+            && !self.reserve_whole(&mut reservation, stated_bytes)
+        {
             time::sleep(ALLOWANCE_POLL).await;
         }
         let may_buffer = |body_bytes: usize| {
@@ -106,7 +108,7 @@
                 && self.now_ms() >= half_ms
                 && job.kind.is_repeatable()
                 && self.can_retry(job);
-            !gives_up && reservation.resize(body_bytes.max(stated_bytes))
+            !gives_up && self.reserve(&mut reservation, body_bytes.max(stated_bytes))
         };
         response.connection.read_body_while(MAX_BUFFERED_BYTES, may_buffer).await
     }
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -95,6 +95,8 @@
         leave_ms: 4_000,
         evacuation_ms: Some(5_000),
         cold_rate: None,
+        overload_control: false,
+        memory_mb: None,
         stop_s: 8.0,
         cores,
     }
