Tests of slow readers; responses end once their caller has taken most of them

Cause: with a larger write buffer the HTTP server cut off up to half of it a second after it had closed a connection (800 of 974 events arrived in the test).

--- a/src/gateway/caller_buffers.rs
+++ b/src/gateway/caller_buffers.rs
@@ -33,12 +33,10 @@
 /// Age of unsent bytes from which a stream is cut when the last answers are due, and not with the other streams.
 const CUT_AGE_MS: u64 = 100;
 
+/// What a response consists of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
-    /// A stream whose body is not complete.
-    OpenStream,
-    /// A stream that is in the write buffer up to its end.
-    WrittenStream,
+pub enum Kind {
+    Stream,
     Complete,
 }
 
@@ -52,7 +50,9 @@
     reservation: buffer_allowance::Reservation,
     /// When the caller last took bytes, or all of them.
     progress_ms: u64,
-    /// Delays the exit for a written stream.
+    /// Whether its body is not yet taken but for what the HTTP server may hold when it closes a connection.
+    is_open: bool,
+    /// Delays the exit while the caller takes the rest of a written response.
     active: Option<job::ActiveGuard>,
 }
 
@@ -93,7 +93,7 @@
     fn refresh(&mut self, now_ms: u64) {
         self.records.retain(|_, record| {
             let held = record.refresh(now_ms);
-            record.kind == Kind::OpenStream || held.bytes > 0
+            record.is_open || held.bytes > 0
         });
     }
 
@@ -166,26 +166,48 @@
     None
 }
 
-/// What the HTTP server holds of one stream.
+/// What the HTTP server holds of one response.
 #[derive(Debug)]
-pub struct StreamBuffer {
+pub struct ResponseBuffer {
     gateway: Rc<Gateway>,
     io: IoRef,
     key: usize,
     closed: OnDisconnect,
     retry: Option<Pin<Box<time::Sleep>>>,
+    is_written: bool,
 }
 
-impl StreamBuffer {
+impl ResponseBuffer {
     /// Returns whether the stream may be read from its endpoint; wakes the task when it is to ask again.
     pub fn poll_room(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        self.poll_until(context, |gateway, unsent_bytes| gateway.may_read(unsent_bytes))
+    }
+
+    /// Waits until the caller has taken a response that is written up to its end. The HTTP server cuts off what it still
+    /// holds a second after it has closed a connection, so it is told the end only when that is little.
+    pub fn poll_taken(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let is_taken = |bytes| bytes <= slow_readers::ALWAYS_READ_BYTES;
+        if !self.is_written && !is_taken(unsent_bytes(&self.io)) {
+            let active = job::ActiveGuard::begin(&self.gateway.shared);
+            let mut state = self.gateway.caller_buffers.state.borrow_mut();
+            state.records[self.key].active = Some(active);
+        }
+        self.is_written = true;
+        self.poll_until(context, |_, unsent_bytes| is_taken(unsent_bytes))
+    }
+
+    fn poll_until(
+        &mut self,
+        context: &mut Context<'_>,
+        condition: impl Fn(&Gateway, usize) -> bool,
+    ) -> Poll<()> {
         loop {
             let unsent_bytes = unsent_bytes(&self.io);
             if unsent_bytes > 0 {
                 // The server waits for the connection's end only while it waits for the write buffer.
                 let _ = Pin::new(&mut self.closed).poll(context);
             }
-            if self.gateway.may_read(unsent_bytes) {
+            if condition(&self.gateway, unsent_bytes) {
                 self.retry = None;
                 return Poll::Ready(());
             }
@@ -195,13 +217,16 @@
         }
     }
 
-    /// Records events that are handed to the HTTP server next.
+    /// Records bytes that are handed to the HTTP server next.
     pub fn write(&mut self, bytes: usize) {
         let gateway = &self.gateway;
         let now_ms = gateway.now_ms();
         let state = &mut *gateway.caller_buffers.state.borrow_mut();
         let record = &mut state.records[self.key];
-        let written_bytes = bytes + chunk_frame_bytes(bytes);
+        let written_bytes = match record.kind {
+            Kind::Stream => bytes + chunk_frame_bytes(bytes),
+            Kind::Complete => bytes,
+        };
         record.unsent.write(written_bytes, now_ms);
         let held = record.unsent.held(unsent_bytes(&self.io) + written_bytes, now_ms);
         if held.bytes <= written_bytes {
@@ -218,56 +243,50 @@
     bytes.checked_ilog2().unwrap_or(0) as usize / 4 + 1 + LINE_ENDS
 }
 
-impl Drop for StreamBuffer {
+impl Drop for ResponseBuffer {
     fn drop(&mut self) {
         let now_ms = self.gateway.now_ms();
         let state = &mut *self.gateway.caller_buffers.state.borrow_mut();
         let record = &mut state.records[self.key];
-        record.kind = Kind::WrittenStream;
+        record.is_open = false;
+        record.active = None;
         if record.refresh(now_ms).bytes == 0 {
             state.records.remove(self.key);
-        } else {
-            record.active = Some(job::ActiveGuard::begin(&self.gateway.shared));
         }
     }
 }
 
 impl Gateway {
-    fn record(&self, io: &IoRef, request: &str, kind: Kind) -> Record {
-        Record {
+    /// Begins to count what the HTTP server holds of a response; `None` without overload control.
+    #[must_use]
+    pub fn buffer_response(
+        self: &Rc<Self>,
+        io: &IoRef,
+        request: &str,
+        kind: Kind,
+    ) -> Option<ResponseBuffer> {
+        if !self.shared.settings.overload_control {
+            return None;
+        }
+        let record = Record {
             io: io.clone(),
             request: request.into(),
             kind,
             unsent: slow_readers::Unsent::default(),
             reservation: buffer_allowance::Reservation::new(&self.shared.buffer_allowance),
             progress_ms: self.now_ms(),
+            is_open: true,
             active: None,
-        }
-    }
-
-    /// Begins to count what the HTTP server holds of a stream; `None` without overload control.
-    #[must_use]
-    pub fn buffer_stream(self: &Rc<Self>, io: &IoRef, request: &str) -> Option<StreamBuffer> {
-        if !self.shared.settings.overload_control {
-            return None;
-        }
-        let record = self.record(io, request, Kind::OpenStream);
+        };
         let key = self.caller_buffers.state.borrow_mut().records.insert(record);
-        let closed = io.on_disconnect();
-        Some(StreamBuffer { gateway: Rc::clone(self), io: io.clone(), key, closed, retry: None })
-    }
-
-    /// Counts a complete response of this size until the caller has taken it. It has to be handed to the HTTP server
-    /// before the thread does anything else. Does nothing without overload control.
-    pub fn buffer_response(&self, io: &IoRef, request: &str, bytes: usize) {
-        if !self.shared.settings.overload_control || bytes == 0 {
-            return;
-        }
-        let now_ms = self.now_ms();
-        let mut record = self.record(io, request, Kind::Complete);
-        record.unsent.write(bytes, now_ms);
-        record.reservation.resize_always(bytes);
-        self.caller_buffers.state.borrow_mut().records.insert(record);
+        Some(ResponseBuffer {
+            gateway: Rc::clone(self),
+            io: io.clone(),
+            key,
+            closed: io.on_disconnect(),
+            retry: None,
+            is_written: false,
+        })
     }
 
     fn may_read(&self, unsent_bytes: usize) -> bool {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod quarantine;
 mod retries;
 mod routes;
+mod slow_readers;
 mod streams;
 mod succession;
 mod versions;
