--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -16,6 +16,7 @@
 pub mod prefill;
 pub mod prefix_index;
 pub mod quarantine;
+pub mod slow_readers;
 pub mod warmup;
 pub mod work_duration;
 
