Queue calls to plain services in the entry

Calls were sent at once, and full endpoints answered 503. With overload_control an entry limits its calls in progress per service by the endpoints' answers, orders waiting calls by priority and account, and refuses what would be late. Without it nothing changes.

The process tests have not run yet.

--- a/src/fairness.rs
+++ b/src/fairness.rs
@@ -68,6 +68,31 @@
         self.waiting.first().map(|(_, account)| account)
     }
 
+    /// Returns the accounts with the least service among the waiting ones.
+    pub fn least(&self) -> impl Iterator<Item = &CompactString> {
+        let least = self.waiting.first().map(|(counter, _)| *counter);
+        self.waiting
+            .iter()
+            .take_while(move |(counter, _)| Some(*counter) == least)
+            .map(|(_, account)| account)
+    }
+
+    /// Returns the accounts whose last waiting request starts last if each is charged `cost`.
+    #[must_use]
+    pub fn latest(&self, cost: u64) -> Vec<CompactString> {
+        let last_start = |counter: u64, account: &CompactString| {
+            let waiting = self.accounts.get(account).map_or(0, |one| u64::from(one.waiting));
+            counter.saturating_add(waiting * cost * SCALE)
+        };
+        let starts = self.waiting.iter().map(|(counter, account)| last_start(*counter, account));
+        let Some(latest) = starts.max() else {
+            return Vec::new();
+        };
+        let waiting = self.waiting.iter();
+        let accounts = waiting.filter(|(counter, account)| last_start(*counter, account) == latest);
+        accounts.map(|(_, account)| account.clone()).collect()
+    }
+
     /// Records the start of a request and charges the estimate of its service.
     pub fn start(&mut self, account: &CompactString, share: u32, estimate: u64) -> Charge {
         self.accounts.entry(account.clone()).or_default().running += 1;
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -75,6 +75,7 @@
             at_endpoint_since_ms: Rc::default(),
             billed: Billed::No,
             pending_count: None,
+            place: None,
             _active: ActiveGuard::begin(&self.shared),
             table,
         })
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -212,6 +212,7 @@
         sent_ms: u64,
     ) {
         let now_ms = self.now_ms();
+        self.record_call_answer(endpoint, info, sent_ms, now_ms);
         self.health.borrow_mut().record_bytes(endpoint.key, now_ms);
         if let Some(load) = info.load {
             self.shared.load_table().record_report(
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -13,7 +13,7 @@
 use super::fingerprint::Fingerprint;
 use super::request::{EndpointRequest, Rank, Request};
 use super::sent_request::ResponseTimeout;
-use super::{metrics, route, shared, stream_versions};
+use super::{call_admission, metrics, route, shared, stream_versions};
 
 /// Multiple of the expected time to the first event after which the wait ends, if another endpoint may
 /// take the request. A smaller factor would cost requests their place in a queue for no gain.
@@ -56,6 +56,8 @@
     pub(super) billed: Billed,
     /// Held while a send may still prove to have run, and so have to be billed.
     pub(super) pending_count: Option<shared::PendingCount>,
+    /// Place among the calls in progress; none where calls do not wait for one.
+    pub(super) place: Option<call_admission::Place>,
     pub(super) _active: ActiveGuard,
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -87,3 +87,26 @@
     metrics::gauge!("briarwinch_gateway_peers").set(peers as f64);
     metrics::gauge!("briarwinch_gateway_holds_duties").set(f64::from(u8::from(holds_duties)));
 }
+
+/// Sets the gauges of a service's call queue.
+pub fn call_queue(service: &str, waiting: usize, in_progress: u32, limit: u32) {
+    metrics::gauge!("briarwinch_gateway_calls_waiting", "service" => service.to_owned())
+        .set(waiting as f64);
+    metrics::gauge!("briarwinch_gateway_calls_in_progress", "service" => service.to_owned())
+        .set(f64::from(in_progress));
+    metrics::gauge!("briarwinch_gateway_call_limit", "service" => service.to_owned())
+        .set(f64::from(limit));
+}
+
+/// Records how long a call waited for its place.
+pub fn call_waited(service: &str, waited_ms: u64) {
+    metrics::histogram!("briarwinch_gateway_call_wait_seconds", "service" => service.to_owned())
+        .record(waited_ms as f64 / 1_000.0);
+}
+
+/// Counts a call that was refused while it waited, by reason.
+pub fn call_refused(service: &str, reason: &'static str) {
+    metrics::counter!("briarwinch_gateway_calls_refused_total",
+        "service" => service.to_owned(), "reason" => reason)
+    .increment(1);
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod admit;
 pub mod attempt;
 pub mod buffer_allowance;
+mod call_admission;
 mod continuation;
 pub mod control;
 mod crash_check;
@@ -67,6 +68,7 @@
     budgets: RefCell<budget::RetryBudgets>,
     cold_sends: RefCell<warmup::ColdSends>,
     backoff: RefCell<backoff::Backoff>,
+    call_queues: RefCell<call_admission::Queues>,
     /// Endpoints that may have ended, with what was lost with them.
     crash_checks: RefCell<HashMap<directory::EndpointKey, crash_check::Losses>>,
     /// Requests that were sent and have not ended.
@@ -95,6 +97,7 @@
             event_gaps: RefCell::default(),
             cold_sends: RefCell::default(),
             backoff: RefCell::default(),
+            call_queues: RefCell::default(),
             crash_checks: RefCell::default(),
             open_sends: RefCell::default(),
             abandoned: RefCell::default(),
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -6,6 +6,8 @@
 pub mod admission;
 pub mod backoff;
 pub mod budget;
+pub mod call_limit;
+pub mod call_queue;
 pub mod choose;
 pub mod event_gaps;
 pub mod health;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -100,6 +100,7 @@
         failed: &mut Option<(http1::Head, bytes::Bytes)>,
     ) -> Result<Forwarded, error::Refusal> {
         self.pin_version(job).await?;
+        self.await_place(job).await?;
         loop {
             let response = self.send(job).await?;
             if job.kind.is_stream() && (200..300).contains(&response.head.status) {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -81,6 +81,9 @@
     /// CPU share of this process on its instance, in cores.
     #[serde(default = "one_core")]
     pub cores: f64,
+    /// Whether overload is controlled before requests are sent: calls to plain services wait in the entry.
+    #[serde(default)]
+    pub overload_control: bool,
 }
 
 fn one_core() -> f64 {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod billing;
 mod buffers;
+mod call_queue;
 mod choice;
 mod connections;
 mod departures;
