Ties between accounts go to the one served longest ago

A flood waits at each entry, and the counter of an account that begins to wait is raised to that of the flood, so order of arrival decided and the flood won most ties.

--- a/src/gateway/policy/call_queue.rs
+++ b/src/gateway/policy/call_queue.rs
@@ -20,6 +20,8 @@
 /// How long a call without an answer counts toward the calls in progress. Otherwise a silent endpoint would
 /// block the queue.
 pub const SILENT_MS: u64 = 1_000;
+/// How long the last dispatch of an account is kept at least.
+const SERVED_KEPT_MS: u64 = 1_000;
 /// Service charged to an account for one call.
 const CALL_COST: u64 = 1;
 
@@ -84,6 +86,10 @@
 struct Class {
     counters: fairness::Counters,
     tickets: HashMap<CompactString, BTreeSet<Ticket>>,
+    /// Last dispatch of the accounts that were served recently.
+    served_ms: HashMap<CompactString, u64>,
+    /// When `served_ms` was last cleared of old dispatches.
+    swept_ms: u64,
     waiting: usize,
     /// Dispatches of more urgent calls since the last one of this class, while there was demand for it.
     passed_over: u32,
@@ -117,16 +123,34 @@
     }
 
     /// The oldest call among those of the accounts with the least service.
+    ///
+    /// The counter of an account that begins to wait is raised to the least one, which is that of a flooding
+    /// account if only that one waits. Of equal counters the account that was served longest ago goes first;
+    /// otherwise a flood would win most ties.
     fn first(&self) -> Option<Ticket> {
-        let accounts = self.counters.least();
-        accounts.filter_map(|account| self.tickets.get(account)?.first().copied()).min()
+        let oldest = |account| {
+            let ticket = self.tickets.get(account)?.first().copied()?;
+            Some((self.served_ms.get(account).copied(), ticket))
+        };
+        self.counters.least().filter_map(oldest).min().map(|(_, ticket)| ticket)
     }
 
     /// The newest call among those of the accounts whose last call starts last.
     fn last(&self) -> Option<Ticket> {
-        let accounts = self.counters.latest(CALL_COST);
-        let newest = |account: CompactString| self.tickets.get(&account)?.last().copied();
-        accounts.into_iter().filter_map(newest).max()
+        let newest = |account: CompactString| {
+            let ticket = self.tickets.get(&account)?.last().copied()?;
+            Some((self.served_ms.get(&account).copied(), ticket))
+        };
+        let accounts = self.counters.latest(CALL_COST).into_iter();
+        accounts.filter_map(newest).max().map(|(_, ticket)| ticket)
+    }
+
+    fn record_served(&mut self, account: &CompactString, now_ms: u64) {
+        self.served_ms.insert(account.clone(), now_ms);
+        if now_ms >= self.swept_ms + SERVED_KEPT_MS {
+            self.swept_ms = now_ms;
+            self.served_ms.retain(|_, served_ms| now_ms < *served_ms + SERVED_KEPT_MS);
+        }
     }
 }
 
@@ -275,6 +299,7 @@
             let charge = class.counters.start(account, 1, CALL_COST);
             // An account whose calls are all in progress is idle here: only waiting counts.
             class.counters.finish(account, 1, charge, CALL_COST);
+            class.record_served(account, now_ms);
         }) else {
             return;
         };
