--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod admit;
 pub mod attempt;
 pub mod buffer_allowance;
+mod call_admission;
 pub mod caller_buffers;
 mod continuation;
 pub mod control;
@@ -70,6 +71,7 @@
     budgets: RefCell<budget::RetryBudgets>,
     cold_sends: RefCell<warmup::ColdSends>,
     backoff: RefCell<backoff::Backoff>,
+    call_queues: RefCell<call_admission::Queues>,
     /// Endpoints that may have ended, with what was lost with them.
     crash_checks: RefCell<HashMap<directory::EndpointKey, crash_check::Losses>>,
     /// Requests that were sent and have not ended.
@@ -99,6 +101,7 @@
             caller_buffers: caller_buffers::CallerBuffers::default(),
             cold_sends: RefCell::default(),
             backoff: RefCell::default(),
+            call_queues: RefCell::default(),
             crash_checks: RefCell::default(),
             open_sends: RefCell::default(),
             abandoned: RefCell::default(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -76,8 +76,10 @@
     /// Tolerance for cold endpoints; none where endpoints are never cold.
     #[serde(default)]
     pub cold_rate: Option<ColdRate>,
-    /// Whether the entry limits what it takes on under overload.
-    #[serde(default)]
+    /// Whether the entry controls overload: calls to plain services wait for a place, what callers that read slowly
+    /// have not taken is bounded, and engines are kept within their memory. In the file either `true` or `false`, or the
+    /// deployment's `rules` and those by which it is `asked_for_by`.
+    #[serde(default, deserialize_with = "overload_control")]
     pub overload_control: bool,
     /// Memory of this instance in units of 1,000,000 bytes; none if it is unknown.
     #[serde(default)]
@@ -89,6 +91,27 @@
     pub cores: f64,
 }
 
+/// Overload control as the settings file states it.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum OverloadControl {
+    Always(bool),
+    /// On if one of the rules of the deployment is among those that ask for it.
+    ByRule {
+        asked_for_by: Vec<CompactString>,
+        rules: Vec<CompactString>,
+    },
+}
+
+fn overload_control<'de, D: serde::Deserializer<'de>>(file: D) -> Result<bool, D::Error> {
+    Ok(match OverloadControl::deserialize(file)? {
+        OverloadControl::Always(is_on) => is_on,
+        OverloadControl::ByRule { asked_for_by, rules } => {
+            rules.iter().any(|rule| asked_for_by.contains(rule))
+        }
+    })
+}
+
 fn one_core() -> f64 {
     1.0
 }
