--- a/tests/gateway/call_queue.rs
+++ b/tests/gateway/call_queue.rs
@@ -65,8 +65,8 @@
     flood_on_time: u32,
 }
 
-/// Replays the load: bursts every second, in which one account sends at 12 times its rate, and
-/// refused callers that return at once until their time limit.
+/// Replays the load: bursts every second, in which one account sends at 27 times the rate of each other one, and
+/// refused callers that return after 1 ms until their time limit.
 fn replay(entries: usize, is_queued: bool, seed: u64) -> Outcome {
     let mut random = StdRng::seed_from_u64(seed);
     let mut queues: Vec<CallQueue> = (0..entries).map(|_| queue(3, 3 * SLOTS)).collect();
@@ -80,6 +80,7 @@
         let mut arrivals: Vec<Request> = returning.drain(..).collect();
         for account in 0..ACCOUNTS {
             // 860 calls a second of the others and 1,000 of the flood, of 1,200 that the endpoints serve.
+            // The flood is above the 12 times of the contention load, so that the demand exceeds the capacity.
             let flood = if account == 0 { 12.0 } else { 1.0 };
             let per_ms = if is_burst { 0.0375 * flood } else { 0.0375 / 2.6 };
             let flood_more = if account == 0 && is_burst { 1.0 - per_ms } else { 0.0 };
