--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -81,6 +81,9 @@
     /// CPU share of this process on its instance, in cores.
     #[serde(default = "one_core")]
     pub cores: f64,
+    /// Whether the entry limits what it sends by what endpoints can take.
+    #[serde(default)]
+    pub overload_control: bool,
 }
 
 fn one_core() -> f64 {
