Forecast gaps between events, and keep requests within engine memory

Change: load::Work counts streams by gap limit and the tokens that requests hold. They travel in a new message, Details; Work messages and configuration pulls keep the encoding of earlier builds. The cost of an engine includes the streams that the request would make late there, and with overload_control engines without room are left out or the request is refused. Existing tests only name the new fields of Work, Engine and Inputs.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use tokio::time;
 
 use super::directory::EndpointKey;
-use super::policy::{choose, load};
+use super::policy::{choose, engine_memory, gap_forecast, load};
 use super::sent_request::{Evidence, ResponseTimeout, SentRequest};
 use super::{Gateway, departures, directory, http1, job, pool, request, request_log};
 
@@ -33,6 +33,8 @@
     gateway: Rc<Gateway>,
     endpoint: EndpointKey,
     work: load::Work,
+    /// Shared parts of the prompt that take memory there; empty where memory is not considered.
+    used_parts: Vec<request::PromptPart>,
     /// Prompt tokens to prefill before the first event, including those of requests ahead in the queue.
     prefill_tokens: u64,
     /// Key of the request among those that were sent and have not ended.
@@ -40,12 +42,32 @@
 }
 
 impl LoadGuard {
-    fn open(gateway: &Rc<Gateway>, choice: &choose::Choice<'_>) -> Self {
-        let work = load::Work { requests: 1, unread_tokens: u64::from(choice.unread_tokens) };
-        gateway.shared.load_table().add(choice.endpoint.key, work, gateway.now_ms());
-        let prefill_tokens = choice.work.unread_tokens + work.unread_tokens;
+    fn open(gateway: &Rc<Gateway>, job: &job::Job, choice: &choose::Choice<'_>) -> Self {
+        let mut work = load::Work {
+            requests: 1,
+            unread_tokens: u64::from(choice.unread_tokens),
+            ..load::Work::default()
+        };
+        let mut used_parts = Vec::new();
+        if let Some(prompt) = job.request.prompt.as_ref().filter(|_| job.service().engine.is_some())
+        {
+            let class = gap_forecast::class_of(job.route().gap_target_ms);
+            if let Some(class) = class.filter(|_| choice.gaps.is_some() && job.kind.is_stream()) {
+                work.streams[class] = 1;
+            }
+            if gateway.shared.settings.overload_control {
+                work.memory_tokens = engine_memory::private_tokens(prompt);
+                used_parts = prompt.shared_parts().to_vec();
+            }
+        }
         let endpoint = choice.endpoint.key;
-        Self { gateway: Rc::clone(gateway), endpoint, work, prefill_tokens, open_send: None }
+        let mut load_table = gateway.shared.load_table();
+        load_table.add(endpoint, work, gateway.now_ms());
+        load_table.add_used_parts(endpoint, &used_parts);
+        drop(load_table);
+        let prefill_tokens = choice.work.unread_tokens + work.unread_tokens;
+        let gateway = Rc::clone(gateway);
+        Self { gateway, endpoint, work, used_parts, prefill_tokens, open_send: None }
     }
 
     /// Records that the request is sent now, on an established connection.
@@ -62,7 +84,8 @@
 
     /// Removes the prompt's tokens from the load table once the first event has arrived.
     pub fn prefill_done(&mut self) {
-        let read = load::Work { requests: 0, unread_tokens: self.work.unread_tokens };
+        let unread_tokens = self.work.unread_tokens;
+        let read = load::Work { unread_tokens, ..load::Work::default() };
         self.gateway.shared.load_table().remove(self.endpoint, read);
         self.work.unread_tokens = 0;
     }
@@ -70,7 +93,10 @@
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
-        self.gateway.shared.load_table().remove(self.endpoint, self.work);
+        let mut load_table = self.gateway.shared.load_table();
+        load_table.remove_used_parts(self.endpoint, &self.used_parts);
+        load_table.remove(self.endpoint, self.work);
+        drop(load_table);
         if let Some(key) = self.open_send {
             self.gateway.open_sends.borrow_mut().remove(key);
         }
@@ -129,7 +155,7 @@
         choice: &choose::Choice<'_>,
         timeout: ResponseTimeout,
     ) -> Result<OpenResponse, Failure> {
-        let mut load_guard = LoadGuard::open(self, choice);
+        let mut load_guard = LoadGuard::open(self, job, choice);
         let endpoint = choice.endpoint.clone();
         let connection = self.connect_or_reuse(job, &endpoint).await?;
         let now_ms = self.now_ms();
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -191,6 +191,9 @@
         Message::Work(work) => {
             control.exchange.borrow_mut().handle_work(&work, &mut shared.load_table(), now_ms);
         }
+        Message::Details(details) => {
+            shared.load_table().apply_details(&details.source, &details.rows, now_ms);
+        }
         Message::Roster(roster) => {
             let new = control.exchange.borrow_mut().peers.merge_roster(&roster, now_ms);
             new.into_iter().for_each(|addr| log_new_peer(control, addr));
--- a/src/gateway/fleet/exchange.rs
+++ b/src/gateway/fleet/exchange.rs
@@ -8,6 +8,7 @@
 //! second entry stands by, receives the same messages, and takes over once the first is silent. Two
 //! aggregators at a time do no harm: each sends complete tables, and receivers keep the newest.
 
+mod details;
 mod sending;
 
 use std::collections::HashMap;
@@ -149,6 +150,7 @@
     /// Since when this entry has aggregated.
     aggregating_since_ms: Option<u64>,
     last: LastSent,
+    details_sent: details::DetailsSent,
     last_work: Vec<load::Row>,
     last_sums: Vec<load::Row>,
     /// Sums have changed since they were last sent to the other zones.
@@ -176,6 +178,7 @@
             designated_senders: warmup::DesignatedSenders::default(),
             aggregating_since_ms: None,
             last: LastSent::default(),
+            details_sent: details::DetailsSent::default(),
             last_work: Vec::new(),
             last_sums: Vec::new(),
             is_zone_sum_due: false,
@@ -276,6 +279,7 @@
                 self.send_placements(role, prefix_index, &mut out);
             }
         }
+        self.send_details(now_ms, role, load_table, &mut out);
         // In every role: another entry may have taken this one for an aggregator.
         self.send_forwarded(now_ms, &mut out);
         out
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -65,6 +65,14 @@
     pub rows: load::Rows,
 }
 
+/// Details of part of a load table. Separate from [`Work`], whose rows are sent up to 20 times a second and which
+/// earlier versions read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Details {
+    pub source: load::Source,
+    pub rows: Vec<load::DetailRow>,
+}
+
 /// Hop of prompt part placements on their way from the entry that placed them to all others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Hop {
@@ -118,6 +126,7 @@
     PartSuspicions,
     /// Requests and prompt parts that are suspected of ending endpoints, sent with each state message.
     Suspicions(Vec<quarantine::Suspicion>),
+    Details(Details),
 }
 
 impl Message {
@@ -136,6 +145,7 @@
             Self::UnknownStreams(_) => "unknown_streams",
             Self::PartSuspicions => "part_suspicions",
             Self::Suspicions(_) => "suspicions",
+            Self::Details(_) => "details",
             Self::Counts { .. } => "counts",
             Self::CountsAck { .. } => "counts_taken",
         }
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -41,6 +41,8 @@
     lapsed: Vec<directory::Lapsed>,
     cold: Vec<directory::Cold>,
     soft_state: Option<SoftState>,
+    /// Ignored by earlier builds, and missing in their responses.
+    tokens_per_event: route::TokensPerEvent,
 }
 
 /// State that an entry loses when it stops and obtains from other entries after its next start.
@@ -109,7 +111,8 @@
         };
         match request_state(&control, advertised.from, request).await {
             Ok(response) => {
-                if let Some(parts) = response.config {
+                if let Some(mut parts) = response.config {
+                    parts.set_tokens_per_event(&response.tokens_per_event);
                     control.apply_config(parts, "peer");
                 }
                 if let Some(newer) = response.directory {
@@ -292,6 +295,9 @@
         let (table, directory) = (control.table.borrow(), control.directory.borrow());
         let newer = table.as_ref().filter(|table| table.version() > request.config_version);
         PullResponse {
+            tokens_per_event: newer
+                .map(|table| table.data().tokens_per_event())
+                .unwrap_or_default(),
             config: newer.map(|table| table.data().clone()),
             directory: (directory.revision() > request.directory_revision)
                 .then(|| directory.clone()),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a forwarding entry. `docs/METRICS.md` lists them. Label values are services of the
 //! configuration or come from fixed sets, so their number is bounded.
 
+use super::policy::engine_memory;
 use super::shared;
 
 /// Sets the number of active requests.
@@ -42,6 +43,25 @@
         .record(took_ms as f64 / 1_000.0);
 }
 
+/// Records the longest gap between events that is forecast for a chosen engine.
+pub fn gap_forecast(service: &str, longest_ms: f64) {
+    metrics::histogram!("briarwinch_gateway_gap_forecast_seconds", "service" => service.to_owned())
+        .record(longest_ms / 1_000.0);
+}
+
+/// Counts a choice in which engines had no memory for the request.
+pub fn engine_memory(service: &str, room: engine_memory::Room, priority: u8) {
+    let outcome = match room {
+        engine_memory::Room::Unchecked | engine_memory::Room::Enough { left_out: 0 } => return,
+        engine_memory::Room::Enough { .. } => "left_out",
+        engine_memory::Room::Nowhere if room.admits(priority) => "exceeded",
+        engine_memory::Room::Nowhere => "refused",
+    };
+    metrics::counter!("briarwinch_gateway_engine_memory_short_total",
+        "service" => service.to_owned(), "outcome" => outcome)
+    .increment(1);
+}
+
 /// Counts the end of a stream by its outcome.
 pub fn stream_ended(service: &str, outcome: &'static str) {
     metrics::counter!("briarwinch_gateway_streams_total",
--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -21,7 +21,10 @@
 use xxhash_rust::xxh3;
 
 use crate::gateway::directory::{Endpoint, EndpointKey};
-use crate::gateway::policy::{admission, event_gaps, health, load, prefill, prefix_index};
+use crate::gateway::policy::{
+    admission, engine_memory, event_gaps, gap_forecast, health, load, prefill, prefix_index,
+    work_duration,
+};
 use crate::gateway::request::{Prompt, PromptPart};
 use crate::gateway::route;
 
@@ -72,6 +75,11 @@
     pub health: &'a health::Health,
     pub prefill_model: &'a prefill::PrefillModel,
     pub event_gaps: &'a event_gaps::EventGaps,
+    pub work_durations: &'a work_duration::WorkDurations,
+    /// Forecast of gaps; `None` if no endpoint reports a duration or the size of events is unknown.
+    pub gap_forecast: Option<gap_forecast::Forecast>,
+    /// Whether engines without memory for the request are left out.
+    pub checks_memory: bool,
     /// Longest gap between events that is in time for the caller; zero if there is no limit.
     pub gap_limit_ms: u32,
     pub zone: &'a str,
@@ -97,10 +105,30 @@
     pub first_ms: f64,
     /// Share of the engines that are free, see [`admission::FREE_WAIT_MS`].
     pub free_share: f64,
+    /// Forecast of the gaps there; `None` if there is no forecast.
+    pub gaps: Option<gap_forecast::Candidate>,
+    /// Whether the engines' memory has room for the request.
+    pub room: engine_memory::Room,
     /// The endpoint with the next higher cost; `None` if no other was compared.
     pub runner_up: Option<RunnerUp<'a>>,
 }
 
+impl<'a> Choice<'a> {
+    fn new(endpoint: &'a Endpoint, cost_ms: f64, work: load::Work, first_ms: f64) -> Self {
+        Self {
+            endpoint,
+            cost_ms,
+            unread_tokens: 0,
+            work,
+            first_ms,
+            free_share: 1.0,
+            gaps: None,
+            room: engine_memory::Room::Unchecked,
+            runner_up: None,
+        }
+    }
+}
+
 /// The second-best endpoint of a choice.
 #[derive(Clone, Copy, Debug)]
 pub struct RunnerUp<'a> {
@@ -126,7 +154,21 @@
     // the same endpoint.
     candidates.shuffle(random);
     match (engine, prompt) {
-        (Some(engine), Some(prompt)) => choose_engine(&candidates, engine, prompt, inputs),
+        (Some(engine), Some(prompt)) => {
+            let free_share = free_share(&candidates, engine, inputs);
+            let room = engine_memory::retain_with_room(
+                &mut candidates,
+                prompt,
+                inputs.checks_memory.then_some(engine.kv_cache_tokens),
+                inputs.load_table,
+                inputs.now_ms,
+            );
+            choose_engine(&candidates, engine, prompt, inputs).map(|choice| Choice {
+                free_share,
+                room,
+                ..choice
+            })
+        }
         _ => {
             let fastest_ms = fastest_response_ms(&candidates, inputs);
             let choices = candidates.into_iter();
@@ -165,7 +207,6 @@
     inputs: &Inputs<'_>,
 ) -> Option<Choice<'a>> {
     let preferred = rendezvous(candidates, prompt, inputs);
-    let free_share = free_share(candidates, engine, inputs);
     let sample = (candidates.len() as f64 * SAMPLE_SHARE).ceil() as usize;
     let mut remaining = sample.max(MIN_SAMPLE);
     let compared = candidates.iter().copied().filter(|one| {
@@ -178,7 +219,7 @@
     });
     let choices =
         compared.map(|endpoint| engine_choice(endpoint, engine, prompt, preferred, inputs));
-    cheapest(choices).map(|choice| Choice { free_share, ..choice })
+    cheapest(choices)
 }
 
 fn has_document(endpoint: &Endpoint, prompt: &Prompt, inputs: &Inputs<'_>) -> bool {
@@ -267,10 +308,21 @@
             inputs.event_gaps.late_share(endpoint.key, inputs.gap_limit_ms, inputs.now_ms);
         cost_ms += late_share * LATE_EVENT_MS;
     }
+    let gaps = inputs.gap_forecast.map(|forecast| {
+        let new = gap_forecast::NewStream {
+            unread_tokens: u64::from(unread_tokens),
+            gap_limit_ms: inputs.gap_limit_ms,
+            output_tokens: prompt.max_output_tokens,
+        };
+        let factor = inputs.work_durations.factor(endpoint.key, inputs.now_ms);
+        let arrivals = inputs.load_table.arrivals();
+        forecast.candidate(endpoint.key, &work, &new, factor, arrivals, inputs.now_ms)
+    });
+    cost_ms += gaps.map_or(0.0, |gaps| gaps.cost_ms);
     if let Some(rank) = preferred.iter().position(|one| *one == Some(endpoint.key)) {
         cost_ms -= document_ms * RENDEZVOUS_WEIGHTS[rank];
     }
-    Choice { endpoint, cost_ms, unread_tokens, work, first_ms, free_share: 1.0, runner_up: None }
+    Choice { unread_tokens, gaps, ..Choice::new(endpoint, cost_ms, work, first_ms) }
 }
 
 /// Returns the shortest response time that is known of a candidate.
@@ -287,7 +339,7 @@
     let rounds = f64::from(work.requests) / f64::from(endpoint.slots.max(1));
     let first_ms = response_ms * (1.0 + rounds);
     let cost_ms = first_ms + fixed_cost_ms(endpoint, inputs);
-    Choice { endpoint, cost_ms, unread_tokens: 0, work, first_ms, free_share: 1.0, runner_up: None }
+    Choice::new(endpoint, cost_ms, work, first_ms)
 }
 
 /// Returns the part of the cost that does not depend on the load.
--- /dev/null
+++ b/src/gateway/policy/gap_forecast.rs
@@ -0,0 +1,168 @@
+//! Forecast of the longest gap between the events of streams at an engine.
+//!
+//! Load pattern: long prompts and gap-sensitive streams share engines of unequal speed. An engine prefills one
+//! chunk of a waiting prompt in each decode step, so a long prompt stretches the gaps of all streams
+//! there. Streams are late because of their gaps although their first events were in time.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::gateway::directory::EndpointKey;
+use crate::gateway::policy::{load, prefill};
+
+/// Prompt tokens that an engine prefills in one decode step.
+const CHUNK_TOKENS: u64 = 2_048;
+/// Upper bounds of the classes of gap limits. No bound for the last: its streams tolerate any forecast.
+const CLASS_LIMITS_MS: [u32; GAP_CLASSES - 1] = [150, 300, 600];
+/// Number of classes of gap limits.
+pub const GAP_CLASSES: usize = 4;
+/// Cost of a stream that becomes late, the same as `choose` gives to a late event.
+const LATE_STREAM_MS: f64 = 600.0;
+/// Multiples of the gap limit between which the risk rises from zero to one: the forecast is no more exact.
+const RISK_BEGIN: f64 = 0.8;
+const RISK_END: f64 = 1.2;
+/// Window over which the rate of arriving prompts is measured.
+const ARRIVAL_WINDOW_MS: u64 = 5_000;
+/// Arrivals kept per endpoint: more than an engine prefills within the window.
+const MAX_ARRIVALS: usize = 32;
+
+/// Returns the class of streams with this gap limit; `None` if they have no limit.
+#[must_use]
+pub fn class_of(gap_limit_ms: u32) -> Option<usize> {
+    let class = CLASS_LIMITS_MS.iter().position(|limit_ms| gap_limit_ms <= *limit_ms);
+    (gap_limit_ms > 0).then(|| class.unwrap_or(GAP_CLASSES - 1))
+}
+
+fn chunks(tokens: u64) -> u32 {
+    u32::try_from(tokens.div_ceil(CHUNK_TOKENS)).unwrap_or(u32::MAX)
+}
+
+/// Returns the risk that a gap exceeds its limit, from the forecast of the longest gap.
+fn risk(longest_ms: f64, limit_ms: u32) -> f64 {
+    let ratio = longest_ms / f64::from(limit_ms);
+    ((ratio - RISK_BEGIN) / (RISK_END - RISK_BEGIN)).clamp(0.0, 1.0)
+}
+
+/// Recently arrived prompts by endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Arrivals {
+    recent: HashMap<EndpointKey, VecDeque<(u64, u32)>>,
+}
+
+impl Arrivals {
+    /// Records a prompt with this many tokens to prefill. Less than a chunk does not count.
+    pub fn record(&mut self, endpoint: EndpointKey, tokens: u64, now_ms: u64) {
+        if tokens < CHUNK_TOKENS {
+            return;
+        }
+        let recent = self.recent.entry(endpoint).or_default();
+        if recent.len() >= MAX_ARRIVALS {
+            recent.pop_front();
+        }
+        recent.push_back((now_ms, chunks(tokens)));
+    }
+
+    /// Removes arrivals that are too old.
+    pub fn sweep(&mut self, now_ms: u64) {
+        self.recent.retain(|_, recent| {
+            recent.retain(|(at_ms, _)| now_ms < at_ms + ARRIVAL_WINDOW_MS);
+            !recent.is_empty()
+        });
+    }
+
+    /// Returns the sizes in chunks of the prompts that have arrived within the window.
+    fn recent(&self, endpoint: EndpointKey, now_ms: u64) -> impl Iterator<Item = u32> {
+        let recent = self.recent.get(&endpoint).into_iter().flatten();
+        let recent = recent.filter(move |(at_ms, _)| now_ms < at_ms + ARRIVAL_WINDOW_MS);
+        recent.map(|(_, chunks)| *chunks)
+    }
+}
+
+/// Speed of a service's engines at the usual duration of work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Forecast {
+    pub tokens_per_event: u32,
+    /// Time to prefill one chunk.
+    pub chunk_ms: f64,
+    /// Duration of a decode step without prefill.
+    pub step_ms: f64,
+}
+
+/// A request that is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct NewStream {
+    /// Prompt tokens that the candidate has to prefill.
+    pub unread_tokens: u64,
+    /// Longest gap that is in time; zero if there is no limit.
+    pub gap_limit_ms: u32,
+    pub output_tokens: u32,
+}
+
+/// Forecast for one candidate.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Candidate {
+    /// Longest gap there with the request.
+    pub longest_ms: f64,
+    /// Cost of streams that become late.
+    pub cost_ms: f64,
+}
+
+impl Forecast {
+    /// Creates the forecast from the fitted speed of a service.
+    #[must_use]
+    pub fn new(tokens_per_event: u32, prefill_model: &prefill::PrefillModel) -> Self {
+        /// Enough tokens that the rounding to whole ms does not matter.
+        const SAMPLE_TOKENS: u32 = 1_000;
+        let sample_ms = prefill_model.run_ms(SAMPLE_TOKENS) as f64;
+        Self {
+            tokens_per_event,
+            chunk_ms: prefill_model.prefill_ms(CHUNK_TOKENS),
+            step_ms: sample_ms / f64::from(SAMPLE_TOKENS),
+        }
+    }
+
+    /// Returns the longest gap at an engine with this many chunks to prefill.
+    #[must_use]
+    pub fn longest_ms(&self, chunks: u32, factor: f64) -> f64 {
+        let prefill_ms = f64::from(chunks.min(self.tokens_per_event)) * self.chunk_ms;
+        (prefill_ms + f64::from(self.tokens_per_event) * self.step_ms) * factor
+    }
+
+    /// Forecasts the effect of a request on a candidate with this work, whose work takes `factor` times the
+    /// usual duration.
+    #[must_use]
+    pub fn candidate(
+        &self,
+        endpoint: EndpointKey,
+        work: &load::Work,
+        new: &NewStream,
+        factor: f64,
+        arrivals: &Arrivals,
+        now_ms: u64,
+    ) -> Candidate {
+        let waiting = chunks(work.unread_tokens);
+        let with_new = chunks(work.unread_tokens + new.unread_tokens);
+        let before_ms = self.longest_ms(waiting, factor);
+        let longest_ms = self.longest_ms(with_new, factor);
+        let by_class = work.streams.iter().zip(CLASS_LIMITS_MS);
+        let others: f64 = by_class
+            .map(|(count, limit_ms)| {
+                f64::from(*count) * (risk(longest_ms, limit_ms) - risk(before_ms, limit_ms))
+            })
+            .sum();
+        let own = if new.gap_limit_ms == 0 {
+            0.0
+        } else {
+            let run_ms = f64::from(new.output_tokens) * self.step_ms * factor;
+            let arriving = arrivals.recent(endpoint, now_ms);
+            // Expected number of prompts that arrive while the stream runs and make it late.
+            let expected: f64 = arriving
+                .map(|chunks| risk(self.longest_ms(chunks, factor), new.gap_limit_ms))
+                .sum::<f64>()
+                * run_ms
+                / ARRIVAL_WINDOW_MS as f64;
+            let waiting_risk = risk(before_ms, new.gap_limit_ms);
+            1.0 - (1.0 - waiting_risk) * (-expected).exp()
+        };
+        Candidate { longest_ms, cost_ms: (others + own) * LATE_STREAM_MS }
+    }
+}
--- a/src/gateway/policy/load.rs
+++ b/src/gateway/policy/load.rs
@@ -5,12 +5,16 @@
 //! that read the same report choose the same endpoint. An entry knows at once what it has sent
 //! itself.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+mod details;
+
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+pub use self::details::DetailRow;
 use crate::gateway::directory::EndpointKey;
+use crate::gateway::policy::{engine_memory, gap_forecast};
 
 /// Older tables are ignored: their source is gone or partitioned.
 const TABLE_MAX_AGE_MS: u64 = 2_000;
@@ -24,30 +28,32 @@
 const MAX_RECENT_SENDS: usize = 64;
 
 /// Work in progress at an endpoint.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    Serialize,
-    Deserialize,
-    derive_more::Add,
-    derive_more::AddAssign,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
     /// Requests that were sent and have not ended.
     pub requests: u32,
     /// Prompt tokens still to prefill, of requests without a first event.
     pub unread_tokens: u64,
+    /// Streams in progress by gap limit, see [`gap_forecast::class_of`]. This and the next field travel in
+    /// [`DetailRow`]: in each row they would multiply the traffic between entries.
+    #[serde(skip)]
+    pub streams: [u16; gap_forecast::GAP_CLASSES],
+    /// Tokens that the requests hold or will hold: prompts and output limits.
+    #[serde(skip)]
+    pub memory_tokens: u64,
 }
 
 impl Work {
     fn saturating_sub(self, other: Self) -> Self {
+        let mut streams = self.streams;
+        for (count, removed) in streams.iter_mut().zip(other.streams) {
+            *count = count.saturating_sub(removed);
+        }
         Self {
             requests: self.requests.saturating_sub(other.requests),
             unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
+            streams,
+            memory_tokens: self.memory_tokens.saturating_sub(other.memory_tokens),
         }
     }
 }
@@ -114,6 +120,7 @@
 #[derive(Clone, Debug, Default)]
 struct SourceTable {
     rows: HashMap<EndpointKey, Work>,
+    details: details::SourceDetails,
     at_ms: u64,
     origin: Origin,
 }
@@ -183,11 +190,14 @@
     /// its own table.
     is_aggregated: bool,
     reports: HashMap<EndpointKey, Report>,
+    used_parts: engine_memory::UsedParts,
+    arrivals: gap_forecast::Arrivals,
 }
 
 impl LoadTable {
     pub fn add(&mut self, endpoint: EndpointKey, work: Work, now_ms: u64) {
         *self.own.entry(endpoint).or_default() += work;
+        self.arrivals.record(endpoint, work.unread_tokens, now_ms);
         self.unsent.insert(endpoint);
         let recent_sends = self.recent_sends.entry(endpoint).or_default();
         if recent_sends.len() >= MAX_RECENT_SENDS {
@@ -231,23 +241,29 @@
         let table = self.tables.entry(source).or_default();
         table.at_ms = now_ms;
         table.origin = origin;
-        let others = &mut self.others;
+        let (others, arrivals) = (&mut self.others, &mut self.arrivals);
         let mut change = |before: Work, after: Work, endpoint: EndpointKey| {
             if is_active {
                 let sum = others.entry(endpoint).or_default();
                 *sum = sum.saturating_sub(before) + after;
+                let arrived_tokens = after.unread_tokens.saturating_sub(before.unread_tokens);
+                arrivals.record(endpoint, arrived_tokens, now_ms);
             }
         };
+        let updated: HashSet<EndpointKey> = update.rows.iter().map(|row| row.endpoint).collect();
+        let details = &mut table.details;
         table.rows.retain(|endpoint, work| {
-            let is_replaced = update.replaces(*endpoint);
-            if is_replaced {
+            let is_gone = update.replaces(*endpoint) && !updated.contains(endpoint);
+            if is_gone {
                 change(*work, Work::default(), *endpoint);
+                details.remove(*endpoint);
             }
-            !is_replaced
+            !is_gone
         });
         for row in &update.rows {
-            let before = table.rows.insert(row.endpoint, row.work).unwrap_or_default();
-            change(before, row.work, row.endpoint);
+            let work = details.complete(row.endpoint, row.work);
+            let before = table.rows.insert(row.endpoint, work).unwrap_or_default();
+            change(before, work, row.endpoint);
         }
     }
 
@@ -287,6 +303,7 @@
         if self.tables.len() != before {
             self.sum_others();
         }
+        self.arrivals.sweep(now_ms);
         self.recent_sends.retain(|_, recent_sends| {
             recent_sends.retain(|sent_ms| now_ms < sent_ms + RATE_WINDOW_MS);
             !recent_sends.is_empty()
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -7,7 +7,9 @@
 pub mod backoff;
 pub mod budget;
 pub mod choose;
+pub mod engine_memory;
 pub mod event_gaps;
+pub mod gap_forecast;
 pub mod health;
 pub mod limits;
 pub mod load;
@@ -16,5 +18,6 @@
 pub mod prefix_index;
 pub mod quarantine;
 pub mod warmup;
+pub mod work_duration;
 
 pub use crate::durations;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,7 +14,7 @@
 
 use super::attempt::{Failure, OpenResponse};
 use super::job::{Billed, Job};
-use super::policy::choose;
+use super::policy::{choose, gap_forecast, work_duration};
 use super::request::{Request, Response};
 use super::sent_request::SentRequest;
 use super::whole_response::Answer;
@@ -164,6 +164,11 @@
                 time::sleep(NO_ENDPOINT_POLL).await;
                 continue;
             };
+            if !choice.room.admits(job.priority) {
+                self.log_turned_away(job, &choice);
+                self.shared.rejections().record(&job.service().name, now_ms);
+                return Err(self.final_refusal(job, error::Kind::TooLate));
+            }
             let is_first = !job.reached_endpoint && failed_connects == 0;
             // A stream that has begun is worth more than a new one, and has fewer endpoints to go on at.
             if is_first
@@ -299,7 +304,17 @@
         let prefix_index = self.shared.prefix_index();
         let health = self.health.borrow();
         let event_gaps = self.event_gaps.borrow();
+        let work_durations = work_duration::WorkDurations::default();
+        let prefill_model = self.shared.prefill_model(&service.name);
+        let engine = service.engine.as_ref();
+        let tokens_per_event = engine.and_then(|engine| engine.tokens_per_event);
+        let gap_forecast = tokens_per_event
+            .filter(|_| work_durations.is_reported(now_ms))
+            .map(|tokens| gap_forecast::Forecast::new(tokens, &prefill_model));
         let inputs = choose::Inputs {
+            work_durations: &work_durations,
+            gap_forecast,
+            checks_memory: self.shared.settings.overload_control,
             load_table: &load_table,
             prefix_index: &prefix_index,
             health: &health,
@@ -310,20 +325,16 @@
             latency_target_ms: f64::from(job.route().latency_target_ms),
             max_wait_ms: job.stream_timeout_ms() as f64,
             unreachable_zones: &job.unreachable_zones,
-            prefill_model: &self.shared.prefill_model(&service.name),
+            prefill_model: &prefill_model,
         };
-        choose::choose(
-            candidates,
-            service.engine.as_ref(),
-            job.request.prompt.as_ref(),
-            &inputs,
-            &mut rand::rng(),
-        )
+        choose::choose(candidates, engine, job.request.prompt.as_ref(), &inputs, &mut rand::rng())
     }
 
     /// Whether an eligible endpoint has not been tried.
     fn has_other_endpoint(&self, job: &Job) -> bool {
-        self.choose_endpoint(&self.shared.snapshot.load(), job).is_some()
+        let snapshot = self.shared.snapshot.load();
+        let choice = self.choose_endpoint(&snapshot, job);
+        choice.is_some_and(|choice| choice.room.admits(job.priority))
     }
 
     /// Whether an endpoint, an attempt and budget are left for a retry. Otherwise the caller gets the
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -152,16 +152,26 @@
 
     /// Logs that admission control refused a request.
     pub(super) fn log_turned_away(&self, job: &Job, choice: &choose::Choice<'_>) {
+        let cause = if choice.room.admits(job.priority) { "no_free_engine" } else { "memory" };
+        metrics::engine_memory(&job.service().name, choice.room, job.priority);
+        let (load_age_ms, details_age_ms) = self.load_ages_ms();
         slog::info!(self.log, "turned away"; "request" => job.request.id.as_str(),
             "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
             "version" => job.table.version(), "priority" => job.priority,
             "free_share" => choice.free_share, "first_ms" => choice.first_ms as u64,
-            "load_age_ms" => self.shared.load_table().age_ms(self.now_ms()));
+            "cause" => cause, "memory_tokens" => choice.work.memory_tokens,
+            "load_age_ms" => load_age_ms, "details_age_ms" => details_age_ms);
     }
 
     /// Logs a send with the inputs of the choice of its endpoint.
     pub(super) fn log_choice(&self, job: &Job, choice: &choose::Choice<'_>) {
         let limit = self.shared.limits().rate(choice.endpoint.key);
+        let service = &job.service().name;
+        metrics::engine_memory(service, choice.room, job.priority);
+        if let Some(gaps) = choice.gaps {
+            metrics::gap_forecast(service, gaps.longest_ms);
+        }
+        let (load_age_ms, details_age_ms) = self.load_ages_ms();
         slog::debug!(self.log, "sent"; "request" => job.request.id.as_str(),
             "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
             "version" => job.table.version(), "endpoint" => choice.endpoint.id.as_str(),
@@ -173,12 +183,22 @@
             "next_cost_ms" => choice.runner_up.map(|next| next.cost_ms as u64),
             "first_ms" => choice.first_ms as u64, "unread_tokens" => choice.unread_tokens,
             "ahead_tokens" => choice.work.unread_tokens, "running" => choice.work.requests,
-            "load_age_ms" => self.shared.load_table().age_ms(self.now_ms()),
+            "load_age_ms" => load_age_ms, "details_age_ms" => details_age_ms,
+            "gap_ms" => choice.gaps.map(|gaps| gaps.longest_ms as u64),
+            "gap_cost_ms" => choice.gaps.map(|gaps| gaps.cost_ms as u64),
+            "streams" => choice.work.streams.iter().map(|count| u32::from(*count)).sum::<u32>(),
+            "memory_tokens" => choice.work.memory_tokens, "left_out" => choice.room.left_out(),
             "limit_per_s" => limit.map(limits::Rate::per_s),
             "left_ms" => job.left_ms(self.now_ms()), "output_tokens" => job.output_tokens(),
             "run_ms" => self.expected_run_ms(job), "stopping_ms" => self.shared.stop.stopping_ms());
     }
 
+    /// Ages of the load of other entries and of its details.
+    fn load_ages_ms(&self) -> (u64, Option<u64>) {
+        let (load_table, now_ms) = (self.shared.load_table(), self.now_ms());
+        (load_table.age_ms(now_ms), load_table.details_age_ms(now_ms))
+    }
+
     /// Expected time from the first event of a stream to its end; `None` for other requests.
     fn expected_run_ms(&self, job: &Job) -> Option<u64> {
         job.kind.is_stream().then(|| {
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -86,6 +86,10 @@
     pub slots: u32,
     /// Tokens that the memory shared by running requests and cached prompt parts holds.
     pub kv_cache_tokens: u64,
+    /// Tokens of each event of a stream; `None` if unknown. Not part of the serialized table, which earlier
+    /// builds read.
+    #[serde(skip)]
+    pub tokens_per_event: Option<u32>,
 }
 
 /// A group of interchangeable endpoints.
@@ -154,6 +158,35 @@
     pub limits: Option<Limits>,
 }
 
+/// Tokens of each event of a table's services, by index. It follows a serialized table: earlier builds ignore it
+/// and do not send it, and it is empty then.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct TokensPerEvent(Vec<Option<u32>>);
+
+impl<'de> Deserialize<'de> for TokensPerEvent {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(Self(Vec::deserialize(deserializer).unwrap_or_default()))
+    }
+}
+
+impl TableData {
+    /// Returns the tokens of each event of the services.
+    #[must_use]
+    pub fn tokens_per_event(&self) -> TokensPerEvent {
+        let engines = self.services.iter().map(|service| service.engine);
+        TokensPerEvent(engines.map(|engine| engine?.tokens_per_event).collect())
+    }
+
+    /// Sets the tokens of each event of the services.
+    pub fn set_tokens_per_event(&mut self, tokens: &TokensPerEvent) {
+        for (service, tokens) in self.services.iter_mut().zip(&tokens.0) {
+            if let Some(engine) = &mut service.engine {
+                engine.tokens_per_event = *tokens;
+            }
+        }
+    }
+}
+
 impl From<TableData> for Table {
     fn from(data: TableData) -> Self {
         let mut by_host: HashMap<CompactString, Vec<RouteKey>> = HashMap::new();
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -5,19 +5,20 @@
 
 use briarwinch::gateway::directory::{Endpoint, EndpointKey};
 use briarwinch::gateway::policy::choose::{self, Inputs};
-use briarwinch::gateway::policy::{event_gaps, health, load, prefill, prefix_index};
+use briarwinch::gateway::policy::{event_gaps, health, load, prefill, prefix_index, work_duration};
 use briarwinch::gateway::request::{Prompt, PromptPart};
 use briarwinch::gateway::route;
 use compact_str::CompactString;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-const ENGINE: route::Engine = route::Engine { slots: 64, kv_cache_tokens: 620_000 };
-const NOW_MS: u64 = 1_000_000;
+pub const ENGINE: route::Engine =
+    route::Engine { slots: 64, kv_cache_tokens: 620_000, tokens_per_event: None };
+pub const NOW_MS: u64 = 1_000_000;
 const TARGET_MS: f64 = 2_000.0;
 const MAX_WAIT_MS: f64 = 8_000.0;
 
-fn endpoints(count: usize) -> Vec<Endpoint> {
+pub fn endpoints(count: usize) -> Vec<Endpoint> {
     let one = |index: usize| {
         let id = format!("endpoint-{index}");
         Endpoint {
@@ -37,22 +38,26 @@
 
 /// State of one entry.
 #[derive(Default)]
-struct Entry {
-    load_table: load::LoadTable,
-    prefix_index: prefix_index::PrefixIndex,
+pub struct Entry {
+    pub load_table: load::LoadTable,
+    pub prefix_index: prefix_index::PrefixIndex,
     health: health::Health,
     prefill_model: prefill::PrefillModel,
     event_gaps: event_gaps::EventGaps,
+    work_durations: work_duration::WorkDurations,
 }
 
 impl Entry {
-    fn inputs(&self) -> Inputs<'_> {
+    pub fn inputs(&self) -> Inputs<'_> {
         Inputs {
             load_table: &self.load_table,
             prefix_index: &self.prefix_index,
             health: &self.health,
             prefill_model: &self.prefill_model,
             event_gaps: &self.event_gaps,
+            work_durations: &self.work_durations,
+            gap_forecast: None,
+            checks_memory: false,
             gap_limit_ms: 120,
             zone: "a",
             now_ms: NOW_MS,
@@ -74,7 +79,7 @@
     }
 }
 
-fn summary(document: u64, session: u64) -> Prompt {
+pub fn summary(document: u64, session: u64) -> Prompt {
     Prompt {
         tokens: 17_000,
         max_output_tokens: 120,
@@ -86,7 +91,7 @@
 }
 
 /// Returns a prompt whose first part is common to many documents.
-fn draft(document: u64) -> Prompt {
+pub fn draft(document: u64) -> Prompt {
     Prompt {
         tokens: 9_200,
         max_output_tokens: 50,
@@ -98,7 +103,7 @@
     }
 }
 
-fn question(session: u64) -> Prompt {
+pub fn question(session: u64) -> Prompt {
     Prompt {
         tokens: 1_400,
         max_output_tokens: 170,
@@ -114,7 +119,7 @@
 }
 
 fn work(unread_tokens: u64) -> load::Work {
-    load::Work { requests: 1, unread_tokens }
+    load::Work { requests: 1, unread_tokens, ..load::Work::default() }
 }
 
 #[test]
@@ -295,7 +300,7 @@
                         true => 2 + u32::from(peer % 5 < 3),
                         false => 2 + u32::from(peer % 4 == 0),
                     },
-                    unread_tokens: 0,
+                    ..load::Work::default()
                 },
             };
             let rows: Vec<load::Row> = endpoints.iter().map(row).collect();
@@ -303,7 +308,11 @@
         }
         for sent in 0..EACH {
             let key = entry.choose(&endpoints, &guide(number * EACH + sent + 1), &mut random);
-            entry.load_table.add(key, load::Work { requests: 1, unread_tokens: 543 }, NOW_MS);
+            entry.load_table.add(
+                key,
+                load::Work { requests: 1, unread_tokens: 543, ..load::Work::default() },
+                NOW_MS,
+            );
             placed_at_target += u32::from(key == target);
         }
     }
@@ -319,7 +328,7 @@
     let endpoints = endpoints(4);
     let mut random = StdRng::seed_from_u64(8);
     let mut entry = Entry::default();
-    let full = load::Work { requests: ENGINE.slots + 16, unread_tokens: 0 };
+    let full = load::Work { requests: ENGINE.slots + 16, ..load::Work::default() };
     endpoints[..3].iter().for_each(|one| entry.load_table.add(one.key, full, NOW_MS));
     let prompt = question(1);
     let choice = choose::choose(
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -79,7 +79,8 @@
         for index in 0..entries {
             for endpoint in 0..ENDPOINTS {
                 if (index + endpoint) % 7 == 0 {
-                    let work = load::Work { requests: 1, unread_tokens: 1_000 };
+                    let work =
+                        load::Work { requests: 1, unread_tokens: 1_000, ..load::Work::default() };
                     fleet.nodes[index].load_table.add(key(endpoint), work, fleet.now_ms);
                     fleet.nodes[index].has_urgent_work = true;
                 }
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -2,7 +2,8 @@
 
 use briarwinch::gateway::request::Rank;
 use briarwinch::gateway::route::{
-    Account, Kind, Limits, Route, Service, ServiceKey, Table, TableData, WeightedService,
+    Account, Engine, Kind, Limits, Route, Service, ServiceKey, Table, TableData, TokensPerEvent,
+    WeightedService,
 };
 
 fn route(host: &str, prefix: &str, weighted_services: &[(u32, u32)]) -> Route {
@@ -114,3 +115,28 @@
     assert_eq!([scaled(0, 21), scaled(10, 21), scaled(20, 21)], [0, 4, 9]);
     assert_eq!(scaled(0, 1), 0);
 }
+
+/// Entries of an earlier build pull the configuration from this one, and the reverse. Guards against a table
+/// that they cannot read because of the size of events.
+#[test]
+fn the_size_of_events_follows_a_table_that_earlier_builds_read() {
+    let engine = |tokens_per_event| Engine { slots: 8, kv_cache_tokens: 100, tokens_per_event };
+    let data = |tokens_per_event| {
+        let mut data = table().data().clone();
+        data.services[0].engine = Some(engine(tokens_per_event));
+        data
+    };
+    let bytes = |data: &TableData| postcard::to_stdvec(data).expect("bytes");
+    assert_eq!(bytes(&data(Some(6))), bytes(&data(None)), "the table itself is unchanged");
+    let response = postcard::to_stdvec(&(data(Some(6)), data(Some(6)).tokens_per_event()));
+    let response = response.expect("bytes");
+    assert!(postcard::from_bytes::<TableData>(&response).is_ok(), "an earlier build reads it");
+    let (mut pulled, tokens): (TableData, TokensPerEvent) =
+        postcard::from_bytes(&response).expect("a response");
+    pulled.set_tokens_per_event(&tokens);
+    assert_eq!(pulled, data(Some(6)));
+    let (mut pulled, tokens): (TableData, TokensPerEvent) =
+        postcard::from_bytes(&bytes(&data(None))).expect("a response of an earlier build");
+    pulled.set_tokens_per_event(&tokens);
+    assert_eq!(pulled, data(None));
+}
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -63,6 +63,8 @@
     pub random: StdRng,
     pub lost: f64,
     pub between_zones_bytes: usize,
+    /// Of streams and memory in the load of entries.
+    pub details_bytes: usize,
 }
 
 pub fn addr(index: usize) -> SocketAddr {
@@ -97,6 +99,7 @@
         cold_rate: None,
         stop_s: 8.0,
         cores,
+        overload_control: false,
     }
 }
 
@@ -111,6 +114,7 @@
             random: StdRng::seed_from_u64(SEED),
             lost,
             between_zones_bytes: 0,
+            details_bytes: 0,
         };
         (0..entries).for_each(|_| fleet.start(zones));
         fleet
@@ -214,6 +218,9 @@
             assert!(bytes + 16 <= 1_400, "{} of {bytes} bytes", one.message.kind());
             for to in one.to {
                 self.nodes[from].sent_bytes += bytes + FRAME_BYTES;
+                if matches!(one.message, Message::Details(_)) {
+                    self.details_bytes += bytes + FRAME_BYTES;
+                }
                 let Some(&other) = self.index.get(&to) else { continue };
                 if self.nodes[other].zone != self.nodes[from].zone {
                     self.between_zones_bytes += bytes + FRAME_BYTES;
@@ -243,6 +250,9 @@
                 out = node.exchange.handle_state(&state, &local, now_ms).1;
             }
             Message::Work(work) => node.exchange.handle_work(&work, &mut node.load_table, now_ms),
+            Message::Details(details) => {
+                node.load_table.apply_details(&details.source, &details.rows, now_ms);
+            }
             Message::Roster(roster) => {
                 node.exchange.peers.merge_roster(&roster, now_ms);
             }
