--- a/tests/gateway/work_duration.rs
+++ b/tests/gateway/work_duration.rs
@@ -16,7 +16,8 @@
 
 const SEED: u64 = 20_261_204;
 const START_MS: u64 = 1_000_000;
-const ENGINE: route::Engine = route::Engine { slots: 64, kv_cache_tokens: 493_066 };
+const ENGINE: route::Engine =
+    route::Engine { slots: 64, kv_cache_tokens: 493_066, tokens_per_event: None };
 
 fn endpoint(index: usize, slots: u32) -> Endpoint {
     let id = format!("endpoint-{index}");
@@ -58,6 +59,8 @@
     for step in 0..6_000_u64 {
         let now_ms = START_MS + step * 5;
         let inputs = Inputs {
+            gap_forecast: None,
+            checks_memory: false,
             load_table: &load_table,
             prefix_index: &prefix_index,
             health: &health,
@@ -85,7 +88,11 @@
         );
         digest = xxh3::xxh3_64_with_seed(decision.as_bytes(), digest);
         let key = choice.endpoint.key;
-        let work = load::Work { requests: 1, unread_tokens: u64::from(choice.unread_tokens) };
+        let work = load::Work {
+            requests: 1,
+            unread_tokens: u64::from(choice.unread_tokens),
+            ..load::Work::default()
+        };
         load_table.add(key, work, now_ms);
         prefix_index.record_sent(key, &prompt.parts, now_ms);
         let took_ms = random.random_range(10..400);
@@ -97,7 +104,10 @@
         }
         if random.random_bool(0.97) {
             let other = endpoints[random.random_range(0..endpoints.len())].key;
-            load_table.remove(other, load::Work { requests: 2, unread_tokens: 9_000 });
+            load_table.remove(
+                other,
+                load::Work { requests: 2, unread_tokens: 9_000, ..load::Work::default() },
+            );
         }
     }
     assert_eq!(digest, 15_242_036_371_264_059_471);
@@ -242,15 +252,21 @@
             if engine.is_some() {
                 model.observe_first_event(sent.tokens_ahead, took_ms);
                 model.fitted.observe_first_event(sent.tokens_ahead, sent.requests, took_ms, factor);
-                load_table.add(endpoint.key, load::Work { requests: 1, unread_tokens: 0 }, end_ms);
+                load_table.add(
+                    endpoint.key,
+                    load::Work { requests: 1, unread_tokens: 0, ..load::Work::default() },
+                    end_ms,
+                );
                 let step_ms = 4.34 + 0.151 * f64::from(sent.requests);
                 let run_ms = 172.0 * step_ms * uneven.factor(sent.index, end_ms);
-                let work = load::Work { requests: 1, unread_tokens: 0 };
+                let work = load::Work { requests: 1, unread_tokens: 0, ..load::Work::default() };
                 let running = Sent { at_ms: end_ms, work, is_running: true, ..sent };
                 due.insert((end_ms + run_ms as u64, number), running);
             }
         }
         let inputs = Inputs {
+            gap_forecast: None,
+            checks_memory: false,
             load_table: &load_table,
             prefix_index: &prefix_index,
             health: &health,
@@ -269,7 +285,11 @@
             choose::choose(uneven.endpoints.iter(), engine, Some(&prompt), &inputs, random);
         let choice = choice.expect("a choice");
         let key = choice.endpoint.key;
-        let work = load::Work { requests: 1, unread_tokens: u64::from(choice.unread_tokens) };
+        let work = load::Work {
+            requests: 1,
+            unread_tokens: u64::from(choice.unread_tokens),
+            ..load::Work::default()
+        };
         let (requests, ahead) = (choice.work.requests, choice.work.unread_tokens);
         let index = uneven.endpoints.iter().position(|one| one.key == key).expect("known");
         load_table.add(key, work, now_ms);
