Estimate the load from stale reports and draw among equal candidates

Entries that see the same stale table chose the same endpoint. Where overload_control is set or endpoints report the duration of their work, the load is brought to the present by its age, and the endpoint is drawn among the candidates that the expected arrivals level out. Otherwise the choice is as before.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -29,6 +29,16 @@
     .increment(1);
 }
 
+/// Records the estimated imbalance of a service's endpoints and the age of the report or table that
+/// decided a choice.
+pub fn choice(service: &str, imbalance: f64, report_age_ms: u64) {
+    metrics::gauge!("briarwinch_gateway_load_imbalance", "service" => service.to_owned())
+        .set(imbalance);
+    metrics::histogram!("briarwinch_gateway_deciding_report_age_seconds",
+        "service" => service.to_owned())
+    .record(report_age_ms as f64 / 1_000.0);
+}
+
 /// Counts a call that was billed although it is unknown whether an endpoint ran it.
 pub fn call_of_unknown_outcome(service: &str) {
     metrics::counter!("briarwinch_gateway_calls_of_unknown_outcome_total",
--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -15,13 +15,17 @@
 //! some of which fail or hang. Requests go to the endpoint with the shortest expected response time,
 //! given its requests in progress.
 
+mod estimated;
+
 use compact_str::CompactString;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use xxhash_rust::xxh3;
 
 use crate::gateway::directory::{Endpoint, EndpointKey};
-use crate::gateway::policy::{admission, event_gaps, health, load, prefill, prefix_index};
+use crate::gateway::policy::{
+    admission, event_gaps, health, load, load_estimate, prefill, prefix_index, work_duration,
+};
 use crate::gateway::request::{Prompt, PromptPart};
 use crate::gateway::route;
 
@@ -72,6 +76,9 @@
     pub health: &'a health::Health,
     pub prefill_model: &'a prefill::PrefillModel,
     pub event_gaps: &'a event_gaps::EventGaps,
+    pub work_durations: &'a work_duration::WorkDurations,
+    /// See [`crate::gateway::settings::Gateway::overload_control`].
+    pub overload_control: bool,
     /// Longest gap between events that is in time for the caller; zero if there is no limit.
     pub gap_limit_ms: u32,
     pub zone: &'a str,
@@ -99,6 +106,17 @@
     pub free_share: f64,
     /// The endpoint with the next higher cost; `None` if no other was compared.
     pub runner_up: Option<RunnerUp<'a>>,
+    /// The estimate that decided; `None` if the load table alone did.
+    pub balance: Option<Balance>,
+}
+
+/// Estimate behind a choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Balance {
+    /// Estimate for the chosen endpoint.
+    pub estimate: load_estimate::Estimate,
+    /// Requests per slot of the busiest candidate, divided by the mean.
+    pub imbalance: f64,
 }
 
 /// The second-best endpoint of a choice.
@@ -125,12 +143,50 @@
     // The order decides between equal costs. It is random, since otherwise all entries would choose
     // the same endpoint.
     candidates.shuffle(random);
+    if inputs.overload_control || inputs.work_durations.is_reported(inputs.now_ms) {
+        return estimated::choose(&candidates, engine.zip(prompt), inputs, random);
+    }
     match (engine, prompt) {
         (Some(engine), Some(prompt)) => choose_engine(&candidates, engine, prompt, inputs),
         _ => {
             let fastest_ms = fastest_response_ms(&candidates, inputs);
             let choices = candidates.into_iter();
-            cheapest(choices.map(|endpoint| plain_choice(endpoint, fastest_ms, inputs)))
+            cheapest(choices.map(|endpoint| {
+                let seen = Seen::in_table(endpoint, inputs);
+                plain_choice(endpoint, fastest_ms, &seen, inputs).0
+            }))
+        }
+    }
+}
+
+/// Load of a candidate as the selection sees it.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    /// Work according to the load table alone.
+    work: load::Work,
+    requests: f64,
+    unread_tokens: u64,
+    /// Occupied slots, including those that other entries are expected to have filled.
+    occupied: u32,
+    /// Duration factor.
+    factor: f64,
+    /// Requests that exceed an even share by the estimate; zero without one.
+    excess: f64,
+    /// See [`DOCUMENT_WEIGHT`].
+    document_weight: f64,
+}
+
+impl Seen {
+    fn in_table(endpoint: &Endpoint, inputs: &Inputs<'_>) -> Self {
+        let work = inputs.load_table.work_at(endpoint.key, inputs.now_ms);
+        Self {
+            work,
+            requests: f64::from(work.requests),
+            unread_tokens: work.unread_tokens,
+            occupied: occupied_slots(endpoint, work, inputs),
+            factor: 1.0,
+            excess: 0.0,
+            document_weight: DOCUMENT_WEIGHT,
         }
     }
 }
@@ -165,7 +221,8 @@
     inputs: &Inputs<'_>,
 ) -> Option<Choice<'a>> {
     let preferred = rendezvous(candidates, prompt, inputs);
-    let free_share = free_share(candidates, engine, inputs);
+    let seen = candidates.iter().map(|one| Seen::in_table(one, inputs)).collect::<Vec<Seen>>();
+    let free_share = share_of_free(&seen, engine, inputs);
     let sample = (candidates.len() as f64 * SAMPLE_SHARE).ceil() as usize;
     let mut remaining = sample.max(MIN_SAMPLE);
     let compared = candidates.iter().copied().filter(|one| {
@@ -176,8 +233,10 @@
         remaining = remaining.saturating_sub(1);
         is_sampled
     });
-    let choices =
-        compared.map(|endpoint| engine_choice(endpoint, engine, prompt, preferred, inputs));
+    let choices = compared.map(|endpoint| {
+        let seen = Seen::in_table(endpoint, inputs);
+        engine_choice(endpoint, engine, prompt, preferred, &seen, inputs).0
+    });
     cheapest(choices).map(|choice| Choice { free_share, ..choice })
 }
 
@@ -194,16 +253,14 @@
 
 /// Returns the share of the engines at which a prompt gets a slot and begins to be prefilled within
 /// [`admission::FREE_WAIT_MS`].
-fn free_share(candidates: &[&Endpoint], engine: &route::Engine, inputs: &Inputs<'_>) -> f64 {
-    let is_free = |one: &&&Endpoint| {
-        let work = inputs.load_table.work_at(one.key, inputs.now_ms);
-        let slot_wait_ms =
-            inputs.prefill_model.slot_wait_ms(occupied_slots(one, work, inputs), engine.slots);
-        slot_wait_ms + inputs.prefill_model.prefill_ms(work.unread_tokens)
+fn share_of_free(seen: &[Seen], engine: &route::Engine, inputs: &Inputs<'_>) -> f64 {
+    let is_free = |one: &&Seen| {
+        let slot_wait_ms = inputs.prefill_model.slot_wait_ms(one.occupied, engine.slots);
+        (slot_wait_ms + inputs.prefill_model.prefill_ms(one.unread_tokens)) * one.factor
             <= admission::FREE_WAIT_MS
     };
-    let free = candidates.iter().filter(is_free).count();
-    free as f64 / candidates.len().max(1) as f64
+    let free = seen.iter().filter(is_free).count();
+    free as f64 / seen.len().max(1) as f64
 }
 
 /// First and second choice by rendezvous hashing.
@@ -232,14 +289,15 @@
     best.map(|one| one.map(|(_, key)| key))
 }
 
+/// Returns the choice of an engine, and what one more request there adds to its cost.
 fn engine_choice<'a>(
     endpoint: &'a Endpoint,
     engine: &route::Engine,
     prompt: &Prompt,
     preferred: Preferred,
+    seen: &Seen,
     inputs: &Inputs<'_>,
-) -> Choice<'a> {
-    let work = inputs.load_table.work_at(endpoint.key, inputs.now_ms);
+) -> (Choice<'a>, f64) {
     let has_tokens = inputs.prefix_index.cached_tokens(endpoint.key, &prompt.parts, inputs.now_ms);
     let unread_tokens = prompt.tokens.saturating_sub(has_tokens);
     let shared_tokens: u32 = prompt.shared_parts().iter().map(|part| part.tokens).sum();
@@ -249,17 +307,19 @@
     let document_ms = inputs.prefill_model.prefill_ms(u64::from(document_tokens));
     let common_prefix_ms =
         inputs.prefill_model.prefill_ms(u64::from(missing_tokens - document_tokens));
-    let concurrency_ms = f64::from(work.requests) * PER_REQUEST_MS
-        + inputs.prefill_model.slot_wait_ms(occupied_slots(endpoint, work, inputs), engine.slots);
+    let slot_wait_ms = inputs.prefill_model.slot_wait_ms(seen.occupied, engine.slots);
+    let concurrency_ms = seen.requests * PER_REQUEST_MS + slot_wait_ms;
+    let tokens = seen.unread_tokens + u64::from(unread_tokens);
+    let usual_ms = inputs.prefill_model.first_event_ms(tokens) + concurrency_ms;
     let first_ms =
-        inputs.prefill_model.first_event_ms(work.unread_tokens + u64::from(unread_tokens))
-            + concurrency_ms;
+        usual_ms + (inputs.prefill_model.prefill_ms(tokens) + concurrency_ms) * (seen.factor - 1.0);
     let timeout_risk_ms = (first_ms - inputs.max_wait_ms * TIMEOUT_SHARE).max(0.0);
     let late_ms = (first_ms - inputs.latency_target_ms * LATE_SHARE).max(0.0);
-    let mut cost_ms = first_ms
+    // Not by the factor: fast engines would be filled until they are as late as idle slow ones.
+    let mut cost_ms = usual_ms
         + late_ms * LATE_WEIGHT
         + timeout_risk_ms * TIMEOUT_WEIGHT
-        + document_ms * DOCUMENT_WEIGHT
+        + document_ms * seen.document_weight
         + common_prefix_ms * COMMON_PREFIX_WEIGHT
         + fixed_cost_ms(endpoint, inputs);
     if inputs.gap_limit_ms > 0 {
@@ -270,7 +330,25 @@
     if let Some(rank) = preferred.iter().position(|one| *one == Some(endpoint.key)) {
         cost_ms -= document_ms * RENDEZVOUS_WEIGHTS[rank];
     }
-    Choice { endpoint, cost_ms, unread_tokens, work, first_ms, free_share: 1.0, runner_up: None }
+    let next_wait_ms = inputs.prefill_model.slot_wait_ms(seen.occupied + 1, engine.slots);
+    let own_tokens = prompt.tokens.saturating_sub(shared_tokens);
+    let slope_ms = PER_REQUEST_MS
+        + inputs.prefill_model.prefill_ms(u64::from(own_tokens))
+        + (next_wait_ms - slot_wait_ms);
+    // Requests in progress weigh as much as those expected to arrive, or the draw would not even
+    // out the numbers of running requests.
+    cost_ms += seen.excess * inputs.prefill_model.prefill_ms(u64::from(own_tokens));
+    let choice = Choice {
+        endpoint,
+        cost_ms,
+        unread_tokens,
+        work: seen.work,
+        first_ms,
+        free_share: 1.0,
+        runner_up: None,
+        balance: None,
+    };
+    (choice, slope_ms * seen.factor)
 }
 
 /// Returns the shortest response time that is known of a candidate.
@@ -281,13 +359,30 @@
 }
 
 /// An endpoint whose response time is not known is taken to be as fast as the fastest, so that it is tried.
-fn plain_choice<'a>(endpoint: &'a Endpoint, fastest_ms: f64, inputs: &Inputs<'_>) -> Choice<'a> {
-    let work = inputs.load_table.work_at(endpoint.key, inputs.now_ms);
-    let response_ms = inputs.health.response_ms(endpoint.key, inputs.now_ms).unwrap_or(fastest_ms);
-    let rounds = f64::from(work.requests) / f64::from(endpoint.slots.max(1));
-    let first_ms = response_ms * (1.0 + rounds);
-    let cost_ms = first_ms + fixed_cost_ms(endpoint, inputs);
-    Choice { endpoint, cost_ms, unread_tokens: 0, work, first_ms, free_share: 1.0, runner_up: None }
+/// Also returns what one more request there adds to its cost.
+fn plain_choice<'a>(
+    endpoint: &'a Endpoint,
+    fastest_ms: f64,
+    seen: &Seen,
+    inputs: &Inputs<'_>,
+) -> (Choice<'a>, f64) {
+    let is_reported = inputs.work_durations.is_reported(inputs.now_ms);
+    let observed_ms = inputs.health.response_ms(endpoint.key, inputs.now_ms);
+    let response_ms = observed_ms.filter(|_| !is_reported).unwrap_or(fastest_ms);
+    let slots = f64::from(endpoint.slots.max(1));
+    let rounds = seen.requests / slots;
+    let usual_ms = response_ms * (1.0 + rounds);
+    let choice = Choice {
+        endpoint,
+        cost_ms: usual_ms + fixed_cost_ms(endpoint, inputs),
+        unread_tokens: 0,
+        work: seen.work,
+        first_ms: usual_ms * seen.factor,
+        free_share: 1.0,
+        runner_up: None,
+        balance: None,
+    };
+    (choice, response_ms * seen.factor / slots)
 }
 
 /// Returns the part of the cost that does not depend on the load.
--- a/src/gateway/policy/load.rs
+++ b/src/gateway/policy/load.rs
@@ -133,6 +133,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Report {
     requests: u32,
+    /// Requests of this entry there at that time.
+    own_requests: u32,
     at_ms: u64,
 }
 
@@ -337,16 +339,47 @@
 
     /// Records the running and waiting requests that an endpoint reported.
     pub fn record_report(&mut self, endpoint: EndpointKey, requests: u32, now_ms: u64) {
-        self.reports.insert(endpoint, Report { requests, at_ms: now_ms });
+        let own_requests = self.own_at(endpoint).requests;
+        self.reports.insert(endpoint, Report { requests, own_requests, at_ms: now_ms });
+    }
+
+    /// Returns the work of this entry at an endpoint.
+    #[must_use]
+    pub fn own_at(&self, endpoint: EndpointKey) -> Work {
+        self.own.get(&endpoint).copied().unwrap_or_default()
+    }
+
+    /// Returns the work of the other entries at an endpoint according to their tables.
+    #[must_use]
+    pub fn others_at(&self, endpoint: EndpointKey, now_ms: u64) -> Work {
+        let is_fresh = now_ms < self.others_at_ms + TABLE_MAX_AGE_MS;
+        self.others.get(&endpoint).copied().filter(|_| is_fresh).unwrap_or_default()
+    }
+
+    /// Returns the requests of the other entries according to the endpoint's last report, and its
+    /// age.
+    #[must_use]
+    pub fn report_at(&self, endpoint: EndpointKey, now_ms: u64) -> Option<(u32, u64)> {
+        let report = self.reports.get(&endpoint)?;
+        let age_ms = now_ms.saturating_sub(report.at_ms);
+        let requests = report.requests.saturating_sub(report.own_requests);
+        (age_ms < TABLE_MAX_AGE_MS).then_some((requests, age_ms))
+    }
+
+    /// Returns the mean age of the active tables, weighted by their entries; `None` without tables.
+    #[must_use]
+    pub fn others_age_ms(&self, now_ms: u64) -> Option<f64> {
+        let fresh = self.active_tables().filter(|table| !table.is_stale(now_ms));
+        let (entries, total_age_ms) = fresh.fold((0, 0), |(entries, age_ms), table| {
+            (entries + table.origin.entries, age_ms + table.total_age_ms(now_ms))
+        });
+        (entries > 0).then(|| total_age_ms as f64 / f64::from(entries))
     }
 
     /// Returns all work known to be in progress at an endpoint.
     #[must_use]
     pub fn work_at(&self, endpoint: EndpointKey, now_ms: u64) -> Work {
-        let own = self.own.get(&endpoint).copied().unwrap_or_default();
-        let others =
-            self.others.get(&endpoint).filter(|_| now_ms < self.others_at_ms + TABLE_MAX_AGE_MS);
-        let mut work = own + others.copied().unwrap_or_default();
+        let mut work = self.own_at(endpoint) + self.others_at(endpoint, now_ms);
         if let Some(report) = self.reports.get(&endpoint)
             && now_ms < report.at_ms + REPORT_MAX_AGE_MS
         {
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -11,10 +11,12 @@
 pub mod health;
 pub mod limits;
 pub mod load;
+pub mod load_estimate;
 pub mod outage;
 pub mod prefill;
 pub mod prefix_index;
 pub mod quarantine;
 pub mod warmup;
+pub mod work_duration;
 
 pub use crate::durations;
--- a/src/gateway/policy/prefill.rs
+++ b/src/gateway/policy/prefill.rs
@@ -77,6 +77,12 @@
         (f64::from(output_tokens) * self.ms_per_output_token) as u64
     }
 
+    /// Returns the mean duration of requests after their first events.
+    #[must_use]
+    pub fn mean_run_ms(&self) -> f64 {
+        self.run_ms
+    }
+
     /// Returns how long one more request waits for a slot at an engine that has `requests` running
     /// or queued. Part of the slots is kept free, see [`SPARE_ONE_IN`].
     #[must_use]
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,7 +14,7 @@
 
 use super::attempt::{Failure, OpenResponse};
 use super::job::{Billed, Job};
-use super::policy::choose;
+use super::policy::{choose, work_duration};
 use super::request::{Request, Response};
 use super::sent_request::SentRequest;
 use super::whole_response::Answer;
@@ -304,6 +304,8 @@
             prefix_index: &prefix_index,
             health: &health,
             event_gaps: &event_gaps,
+            work_durations: &work_duration::WorkDurations::default(),
+            overload_control: self.shared.settings.overload_control,
             gap_limit_ms: job.route().gap_target_ms,
             zone: &self.shared.settings.zone,
             now_ms,
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -162,6 +162,9 @@
     /// Logs a send with the inputs of the choice of its endpoint.
     pub(super) fn log_choice(&self, job: &Job, choice: &choose::Choice<'_>) {
         let limit = self.shared.limits().rate(choice.endpoint.key);
+        if let Some(balance) = &choice.balance {
+            metrics::choice(&job.service().name, balance.imbalance, balance.estimate.age_ms);
+        }
         slog::debug!(self.log, "sent"; "request" => job.request.id.as_str(),
             "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
             "version" => job.table.version(), "endpoint" => choice.endpoint.id.as_str(),
@@ -174,6 +177,9 @@
             "first_ms" => choice.first_ms as u64, "unread_tokens" => choice.unread_tokens,
             "ahead_tokens" => choice.work.unread_tokens, "running" => choice.work.requests,
             "load_age_ms" => self.shared.load_table().age_ms(self.now_ms()),
+            "report_age_ms" => choice.balance.map(|one| one.estimate.age_ms),
+            "assumed_requests" => choice.balance.map(|one| one.estimate.assumed_requests),
+            "duration_factor" => choice.balance.map(|one| one.estimate.factor),
             "limit_per_s" => limit.map(limits::Rate::per_s),
             "left_ms" => job.left_ms(self.now_ms()), "output_tokens" => job.output_tokens(),
             "run_ms" => self.expected_run_ms(job), "stopping_ms" => self.shared.stop.stopping_ms());
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -81,6 +81,9 @@
     /// CPU share of this process on its instance, in cores.
     #[serde(default = "one_core")]
     pub cores: f64,
+    /// Whether requests are queued, spread and refused by the entry's own estimates of the load.
+    #[serde(default)]
+    pub overload_control: bool,
 }
 
 fn one_core() -> f64 {
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -5,7 +5,7 @@
 
 use briarwinch::gateway::directory::{Endpoint, EndpointKey};
 use briarwinch::gateway::policy::choose::{self, Inputs};
-use briarwinch::gateway::policy::{event_gaps, health, load, prefill, prefix_index};
+use briarwinch::gateway::policy::{event_gaps, health, load, prefill, prefix_index, work_duration};
 use briarwinch::gateway::request::{Prompt, PromptPart};
 use briarwinch::gateway::route;
 use compact_str::CompactString;
@@ -43,6 +43,7 @@
     health: health::Health,
     prefill_model: prefill::PrefillModel,
     event_gaps: event_gaps::EventGaps,
+    work_durations: work_duration::WorkDurations,
 }
 
 impl Entry {
@@ -53,6 +54,8 @@
             health: &self.health,
             prefill_model: &self.prefill_model,
             event_gaps: &self.event_gaps,
+            work_durations: &self.work_durations,
+            overload_control: false,
             gap_limit_ms: 120,
             zone: "a",
             now_ms: NOW_MS,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod directory;
 mod drain;
 mod evacuations;
+mod even_load;
 mod fingerprints;
 mod fleet;
 mod limits;
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -97,6 +97,7 @@
         cold_rate: None,
         stop_s: 8.0,
         cores,
+        overload_control: false,
     }
 }
 
