--- a/src/gateway/policy/choose/estimated.rs
+++ b/src/gateway/policy/choose/estimated.rs
@@ -11,9 +11,10 @@
 use crate::gateway::request::Prompt;
 use crate::gateway::route;
 
-/// Weight of the time to prefill a document again while all engines that have the document cached have more than an even share of the
-/// requests: a popular document would overload them while others idle.
-const CROWDED_DOCUMENT_WEIGHT: f64 = 1.0;
+/// Weight of the time to prefill a document again, on top of the wait of the request itself, while all
+/// engines that have it cached have more than an even share of the requests. With
+/// [`DOCUMENT_WEIGHT`] a popular document overloads its engine while others idle.
+const CROWDED_DOCUMENT_WEIGHT: f64 = 0.0;
 
 impl Seen {
     fn estimated(
--- a/tests/gateway/even_load.rs
+++ b/tests/gateway/even_load.rs
@@ -154,7 +154,7 @@
 fn replay(setup: &Setup, method: Method, seed: u64) -> Outcome {
     let mut random = StdRng::seed_from_u64(seed);
     let endpoints = endpoints(setup);
-    let usual = |index: usize| if index % 4 == 0 { 0.55 } else { 1.2 };
+    let usual = |index: usize| if index.is_multiple_of(4) { 0.55 } else { 1.2 };
     let mut machines: Vec<Machine> = (0..setup.endpoints)
         .map(|index| Machine { usual: usual(index), factor: usual(index), ..Machine::default() })
         .collect();
@@ -373,7 +373,9 @@
 /// Guards against engines that are overloaded in turn while others idle.
 #[test]
 fn engines_share_calm_load_evenly() {
-    assert_even(&ENGINES, 1.25);
+    for result in assert_even(&ENGINES, 1.25) {
+        assert!(result.swing <= 0.5, "{result:?}");
+    }
 }
 
 /// Guards against bursts that all entries send to the engines that looked free before.
@@ -391,7 +393,7 @@
 /// Guards against engines that are flooded when they come back empty.
 #[test]
 fn engines_that_come_and_go_share_the_load() {
-    assert_even(&Setup { name: "changing engines", is_changing: true, ..ENGINES }, 1.5);
+    assert_even(&Setup { name: "changing engines", is_changing: true, ..ENGINES }, 1.25);
 }
 
 /// Guards against a spread that holds only for some number of entries.
@@ -418,7 +420,9 @@
 /// Guards against calls that wait at a full endpoint of a plain service while another is free.
 #[test]
 fn plain_endpoints_share_calm_load_evenly() {
-    assert_even(&PLAIN, 1.25);
+    for result in assert_even(&PLAIN, 1.25) {
+        assert!(result.swing <= 0.5, "{result:?}");
+    }
 }
 
 /// Guards against bursts of calls that fill the endpoints in turn.
