--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -15,6 +15,8 @@
 //! some of which fail or hang. Requests go to the endpoint with the shortest expected response time,
 //! given its requests in progress.
 
+mod estimated;
+
 use compact_str::CompactString;
 use rand::Rng;
 use rand::seq::SliceRandom;
@@ -22,8 +24,8 @@
 
 use crate::gateway::directory::{Endpoint, EndpointKey};
 use crate::gateway::policy::{
-    admission, engine_memory, engine_times, event_gaps, gap_forecast, health, load, prefill,
-    prefix_index, work_duration,
+    admission, engine_memory, engine_times, event_gaps, gap_forecast, health, load, load_estimate,
+    prefill, prefix_index, work_duration,
 };
 use crate::gateway::request::{Prompt, PromptPart};
 use crate::gateway::route;
@@ -76,8 +78,8 @@
     pub work_durations: &'a work_duration::WorkDurations,
     /// Forecast of gaps; `None` if no endpoint reports a duration or the size of events is unknown.
     pub gap_forecast: Option<gap_forecast::Forecast>,
-    /// Whether engines without memory for the request are left out.
-    pub checks_memory: bool,
+    /// Whether engines without memory for the request are left out, and loads are estimated.
+    pub overload_control: bool,
     /// Longest gap between events that is in time for the caller; zero if there is no limit.
     pub gap_limit_ms: u32,
     pub zone: &'a str,
@@ -110,7 +112,10 @@
     pub gaps: Option<gap_forecast::Candidate>,
     /// Whether the engines' memory has room for the request.
     pub room: engine_memory::Room,
-    /// The endpoint with the next higher cost; `None` if no other was compared.
+    /// Estimate of the load; `None` where loads are not estimated.
+    pub balance: Option<Balance>,
+    /// The endpoint with the next higher cost; `None` if no other was compared. Where the endpoint was drawn, the
+    /// cheapest other one.
     pub runner_up: Option<RunnerUp<'a>>,
 }
 
@@ -133,6 +138,7 @@
             duration_age_ms: inputs.work_durations.age_ms(endpoint, inputs.now_ms),
             gaps: None,
             room: engine_memory::Room::Unchecked,
+            balance: None,
             runner_up: None,
         }
     }
@@ -144,6 +150,15 @@
     }
 }
 
+/// Estimated loads behind a choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Balance {
+    /// Estimate for the chosen endpoint.
+    pub estimate: load_estimate::Estimate,
+    /// Requests per slot of the busiest candidate, divided by the mean.
+    pub imbalance: f64,
+}
+
 /// The second-best endpoint of a choice.
 #[derive(Clone, Copy, Debug)]
 pub struct RunnerUp<'a> {
@@ -174,16 +189,18 @@
             let room = engine_memory::retain_with_room(
                 &mut candidates,
                 prompt,
-                inputs.checks_memory.then_some(engine.kv_cache_tokens),
+                inputs.overload_control.then_some(engine.kv_cache_tokens),
                 inputs.load_table,
                 inputs.now_ms,
             );
             choose_engine(&candidates, engine, prompt, inputs).map(|choice| Choice {
                 free_share,
                 room,
+                balance: estimated::engine_balance(&candidates, &choice, prompt, inputs),
                 ..choice
             })
         }
+        _ if estimates_load(inputs) => estimated::choose_plain(&candidates, inputs, random),
         _ => {
             let fastest_ms = fastest_response_ms(&candidates, inputs);
             let choices = candidates.into_iter();
@@ -192,6 +209,11 @@
     }
 }
 
+/// Returns whether loads are estimated, see [`load_estimate`].
+fn estimates_load(inputs: &Inputs<'_>) -> bool {
+    inputs.overload_control || inputs.work_durations.is_reported(inputs.now_ms)
+}
+
 /// Excludes the endpoints of zones that seem lost, unless there are no others. The idle endpoints
 /// of a lost zone look best, and a request would try them one after the other.
 fn exclude_lost_zones(candidates: &mut Vec<&Endpoint>, unreachable_zones: &[CompactString]) {
@@ -352,7 +374,11 @@
             output_tokens: prompt.max_output_tokens,
         };
         let arrivals = inputs.load_table.arrivals();
-        forecast.candidate(endpoint.key, &work, &new, times.factor, arrivals, inputs.now_ms)
+        let speed = gap_forecast::Speed {
+            present: times.factor,
+            phases: inputs.work_durations.phases(endpoint, inputs.now_ms),
+        };
+        forecast.candidate(endpoint.key, &work, &new, &speed, arrivals, inputs.now_ms)
     });
     cost_ms += gaps.map_or(0.0, |gaps| gaps.cost_ms);
     if let Some(rank) = preferred.iter().position(|one| *one == Some(endpoint.key)) {
--- a/src/gateway/policy/gap_forecast.rs
+++ b/src/gateway/policy/gap_forecast.rs
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use crate::gateway::directory::EndpointKey;
-use crate::gateway::policy::{engine_times, load, prefill};
+use crate::gateway::policy::{engine_times, load, prefill, work_duration};
 use crate::gateway::route;
 
 /// Prompt tokens that an engine prefills in one decode step.
@@ -21,6 +21,9 @@
 /// Multiples of the gap limit between which the risk rises from zero to one: the forecast is no more exact.
 const RISK_BEGIN: f64 = 0.8;
 const RISK_END: f64 = 1.2;
+/// Weight of the present phase of an engine for prompts that wait there: a phase outlasts their prefill about as
+/// often as not.
+const PRESENT_WEIGHT: f64 = 0.5;
 /// Window over which the rate of arriving prompts is measured.
 const ARRIVAL_WINDOW_MS: u64 = 5_000;
 /// One in this many slots is assumed to be taken where the duration of a decode step is forecast.
@@ -90,6 +93,22 @@
     pub step_ms: f64,
 }
 
+/// Duration of work at an engine, relative to the usual one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Speed {
+    /// In its present phase.
+    pub present: f64,
+    pub phases: work_duration::Phases,
+}
+
+impl Speed {
+    /// An engine without phases.
+    #[must_use]
+    pub fn constant(factor: f64) -> Self {
+        Self { present: factor, phases: work_duration::Phases::constant(factor) }
+    }
+}
+
 /// A request that is to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct NewStream {
@@ -133,40 +152,54 @@
         (prefill_ms + f64::from(self.tokens_per_event) * self.step_ms) * factor
     }
 
-    /// Forecasts the effect of a request on a candidate with this work, whose work takes `factor` times the
-    /// usual duration.
+    /// Returns the risk that a gap exceeds its limit while this many chunks are prefilled, in any phase of an engine.
+    fn phase_risk(&self, chunks: u32, phases: work_duration::Phases, limit_ms: u32) -> f64 {
+        let usual = risk(self.longest_ms(chunks, phases.usual), limit_ms);
+        let slow = risk(self.longest_ms(chunks, phases.slow), limit_ms);
+        usual + (slow - usual) * phases.slow_share
+    }
+
+    /// Returns the same for chunks that are waiting.
+    fn waiting_risk(&self, chunks: u32, speed: &Speed, limit_ms: u32) -> f64 {
+        let present = risk(self.longest_ms(chunks, speed.present), limit_ms);
+        let any = self.phase_risk(chunks, speed.phases, limit_ms);
+        any + (present - any) * PRESENT_WEIGHT
+    }
+
+    /// Forecasts the effect of a request on a candidate with this work.
     #[must_use]
     pub fn candidate(
         &self,
         endpoint: EndpointKey,
         work: &load::Work,
         new: &NewStream,
-        factor: f64,
+        speed: &Speed,
         arrivals: &Arrivals,
         now_ms: u64,
     ) -> Candidate {
         let waiting = chunks(work.unread_tokens);
         let with_new = chunks(work.unread_tokens + new.unread_tokens);
-        let before_ms = self.longest_ms(waiting, factor);
-        let longest_ms = self.longest_ms(with_new, factor);
+        let longest_ms = self.longest_ms(with_new, speed.present);
         let by_class = work.streams.iter().zip(CLASS_LIMITS_MS);
         let others: f64 = by_class
             .map(|(count, limit_ms)| {
-                f64::from(*count) * (risk(longest_ms, limit_ms) - risk(before_ms, limit_ms))
+                let added = self.waiting_risk(with_new, speed, limit_ms)
+                    - self.waiting_risk(waiting, speed, limit_ms);
+                f64::from(*count) * added
             })
             .sum();
         let own = if new.gap_limit_ms == 0 {
             0.0
         } else {
-            let run_ms = f64::from(new.output_tokens) * self.step_ms * factor;
+            let run_ms = f64::from(new.output_tokens) * self.step_ms * speed.present;
             let arriving = arrivals.recent(endpoint, now_ms);
             // Expected number of prompts that arrive while the stream runs and make it late.
             let expected: f64 = arriving
-                .map(|chunks| risk(self.longest_ms(chunks, factor), new.gap_limit_ms))
+                .map(|chunks| self.phase_risk(chunks, speed.phases, new.gap_limit_ms))
                 .sum::<f64>()
                 * run_ms
                 / ARRIVAL_WINDOW_MS as f64;
-            let waiting_risk = risk(before_ms, new.gap_limit_ms);
+            let waiting_risk = self.waiting_risk(waiting, speed, new.gap_limit_ms);
             1.0 - (1.0 - waiting_risk) * (-expected).exp()
         };
         Candidate { longest_ms, cost_ms: (others + own) * LATE_STREAM_MS }
--- a/src/gateway/policy/mod.rs
+++ b/src/gateway/policy/mod.rs
@@ -16,6 +16,7 @@
 pub mod health;
 pub mod limits;
 pub mod load;
+pub mod load_estimate;
 pub mod outage;
 pub mod prefill;
 pub mod prefix_index;
--- a/src/gateway/policy/work_duration.rs
+++ b/src/gateway/policy/work_duration.rs
@@ -31,12 +31,38 @@
     /// Sum of the reports, each with its weight, and sum of the weights.
     weighted: f64,
     weight: f64,
+    /// Lowest and highest recent report.
+    lowest: f64,
+    highest: f64,
 }
 
 impl Reported {
     fn average(&self) -> f64 {
         self.weighted / self.weight
     }
+
+    fn phases(&self) -> Phases {
+        let (usual, slow) = (self.lowest, self.highest);
+        let slow_share = (self.average() - usual) / (slow - usual).max(f64::MIN_POSITIVE);
+        Phases { usual, slow, slow_share: slow_share.clamp(0.0, 1.0) }
+    }
+}
+
+/// Duration of work at an endpoint in its two phases.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Phases {
+    pub usual: f64,
+    pub slow: f64,
+    /// Share of the time in the slow phase.
+    pub slow_share: f64,
+}
+
+impl Phases {
+    /// An endpoint without phases.
+    #[must_use]
+    pub fn constant(factor: f64) -> Self {
+        Self { usual: factor, slow: factor, slow_share: 0.0 }
+    }
 }
 
 /// Duration of work at each endpoint, relative to the usual duration.
@@ -62,13 +88,20 @@
             return;
         }
         let known = known.filter(|one| one.started_unix_ms == started_unix_ms);
+        let elapsed_ms = known.map_or(0.0, |one| now_ms.saturating_sub(one.at_ms) as f64);
+        let kept = (-elapsed_ms / AVERAGE_MS).exp();
         let (weighted, weight) = known.map_or((factor * PHASE_MS, PHASE_MS), |one| {
-            let elapsed_ms = now_ms.saturating_sub(one.at_ms) as f64;
-            let kept = (-elapsed_ms / AVERAGE_MS).exp();
             let weight = elapsed_ms.clamp(MIN_WEIGHT_MS, PHASE_MS);
             (one.weighted * kept + factor * weight, one.weight * kept + weight)
         });
-        let reported = Reported { started_unix_ms, factor, at_ms: now_ms, weighted, weight };
+        // Extremes that are not reported again decay toward the average.
+        let average = weighted / weight;
+        let (lowest, highest) = known.map_or((factor, factor), |one| {
+            let decayed = |extreme: f64| average + (extreme - average) * kept;
+            (decayed(one.lowest).min(factor), decayed(one.highest).max(factor))
+        });
+        let reported =
+            Reported { started_unix_ms, factor, at_ms: now_ms, weighted, weight, lowest, highest };
         self.reported.insert(endpoint.key, reported);
         self.last_report_ms = Some(now_ms);
     }
@@ -84,6 +117,12 @@
         })
     }
 
+    /// Returns the phases of an endpoint, as far as it has reported them.
+    #[must_use]
+    pub fn phases(&self, endpoint: &Endpoint, now_ms: u64) -> Phases {
+        self.known(endpoint, now_ms).map_or(Phases::constant(1.0), Reported::phases)
+    }
+
     /// Returns the mean factor of an endpoint over the last `took_ms`. The longer that is, the less
     /// of it was spent in the current phase.
     #[must_use]
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -310,7 +310,7 @@
         let inputs = choose::Inputs {
             work_durations: &work_durations,
             gap_forecast,
-            checks_memory: self.shared.settings.overload_control,
+            overload_control: self.shared.settings.overload_control,
             load_table: &load_table,
             prefix_index: &prefix_index,
             health: &health,
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -178,6 +178,9 @@
         if let Some(gaps) = choice.gaps {
             metrics::gap_forecast(service, gaps.longest_ms);
         }
+        if let Some(balance) = &choice.balance {
+            metrics::choice(service, balance.imbalance, balance.estimate.age_ms);
+        }
         let (load_age_ms, details_age_ms) = self.load_ages_ms();
         slog::debug!(self.log, "sent"; "request" => job.request.id.as_str(),
             "account" => job.account.as_deref(), "route" => job.route().name.as_str(),
@@ -197,6 +200,8 @@
             "gap_cost_ms" => choice.gaps.map(|gaps| gaps.cost_ms as u64),
             "streams" => choice.work.streams.iter().map(|count| u32::from(*count)).sum::<u32>(),
             "memory_tokens" => choice.work.memory_tokens, "left_out" => choice.room.left_out(),
+            "report_age_ms" => choice.balance.map(|one| one.estimate.age_ms),
+            "assumed_requests" => choice.balance.map(|one| one.estimate.assumed_requests),
             "limit_per_s" => limit.map(limits::Rate::per_s),
             "left_ms" => job.left_ms(self.now_ms()), "output_tokens" => job.output_tokens(),
             "run_ms" => self.expected_run_ms(job), "stopping_ms" => self.shared.stop.stopping_ms());
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -57,7 +57,7 @@
             event_gaps: &self.event_gaps,
             work_durations: &self.work_durations,
             gap_forecast: None,
-            checks_memory: false,
+            overload_control: false,
             gap_limit_ms: 120,
             zone: "a",
             now_ms: NOW_MS,
--- a/tests/gateway/engine_memory.rs
+++ b/tests/gateway/engine_memory.rs
@@ -50,7 +50,7 @@
     }
     for seed in 0..20 {
         let mut random = StdRng::seed_from_u64(seed);
-        let inputs = Inputs { checks_memory: true, ..entry.inputs() };
+        let inputs = Inputs { overload_control: true, ..entry.inputs() };
         let choose = |prompt: &Prompt, random: &mut StdRng| {
             let choice =
                 choose::choose(endpoints.iter(), Some(&ENGINE), Some(prompt), &inputs, random);
@@ -71,7 +71,7 @@
     for (endpoint, memory_tokens) in endpoints.iter().zip([619_900, 619_000, 619_500, 700_000]) {
         entry.load_table.add(endpoint.key, held(memory_tokens), NOW_MS - 5_000);
     }
-    let inputs = Inputs { checks_memory: true, ..entry.inputs() };
+    let inputs = Inputs { overload_control: true, ..entry.inputs() };
     let mut random = StdRng::seed_from_u64(3);
     let prompt = draft(1);
     let choice =
@@ -103,7 +103,7 @@
     let one = load::Work { requests: 1, memory_tokens: 50_000, ..load::Work::default() };
     let mut room = |now_ms| {
         entry.load_table.add(key, one, now_ms);
-        let inputs = Inputs { checks_memory: true, now_ms, ..entry.inputs() };
+        let inputs = Inputs { overload_control: true, now_ms, ..entry.inputs() };
         let mut random = StdRng::seed_from_u64(4);
         let prompt = question(1);
         let choice =
--- a/tests/gateway/gap_forecast.rs
+++ b/tests/gateway/gap_forecast.rs
@@ -1,7 +1,7 @@
 //! The gap forecast against the load of uneven endpoints: its figures, and the engines that it chooses.
 
 use briarwinch::gateway::directory::EndpointKey;
-use briarwinch::gateway::policy::gap_forecast::{Arrivals, Forecast, NewStream, class_of};
+use briarwinch::gateway::policy::gap_forecast::{Arrivals, Forecast, NewStream, Speed, class_of};
 use briarwinch::gateway::policy::load::Work;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -22,7 +22,9 @@
 
 fn cost_ms(work: &Work, new: &NewStream, factor: f64) -> f64 {
     let key = EndpointKey::of("one");
-    FORECAST.candidate(key, work, new, factor, &Arrivals::default(), NOW_MS).cost_ms
+    FORECAST
+        .candidate(key, work, new, &Speed::constant(factor), &Arrivals::default(), NOW_MS)
+        .cost_ms
 }
 
 /// Guards against a forecast with other terms than the plan's: chunks are limited by the tokens of an event, and
@@ -59,7 +61,7 @@
     let key = EndpointKey::of("one");
     let mut arrivals = Arrivals::default();
     let cost_ms = |arrivals: &Arrivals, now_ms| {
-        FORECAST.candidate(key, &work(0, 0), &TURN, 1.2, arrivals, now_ms).cost_ms
+        FORECAST.candidate(key, &work(0, 0), &TURN, &Speed::constant(1.2), arrivals, now_ms).cost_ms
     };
     let mut before_ms = cost_ms(&arrivals, NOW_MS);
     for _ in 0..4 {
@@ -123,7 +125,7 @@
                     keys[engine],
                     &work,
                     &new,
-                    factor(engine),
+                    &Speed::constant(factor(engine)),
                     &arrivals,
                     now_ms,
                 );
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod engine_choice_off;
 mod engine_memory;
 mod evacuations;
+mod even_load;
 mod fingerprints;
 mod fleet;
 mod gap_forecast;
--- a/tests/gateway/work_duration.rs
+++ b/tests/gateway/work_duration.rs
@@ -60,7 +60,7 @@
         let now_ms = START_MS + step * 5;
         let inputs = Inputs {
             gap_forecast: None,
-            checks_memory: false,
+            overload_control: false,
             load_table: &load_table,
             prefix_index: &prefix_index,
             health: &health,
@@ -266,7 +266,7 @@
         }
         let inputs = Inputs {
             gap_forecast: None,
-            checks_memory: false,
+            overload_control: false,
             load_table: &load_table,
             prefix_index: &prefix_index,
             health: &health,
