--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -65,6 +65,10 @@
     }
 }
 
+/// Maximum number of reported durations in a state message, at most 14 bytes each: under 2 kB/s from an aggregator to
+/// each member.
+const MAX_DURATIONS: usize = 36;
+
 fn local_state<P>(control: &Control<P>, now_ms: u64) -> LocalState {
     let own = control.own_term_notice.get();
     let forwarded =
@@ -90,6 +94,7 @@
         admission_ages: control.shared.admission.ages(now_ms),
         evacuations: control.evacuations.borrow().snapshot(now_ms),
         limits,
+        durations: control.shared.work_durations().recent(MAX_DURATIONS, now_ms),
         limits_stamp,
         departures: control.shared.departures().recent(now_ms),
         suspicions,
@@ -207,6 +212,15 @@
                 .into_iter()
                 .for_each(|placement| prefix_index.record_remote(placement, now_ms));
         }
+        Message::Durations(reports) => {
+            let snapshot = shared.snapshot.load();
+            let mut work_durations = shared.work_durations();
+            for report in reports {
+                if let Some(endpoint) = snapshot.directory.find(report.endpoint) {
+                    work_durations.record_heard(endpoint, report, now_ms);
+                }
+            }
+        }
         Message::Limits(limits) => control.apply_peer_limits(&limits, now_ms),
         Message::Departures(departures) => control.apply_peer_departures(&departures, now_ms),
         Message::StreamVersions(records) => stream_keepers::learn(control, &records, now_ms),
--- a/src/gateway/fleet/exchange.rs
+++ b/src/gateway/fleet/exchange.rs
@@ -18,7 +18,9 @@
 
 use crate::gateway::fleet::message::{Message, State, Work};
 use crate::gateway::fleet::peers::Peers;
-use crate::gateway::policy::{admission, limits, load, prefix_index, quarantine, warmup};
+use crate::gateway::policy::{
+    admission, limits, load, prefix_index, quarantine, warmup, work_duration,
+};
 use crate::gateway::{departures, directory, evacuation};
 use crate::lease;
 
@@ -51,6 +53,7 @@
     pub admission_ages: admission::Ages,
     pub evacuations: evacuation::Snapshot,
     pub limits: Vec<limits::LimitUpdate>,
+    pub durations: Vec<work_duration::Report>,
     /// Stamp of the newest change of an endpoint's limit.
     pub limits_stamp: u64,
     pub departures: Vec<departures::Departure>,
--- a/src/gateway/fleet/exchange/sending.rs
+++ b/src/gateway/fleet/exchange/sending.rs
@@ -108,6 +108,10 @@
             let message = Message::Limits(limits.to_vec());
             out.push(Outgoing { to: to.clone(), message });
         }
+        if !local.durations.is_empty() {
+            let message = Message::Durations(local.durations.clone());
+            out.push(Outgoing { to: to.clone(), message });
+        }
         for departures in local.departures.chunks(MAX_DEPARTURES) {
             let message = Message::Departures(departures.to_vec());
             out.push(Outgoing { to: to.clone(), message });
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::duties::{delivery, tally};
 use crate::gateway::fleet::peers::{self, roster};
-use crate::gateway::policy::{admission, limits, load, prefix_index, quarantine};
+use crate::gateway::policy::{admission, limits, load, prefix_index, quarantine, work_duration};
 use crate::gateway::{departures, evacuation, stream_versions};
 use crate::lease;
 
@@ -127,6 +127,8 @@
     /// Requests and prompt parts that are suspected of ending endpoints, sent with each state message.
     Suspicions(Vec<quarantine::Suspicion>),
     Details(Details),
+    /// Durations of work that endpoints have reported, sent with each state message.
+    Durations(Vec<work_duration::Report>),
 }
 
 impl Message {
@@ -146,6 +148,7 @@
             Self::PartSuspicions => "part_suspicions",
             Self::Suspicions(_) => "suspicions",
             Self::Details(_) => "details",
+            Self::Durations(_) => "durations",
             Self::Counts { .. } => "counts",
             Self::CountsAck { .. } => "counts_taken",
         }
--- a/src/gateway/policy/work_duration.rs
+++ b/src/gateway/policy/work_duration.rs
@@ -6,6 +6,8 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::gateway::directory::{Endpoint, EndpointKey};
 
 /// How long a report counts fully.
@@ -22,6 +24,21 @@
 /// Interval between two log lines about malformed reports of one endpoint.
 const MALFORMED_LOG_INTERVAL_MS: u64 = 60_000;
 
+/// Reports that are this young are sent to the other entries.
+const SENT_AGE_MS: u64 = 1_000;
+/// Unit of ages in messages.
+const AGE_STEP_MS: u64 = 25;
+
+/// A report of an endpoint, as entries send it to each other. An entry alone hears from an endpoint of a large service
+/// less often than its phases change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    pub endpoint: EndpointKey,
+    pub duration_percent: u16,
+    /// Age in steps of 25 ms.
+    age_steps: u8,
+}
+
 /// Reports of one start of an endpoint.
 #[derive(Clone, Copy, Debug)]
 struct Reported {
@@ -106,6 +123,37 @@
         self.last_report_ms = Some(now_ms);
     }
 
+    /// Returns the newest reports, of this entry and the others, for the other entries; at most `max`.
+    #[must_use]
+    pub fn recent(&self, max: usize, now_ms: u64) -> Vec<Report> {
+        let mut recent: Vec<(u64, Report)> = self
+            .reported
+            .iter()
+            .filter(|(_, one)| now_ms < one.at_ms + SENT_AGE_MS)
+            .map(|(endpoint, one)| {
+                let age_steps = now_ms.saturating_sub(one.at_ms).div_ceil(AGE_STEP_MS);
+                let report = Report {
+                    endpoint: *endpoint,
+                    duration_percent: (one.factor * 100.0).round() as u16,
+                    age_steps: u8::try_from(age_steps).unwrap_or(u8::MAX),
+                };
+                (one.at_ms, report)
+            })
+            .collect();
+        recent.sort_unstable_by_key(|(at_ms, one)| (std::cmp::Reverse(*at_ms), one.endpoint));
+        recent.into_iter().map(|(_, one)| one).take(max).collect()
+    }
+
+    /// Records a report that another entry has heard, unless a newer one is known.
+    pub fn record_heard(&mut self, endpoint: &Endpoint, report: Report, now_ms: u64) {
+        let at_ms = now_ms.saturating_sub(u64::from(report.age_steps) * AGE_STEP_MS);
+        let known = self.known(endpoint, now_ms);
+        // A report that comes back through others has lost up to a step of its age.
+        if known.is_none_or(|one| one.at_ms + AGE_STEP_MS < at_ms) {
+            self.record(endpoint, u32::from(report.duration_percent), at_ms);
+        }
+    }
+
     /// Returns how long work takes at an endpoint now, relative to the usual duration; 1.0 if it has
     /// not reported within 10 s.
     #[must_use]
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -287,8 +287,9 @@
             Message::Suspicions(suspicions) => {
                 node.quarantine.merge(&suspicions, now_ms);
             }
-            // The nodes serve no streams.
-            Message::StreamVersions(_)
+            // The nodes serve no streams and choose no endpoints.
+            Message::Durations(_)
+            | Message::StreamVersions(_)
             | Message::StreamQuery { .. }
             | Message::UnknownStreams(_) => {}
         }
@@ -406,6 +407,7 @@
         term_notice: None,
         admission_ages: admission::AdmissionControl::default().ages(now_ms),
         evacuations: node.evacuations.snapshot(now_ms),
+        durations: Vec::new(),
         limits: node.limits.updates(now_ms),
         limits_stamp: node.limits.newest_stamp(),
         departures: node.departures.recent(now_ms),
--- a/tests/gateway/work_duration.rs
+++ b/tests/gateway/work_duration.rs
@@ -347,3 +347,34 @@
         );
     }
 }
+
+/// Guards against entries that know the durations of only those endpoints that have answered them, against reports that
+/// never age while entries send them to each other, and against those of a process that was replaced.
+#[test]
+fn entries_learn_durations_from_each_other() {
+    let endpoints = super::choice::endpoints(60);
+    let (mut one, mut other) =
+        (work_duration::WorkDurations::default(), work_duration::WorkDurations::default());
+    for endpoint in &endpoints {
+        one.record(endpoint, 120, 50_000);
+    }
+    let reports = one.recent(36, 50_010);
+    assert_eq!(reports.len(), 36, "a message is bounded");
+    for report in &reports {
+        let endpoint = endpoints.iter().find(|endpoint| endpoint.key == report.endpoint);
+        other.record_heard(endpoint.expect("an endpoint"), *report, 50_010);
+    }
+    let heard = endpoints.iter().filter(|one| (other.factor(one, 50_010) - 1.2).abs() < 1e-9);
+    assert_eq!(heard.count(), 36);
+    // A newer report of its own is kept, whatever comes back through others.
+    other.record(&endpoints[0], 300, 50_050);
+    for report in one.recent(60, 50_060).iter().filter(|one| one.endpoint == endpoints[0].key) {
+        other.record_heard(&endpoints[0], *report, 50_060);
+    }
+    assert!((other.factor(&endpoints[0], 50_060) - 3.0).abs() < 1e-9);
+    assert!(one.recent(60, 51_100).is_empty(), "a report is sent for a second");
+    let sent_back = other.recent(60, 50_500);
+    assert!(sent_back.iter().all(|report| report.endpoint == endpoints[0].key || {
+        one.recent(60, 50_500).iter().any(|own| own.endpoint == report.endpoint)
+    }));
+}
