--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -356,7 +356,9 @@
     let first_ms = times.first_event_ms(prefill_tokens, work.requests, slot_wait_ms);
     let timeout_risk_ms = (first_ms - inputs.max_wait_ms * TIMEOUT_SHARE).max(0.0);
     let late_ms = (first_ms - inputs.latency_target_ms * LATE_SHARE).max(0.0);
-    let mut cost_ms = first_ms
+    // At the usual duration: fast engines would be filled until they are as late as idle slow ones. Lateness counts by the
+    // present one.
+    let mut cost_ms = first_ms / times.factor
         + late_ms * LATE_WEIGHT
         + timeout_risk_ms * TIMEOUT_WEIGHT
         + document_ms * DOCUMENT_WEIGHT
