Release the durations' lock before the departures' is taken

In the struct literal the guard of the durations lived until the literal's end, and the traffic thread takes both locks in the opposite order. Callers of such an entry get no answers until it is restarted. Each value is now read in a statement of its own. The other uses of the durations' lock were read: none takes another lock while it is held but the choice itself.

--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -82,6 +82,10 @@
         let quarantine = control.shared.quarantine();
         (quarantine.recent(now_ms), quarantine.stamp())
     };
+    // Each lock is released before the next is taken. In the literal below the guards would live until its end, and the
+    // traffic thread takes these locks in the opposite order.
+    let durations = control.shared.work_durations().recent(MAX_DURATIONS, now_ms);
+    let departures = control.shared.departures().recent(now_ms);
     LocalState {
         age_ms: control.shared.time.age_ms(),
         unix_ms: control.shared.time.unix_ms(),
@@ -94,9 +98,9 @@
         admission_ages: control.shared.admission.ages(now_ms),
         evacuations: control.evacuations.borrow().snapshot(now_ms),
         limits,
-        durations: control.shared.work_durations().recent(MAX_DURATIONS, now_ms),
+        durations,
         limits_stamp,
-        departures: control.shared.departures().recent(now_ms),
+        departures,
         suspicions,
         suspicions_stamp,
     }
