Review: nobody performs the duties after a fall of the store

Cause: a contender whose write was refused keeps it among its pending writes and ignores each record with a lower revision than that write names. In a store that came back from a copy all records are lower, and nobody writes one.

The stand-in for the application service works on six requests at a time and turns away what its queue doesn't hold.

--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -3,18 +3,54 @@
 use std::io::{self, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 
 use serde_json::{Value, json};
 
 use crate::http::{self, Request, Server};
 use crate::record::Record;
 use crate::store::Store;
-use crate::{entry, unix_ms};
+use crate::{entry, sleep_ms, unix_ms};
 
 pub const LEDGER: &str = "coop-ledger";
 pub const MODELS: &str = "sward-models";
 
+/// Requests that a runner of the application service works on at a time, and that wait there; time for each.
+const SLOTS: usize = 6;
+const QUEUE: usize = 24;
+const WORK_MS: u64 = 15;
+
+/// The requests at a runner: those that it works on and all of them.
+#[derive(Clone, Default)]
+struct Places(Arc<(Mutex<(usize, usize)>, Condvar)>);
+
+impl Places {
+    /// Waits for a slot; `None` if the queue is full.
+    fn enter(&self) -> Option<Place> {
+        let mut counts = self.0.0.lock().expect("the places");
+        if counts.1 >= SLOTS + QUEUE {
+            return None;
+        }
+        counts.1 += 1;
+        counts = self.0.1.wait_while(counts, |counts| counts.0 >= SLOTS).expect("the places");
+        counts.0 += 1;
+        Some(Place(self.clone()))
+    }
+}
+
+/// A slot, until it is dropped.
+struct Place(Places);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut counts = self.0.0.0.lock().expect("the places");
+        counts.0 -= 1;
+        counts.1 -= 1;
+        drop(counts);
+        self.0.0.1.notify_one();
+    }
+}
+
 /// The configuration of the scripts, with routes like those of the users' pages.
 pub fn config(version: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str, timeout_ms: u64, target_ms: u64| {
@@ -57,11 +93,18 @@
 }
 
 impl Runner {
-    /// A runner that answers calls at once.
+    /// A runner of the application service: it works on [`SLOTS`] requests at a time, lets [`QUEUE`] more wait, and turns
+    /// away what comes beyond that.
     pub fn ledger(id: &'static str, zone: &'static str, record: &Record) -> Self {
         let record = record.clone();
+        let places = Places::default();
         Self::open(id, LEDGER, zone, move |_, request, stream| {
             let request_id = request.header("x-request-id").unwrap_or_default();
+            let Some(_place) = places.enter() else {
+                let headers = [("x-request-id", request_id), ("x-not-executed", "1")];
+                return http::answer(stream, 503, &headers, b"");
+            };
+            sleep_ms(WORK_MS);
             record.line(format!("{id}: ran {request_id} ({} bytes)", request.body.len()));
             let headers =
                 [("x-request-id", request_id), ("x-response-seal", id), ("x-server-load", "1,0,6")];
@@ -91,7 +134,7 @@
             for event in after + 1..=events {
                 let text = format!("id: {event}\ndata: {id} {version}\n\n");
                 stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
-                crate::sleep_ms(pause_ms);
+                sleep_ms(pause_ms);
             }
             stream.write_all(b"0\r\n\r\n")
         })
