Review: a script ends only processes of its own run

Cause: the clean-up took any entry with a process id of the record for its own. Ids are given out again, so scripts that ran at the same time could end each other's entries.

Done: the clean-up compares the folder of the settings.

--- a/review/harness/play.sh
+++ b/review/harness/play.sh
@@ -12,9 +12,10 @@
 fi
 rm -f "$record"
 end_entries() {
-  # Processes of the record that are still entries of this run.
-  grep -o 'as process [0-9]*' "$record" 2>/dev/null | while read -r _ _ pid; do
-    if [ "$(readlink "/proc/$pid/exe" 2>/dev/null)" = "$(readlink -f target/release/briarwinch-gateway)" ]; then
+  # Processes of the record that are still entries of this run: their settings lie in the folder of its script.
+  folder=$(grep -o -m1 'briarwinch-review-[0-9]*' "$record" 2>/dev/null) || return 0
+  grep -o 'as process [0-9]*' "$record" | while read -r _ _ pid; do
+    if tr '\0' '\n' 2>/dev/null <"/proc/$pid/environ" | grep -q "^BRIARWINCH_BOOT=.*/$folder/"; then
       kill -KILL "$pid" 2>/dev/null
     fi
   done
--- a/review/harness/src/entry.rs
+++ b/review/harness/src/entry.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::client;
-use crate::record::Record;
+use crate::record::{self, Record};
 
 /// The command of the deploy file, run in the root of the repository.
 const COMMAND: &str = "target/release/briarwinch-gateway";
@@ -29,7 +29,7 @@
     pub fn new(store: SocketAddr, duties: SocketAddr) -> Self {
         let net = net();
         let internal_ports = internal_ports(net);
-        let folder = std::env::temp_dir().join(format!("briarwinch-review-{}", std::process::id()));
+        let folder = std::env::temp_dir().join(record::folder_name());
         fs::create_dir_all(&folder).expect("the temporary folder");
         Self { net, internal_ports, store, duties, folder, settings: json!({}) }
     }
--- a/review/harness/src/record.rs
+++ b/review/harness/src/record.rs
@@ -5,6 +5,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+/// Name of the folder of this run's settings, which tells its processes from those of other runs.
+pub fn folder_name() -> String {
+    format!("briarwinch-review-{}", std::process::id())
+}
+
 #[derive(Clone, Debug)]
 pub struct Record {
     file: Arc<Mutex<File>>,
@@ -16,7 +21,9 @@
     pub fn open() -> Self {
         let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned());
         let file = File::create(path).expect("the record is created");
-        Self { file: Arc::new(Mutex::new(file)), began: Instant::now() }
+        let record = Self { file: Arc::new(Mutex::new(file)), began: Instant::now() };
+        record.line(format!("script: settings in the folder {}", folder_name()));
+        record
     }
 
     /// Writes a line with the seconds since the start.
