--- a/review/harness/src/bin/duties.rs
+++ b/review/harness/src/bin/duties.rs
@@ -1,5 +1,7 @@
 //! A store that comes back from an older copy: nobody performs the duties any more, although all entries run.
 
+use std::collections::BTreeSet;
+
 use review_harness::client::Call;
 use review_harness::entry::{Entry, Fleet, servers_ip};
 use review_harness::record::Record;
@@ -33,24 +35,34 @@
     if !entries.iter().all(|entry| wait_until(15_000, || entry.is_ready())) {
         return record.end(NOT_RUN, "the entries did not become ready");
     }
-    play(&store, &entries, &record)
+    play(&store, &mut entries, &record)
 }
 
-/// Sends lookups at both entries until a condition holds or this time has come.
-fn send_until(end_unix_ms: u64, entries: &[Entry; 2], record: &Record, is_over: impl Fn() -> bool) {
+/// Sends lookups at both entries until a condition holds or this time has come; returns the windows in which some were
+/// answered.
+fn send_until(
+    end_unix_ms: u64,
+    entries: &[Entry; 2],
+    record: &Record,
+    is_over: impl Fn() -> bool,
+) -> BTreeSet<u64> {
+    let mut served = BTreeSet::new();
     while unix_ms() < end_unix_ms && !is_over() {
         for entry in entries {
             let id = format!("{}-{}", entry.id, unix_ms());
-            let status = Call::new("GET", "/reading-fetch/1", &id)
-                .send(entry.callers)
-                .map(|one| one.status());
+            let call = Call::new("GET", "/reading-fetch/1", &id);
+            let status = call.send(entry.callers).map(|one| one.status());
             record.line(format!("client: {id} answered {status:?}"));
+            if status == Some(200) {
+                served.insert(unix_ms() / WINDOW_MS);
+            }
         }
         sleep_ms(100);
     }
+    served
 }
 
-fn play(store: &Store, entries: &[Entry; 2], record: &Record) -> i32 {
+fn play(store: &Store, entries: &mut [Entry; 2], record: &Record) -> i32 {
     send_until(unix_ms() + 25_000, entries, record, || store.duty_calls().len() >= 2);
     if store.duty_calls().len() < 2 {
         return record.end(NOT_RUN, "no usage report came");
@@ -64,13 +76,19 @@
         store.write_again();
     }
     let (back, before) = (unix_ms(), store.duty_calls().len());
-    send_until(back + AFTER_MS, entries, record, || false);
-    // Windows that began after the store's return and were due by now, with traffic in all of them.
+    let served = send_until(back + AFTER_MS, entries, record, || false);
+    if entries.iter_mut().any(Entry::has_exited) {
+        return record.end(NOT_RUN, "an entry has ended");
+    }
+    // Windows that began after the store's return, in which requests ran, and that were due by now.
     let due = back / WINDOW_MS + 1..=(unix_ms() - LATE_MS) / WINDOW_MS - 1;
+    let due: Vec<u64> = due.filter(|window| served.contains(window)).collect();
     let reports = store.duty_calls().split_off(before);
-    let missing =
-        due.clone().filter(|window| !reports.iter().any(|call| call.window() == *window)).count();
-    let count = due.count();
+    let is_missing = |window: &&u64| !reports.iter().any(|call| call.window() == **window);
+    let (missing, count) = (due.iter().filter(is_missing).count(), due.len());
+    if count == 0 {
+        return record.end(NOT_RUN, "no requests ran after the store's return");
+    }
     let text = format!(
         "{missing} of {count} windows that began after the store's return were never reported"
     );
