Windows are reported with one count over a fall of the store

Cause: that a window was sealed is known only from the list in the store and from the memory of its holder. The copy lacks the newest seals, and the next holder seals these windows anew from the counts that it finds.

Change: the list of seals says in which era it was confirmed. A holder that finds an older era there first confirms it: it adds the seals that it remembers from its own terms, and withholds the windows without a seal that ended before it knew of the era, since these may have been reported. Where its own term was valid until it learnt of the era, no other entry can have sealed a window, so nothing is withheld. Billing and scaling do not act under a term of an older era than an answer has named.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Notify;
 use tokio::{task, time};
 
-use super::duties::{billing, delivery, election, scaling, tally};
+use super::duties::{delivery, election, scaling, seals, tally};
 use super::fleet::{datagrams, exchange, members, peers, prefix_recovery, pulls, stream_keepers};
 use super::policy::{budget, outage};
 use super::{directory, evacuation, request, route, shared, watch};
@@ -89,7 +89,7 @@
     async fn report_usage(
         &self,
         holder: &Holder,
-        seal: &billing::SealedWindow,
+        seal: &seals::SealedWindow,
     ) -> Result<(), store::Failure>;
 
     /// Orders the number of endpoints of a service in a zone.
--- a/src/gateway/duties/billing.rs
+++ b/src/gateway/duties/billing.rs
@@ -2,35 +2,18 @@
 //! holder reports the same figures for a window, also when a report is sent again. Counts of open windows
 //! are saved in the store, so that they survive the death of all entries.
 
-use std::collections::{BTreeMap, BTreeSet};
-
-use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 use crate::gateway::control::{Control, Holder, Platform};
-use crate::gateway::duties::election;
+use crate::gateway::duties::{election, seals};
 use crate::gateway::fleet::pulls;
 use crate::lease;
-use crate::store::Condition;
+use crate::store::{Condition, Era};
 
 const SEALS_KEY: &str = "briarwinch-usage/sealed";
-/// Maximum duration of a call under the lease; a call starts only while at least this much of the term
-/// remains.
-const CALL_MS: u64 = 1_300;
 /// Number of peers that a new holder asks for counts. Entries that have ended sent theirs to the holder at
 /// that time and the entries next in line, and while the store is unavailable no one else has them.
 const MAX_GATHER_PEERS: usize = 4;
-/// Number of sealed windows kept in the store; a report is due two windows after a window's end.
-const KEPT_SEALS: usize = 8;
-
-/// The final figures of a billing window.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SealedWindow {
-    pub window: u64,
-    /// Number of requests that began to run, by client account.
-    pub counts: BTreeMap<CompactString, u32>,
-}
-
 /// Pause after a failed call to the store or the platform.
 const RETRY_MS: u64 = 500;
 /// Minimum interval between two writes of the open windows' counts. If all entries die together, the counts
@@ -56,15 +39,37 @@
     /// Time before which no call is made, after a failed one.
     retry_ms: u64,
     /// The sealed windows in the store with the object's version; none until they are read.
-    seals: Option<(u64, Vec<SealedWindow>)>,
+    seals: Option<(u64, seals::Seals)>,
+    /// The last list of sealed windows that this entry has read or written, in any term.
+    remembered_seals: seals::Seals,
     reported: BTreeSet<u64>,
     /// Whether the former collectors were asked for their counts.
     has_gathered_counts: bool,
     /// Time at which this holder began to bill.
     since_ms: Option<u64>,
+    /// The newest known era of the store, and when it became known here.
+    era_since_ms: Option<(Era, u64)>,
 }
 
 impl Billing {
+    /// Notes when an era of the store became known here.
+    pub(in crate::gateway) fn observe_era(&mut self, era: Era, now_ms: u64) {
+        if self.era_since_ms.is_none_or(|(known, _)| known < era) {
+            self.era_since_ms = Some((era, now_ms));
+        }
+    }
+
+    /// Begins a term. What this entry did in its last one counts if the new one continues it.
+    pub(in crate::gateway) fn begin_term(&mut self, is_continued: bool) {
+        let before = std::mem::take(self);
+        *self = Self {
+            remembered_seals: before.remembered_seals,
+            era_since_ms: before.era_since_ms,
+            reported: if is_continued { before.reported } else { BTreeSet::new() },
+            ..Self::default()
+        };
+    }
+
     /// Saves the open counts, then seals or reports the next window that is due.
     pub(in crate::gateway) async fn tick<P: Platform>(
         &mut self,
@@ -72,7 +77,7 @@
         contender: &lease::Contender,
     ) -> election::Tick {
         let now_ms = control.now_ms();
-        let Some(fence) = contender.epoch_with_remaining(now_ms, CALL_MS) else {
+        let Some(fence) = election::acting_epoch(control, contender, now_ms) else {
             return election::Tick::Done;
         };
         self.since_ms.get_or_insert(now_ms);
@@ -91,15 +96,27 @@
             pulls::gather_counts(control, &peers).await;
             return election::Tick::Done;
         }
+        let Some((version, seals)) = &self.seals else {
+            return election::Tick::Done;
+        };
+        if Era::of(*version) > fence.era() {
+            // The term ends with the next step of the election.
+            return election::Tick::Done;
+        }
+        if !seals.is_confirmed_in(fence.era()) {
+            self.confirm_seals(control, contender.is_continued()).await;
+            return election::Tick::Done;
+        }
         self.save_counts(control).await;
         if let Some(sealed) = self.due_window(control) {
-            self.seal(control, sealed).await;
+            self.seal(control, sealed, fence.era()).await;
             return election::Tick::Again;
         }
         let Some((_, seals)) = &self.seals else {
             return election::Tick::Done;
         };
-        let next = seals.iter().find(|sealed| !self.reported.contains(&sealed.window)).cloned();
+        let next = seals.reportable().find(|sealed| !self.reported.contains(&sealed.window));
+        let next = next.cloned();
         let Some(sealed) = next else {
             return election::Tick::Done;
         };
@@ -112,7 +129,7 @@
         &mut self,
         control: &Control<P>,
         holder: &Holder,
-        sealed: &SealedWindow,
+        sealed: &seals::SealedWindow,
     ) {
         match control.platform.report_usage(holder, sealed).await {
             Ok(()) => {
@@ -130,13 +147,20 @@
 
     async fn read_seals<P: Platform>(&mut self, control: &Control<P>) -> bool {
         match control.platform.get(SEALS_KEY).await {
-            Ok(None) => self.seals = Some((0, Vec::new())),
+            Ok(None) => {
+                let version = control.platform.era().version(0);
+                self.seals = Some((version, seals::Seals::default()));
+            }
             Ok(Some(object)) => {
-                let seals = serde_json::from_str(&object.value).unwrap_or_else(|error| {
-                    slog::error!(control.log, "stored sealed windows cannot be decoded";
+                let seals: seals::Seals =
+                    serde_json::from_str(&object.value).unwrap_or_else(|error| {
+                        slog::error!(control.log, "stored sealed windows cannot be decoded";
                         "error" => error.to_string());
-                    Vec::new()
-                });
+                        seals::Seals::default()
+                    });
+                if seals.is_confirmed_in(Era::of(object.version)) {
+                    self.remembered_seals = seals.clone();
+                }
                 self.seals = Some((object.version, seals));
             }
             Err(failure) => {
@@ -148,15 +172,38 @@
         true
     }
 
+    /// Confirms the sealed windows in an era in which no holder has done so. A window without a seal is in doubt
+    /// if it ended before the era was known here: it may have been reported. Nothing is in doubt in a term that
+    /// continues one of the era before, since no other entry can have sealed a window.
+    async fn confirm_seals<P: Platform>(&mut self, control: &Control<P>, is_continued: bool) {
+        let Some((version, mut seals)) = self.seals.take() else {
+            return;
+        };
+        let now_ms = control.now_ms();
+        let era = Era::of(version);
+        let known_for_ms = self.era_since_ms.map_or(0, |(_, since_ms)| now_ms - since_ms);
+        let known_since_unix_ms = control.shared.time.unix_ms().saturating_sub(known_for_ms);
+        let last_ended = (known_since_unix_ms / control.shared.billing_window_ms()).checked_sub(1);
+        let last_in_doubt = last_ended.filter(|_| !is_continued);
+        let withheld = seals.confirm(&self.remembered_seals, era, last_in_doubt);
+        slog::info!(control.log, "sealed windows confirmed"; "era" => era.0,
+            "continued" => is_continued, "first_unsealed" => seals.first_unsealed());
+        if let Some(withheld) = withheld {
+            slog::warn!(control.log, "usage withheld"; "era" => era.0,
+                "first_window" => withheld.start(), "last_window" => withheld.end());
+        }
+        self.write_seals(control, version, seals).await;
+    }
+
     /// Returns the next window that is over, not sealed yet, and complete enough to be sealed.
-    fn due_window<P>(&self, control: &Control<P>) -> Option<SealedWindow> {
+    fn due_window<P>(&self, control: &Control<P>) -> Option<seals::SealedWindow> {
         let (_, seals) = self.seals.as_ref()?;
         let window_ms = control.shared.billing_window_ms();
         let (now_ms, unix_ms) = (control.now_ms(), control.shared.time.unix_ms());
         let last = (unix_ms / window_ms).checked_sub(1)?;
         let tally = control.shared.tally();
         // Counts that arrive after a window's seal are not added: a report never changes.
-        let first = first_unsealed(seals).max(last.saturating_sub(KEPT_SEALS as u64 / 2));
+        let first = seals.first_unsealed().max(last.saturating_sub(seals::KEPT_SEALS as u64 / 2));
         let (window, counts) = (first..=last)
             .map(|window| (window, tally.sum(window)))
             .find(|(_, counts)| !counts.is_empty())?;
@@ -172,21 +219,35 @@
             is_complete_here,
             exchange.peers.boots_since(since_ms),
         );
-        is_due.then_some(SealedWindow { window, counts })
+        is_due.then_some(seals::SealedWindow { window, counts })
     }
 
-    async fn seal<P: Platform>(&mut self, control: &Control<P>, sealed: SealedWindow) {
-        let Some((version, seals)) = self.seals.take() else {
+    async fn seal<P: Platform>(
+        &mut self,
+        control: &Control<P>,
+        sealed: seals::SealedWindow,
+        era: Era,
+    ) {
+        let Some((version, mut seals)) = self.seals.take() else {
             return;
         };
-        let mut seals = seals;
-        seals.push(sealed);
-        let excess = seals.len().saturating_sub(KEPT_SEALS);
-        seals.drain(..excess);
+        seals.push(sealed, era);
+        self.write_seals(control, version, seals).await;
+    }
+
+    async fn write_seals<P: Platform>(
+        &mut self,
+        control: &Control<P>,
+        version: u64,
+        seals: seals::Seals,
+    ) {
         let condition = Condition::at(version);
         let value = serde_json::to_string(&seals).unwrap_or_default();
         match control.platform.put(SEALS_KEY, value, condition).await {
-            Ok(version) => self.seals = Some((version, seals)),
+            Ok(version) => {
+                self.remembered_seals = seals.clone();
+                self.seals = Some((version, seals));
+            }
             // The seals are read again first: the write may have taken effect, or another one came first.
             Err(failure) => {
                 self.retry_ms = control.now_ms() + RETRY_MS;
@@ -224,7 +285,7 @@
         let Some(saved) = self.saved.as_mut().filter(|saved| now_ms >= saved.next_ms) else {
             return;
         };
-        let first = self.seals.as_ref().map_or(0, |(_, seals)| first_unsealed(seals));
+        let first = self.seals.as_ref().map_or(0, |(_, seals)| seals.first_unsealed());
         let counts = control.shared.tally().save(first);
         let text = serde_json::to_string(&counts).unwrap_or_default();
         if text == saved.text {
@@ -244,8 +305,3 @@
         }
     }
 }
-
-/// Returns the first window after all sealed ones.
-fn first_unsealed(seals: &[SealedWindow]) -> u64 {
-    seals.iter().map(|sealed| sealed.window + 1).max().unwrap_or(0)
-}
--- a/src/gateway/duties/election.rs
+++ b/src/gateway/duties/election.rs
@@ -23,6 +23,9 @@
     read_ms: 1_300,
     settle_ms: 300,
 };
+/// Maximum duration of a call under the lease; a call starts only while at least this much of the term
+/// remains.
+const CALL_MS: u64 = 1_300;
 /// Maximum pause between two steps of the election.
 const MAX_PAUSE_MS: u64 = 200;
 /// Time that an entry waits without a known holder before it contends.
@@ -65,6 +68,7 @@
             other_last_acted = Some((notice.boot, at_ms.saturating_sub(notice.idle_ms)));
         }
         contender.enter_era(control.platform.era(), now_ms);
+        billing.observe_era(control.platform.era(), now_ms);
         let held = contender.epoch(now_ms).is_some();
         update_own_term_notice(&control, &contender, held);
         if !contender.must_step() && !may_contend(&control, now_ms, &mut vacant_since_ms) {
@@ -86,7 +90,7 @@
         contender.enter_era(control.platform.era(), control.now_ms());
         let now_ms = control.now_ms();
         if contender.epoch(now_ms).is_some() && !held {
-            billing = billing::Billing::default();
+            billing.begin_term(contender.is_continued());
             scaling = scaling::Scaling::default();
             slog::info!(control.log, "term begun"; "fence" => contender.epoch(now_ms).map(|one| one.0),
                 "continued" => contender.is_continued());
@@ -105,6 +109,16 @@
     }
 }
 
+/// Returns the fencing token if the term lasts for a call and the store is still in the era of the term.
+pub(super) fn acting_epoch<P: Platform>(
+    control: &Control<P>,
+    contender: &lease::Contender,
+    now_ms: u64,
+) -> Option<lease::Epoch> {
+    let epoch = contender.epoch_with_remaining(now_ms, CALL_MS)?;
+    (epoch.era() >= control.platform.era()).then_some(epoch)
+}
+
 /// Returns the time until which a new holder does not act, given the lease record that it replaced.
 fn succession_end_ms(
     replaced: &lease::Record,
--- a/src/gateway/duties/mod.rs
+++ b/src/gateway/duties/mod.rs
@@ -4,4 +4,5 @@
 pub mod delivery;
 pub mod election;
 pub mod scaling;
+pub mod seals;
 pub mod tally;
--- a/src/gateway/duties/scaling.rs
+++ b/src/gateway/duties/scaling.rs
@@ -26,9 +26,6 @@
 const PLAN_INTERVAL_MS: u64 = 500;
 /// Pause after a failed call to the store or the platform.
 const RETRY_MS: u64 = 500;
-/// Maximum duration of a call under the lease; a call starts only while at least this much of the term
-/// remains.
-const CALL_MS: u64 = 1_300;
 /// Prompt-processing backlog that counts as much as full slots: about as long as the shortest latency
 /// targets.
 const BUSY_BACKLOG_MS: f64 = 300.0;
@@ -99,7 +96,7 @@
         if now_ms < self.next_ms || table.services().iter().all(|one| one.scaling.is_none()) {
             return election::Tick::Done;
         }
-        let Some(fence) = contender.epoch_with_remaining(now_ms, CALL_MS) else {
+        let Some(fence) = election::acting_epoch(control, contender, now_ms) else {
             return election::Tick::Done;
         };
         self.next_ms = now_ms + PLAN_INTERVAL_MS;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod quarantine;
 mod retries;
 mod routes;
+mod seals;
 mod settings;
 mod slow_readers;
 mod streams;
