Streams go on at their version after all entries have ended

Cause: which versions have served, and which one began which stream, was known only to the memory of entries. After a start of all, named streams were refused for 60 s, also where a single version had served all the time; streams that were not named were judged by the list alone (History::Recent).

Change: the versions that have served within 60 s stand in the store and are written when one comes or goes; an entry reads them at its start. While several have served, each entry saves the streams that it began, and an entry that knows a stream neither itself nor from others looks there. An unnamed stream goes on only where a single version has served for as long as streams last. After a fall of the store the history is not trusted.

--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -1,5 +1,5 @@
 //! Streams that callers go on with: finds the software version that began the stream, here, at other
-//! entries, or because only one has served.
+//! entries, among what entries have saved in the store, or because only one has served.
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -17,18 +17,11 @@
 const LOOKUP_TIMEOUT_MS: u64 = 50;
 /// How often other entries are asked about one stream.
 const MAX_LOOKUPS: usize = 2;
+/// Maximum wait for what entries have saved in the store.
+const STORE_TIMEOUT_MS: u64 = 250;
 /// Interval between checks whether an answer has arrived.
 const LOOKUP_POLL: Duration = Duration::from_millis(5);
 
-/// How far back the versions that have served must be known.
-#[derive(Clone, Copy)]
-enum History {
-    /// As far as this entry happens to know them: for callers that do not name the stream that they go on with.
-    Recent,
-    /// For as long as streams last.
-    Complete,
-}
-
 /// Result of asking other entries.
 enum Lookup {
     Known(VersionKey),
@@ -48,7 +41,7 @@
             return Ok(());
         }
         let (version, source) = if job.request.resumes.is_none() {
-            (self.only_version(job, History::Recent), "only_version")
+            (self.only_version(job).await, "only_version")
         } else {
             self.find_version(job).await
         };
@@ -75,14 +68,42 @@
         if known.is_some() {
             return (known, "own");
         }
-        match self.look_up(stream).await {
-            Lookup::Known(version) => (Some(version), "peer"),
-            Lookup::Unknown => (self.only_version(job, History::Complete), "only_version"),
+        let lookup = self.look_up(stream).await;
+        if let Lookup::Known(version) = lookup {
+            return (Some(version), "peer");
+        }
+        if let Some(version) = self.find_saved(stream).await {
+            return (Some(version), "store");
+        }
+        match lookup {
+            Lookup::Known(_) | Lookup::Unknown => (self.only_version(job).await, "only_version"),
             // This entry may be cut off, and its directory out of date.
             Lookup::NoAnswer => (None, "none"),
         }
     }
 
+    /// Finds the version of a stream among those that entries have saved in the store. An entry that does not
+    /// read the store asks the others again, of which one has begun to load them.
+    async fn find_saved(&self, stream: StreamKey) -> Option<VersionKey> {
+        let loads = self.shared.stream_versions().request_load();
+        let end_ms = self.now_ms() + STORE_TIMEOUT_MS;
+        while self.now_ms() < end_ms {
+            time::sleep(LOOKUP_POLL).await;
+            let versions = self.shared.stream_versions();
+            let found = versions.find(stream);
+            if found.is_some() || versions.loads() > loads {
+                return found;
+            }
+            if !versions.is_load_due() {
+                break;
+            }
+        }
+        match self.look_up(stream).await {
+            Lookup::Known(version) => Some(version),
+            Lookup::Unknown | Lookup::NoAnswer => None,
+        }
+    }
+
     /// Records which version sent the first event of a stream, and tells other entries.
     pub(super) fn record_stream_version(&self, job: &Job, version: VersionKey) {
         if !matches!(job.kind, route::Kind::Stream { resumable: true }) {
@@ -122,18 +143,19 @@
         result
     }
 
-    /// The version that began a stream of the request's route if there has been only one.
-    fn only_version(&self, job: &Job, history: History) -> Option<VersionKey> {
+    /// The version that began a stream of the request's route if there has been only one for as long as streams
+    /// last.
+    async fn only_version(&self, job: &Job) -> Option<VersionKey> {
+        let end_ms = self.now_ms() + STORE_TIMEOUT_MS;
+        while self.now_ms() < end_ms && !self.shared.served_versions().is_history_read() {
+            time::sleep(LOOKUP_POLL).await;
+        }
         let services = job.route().weighted_services.iter();
         let services: Vec<&str> =
             services.map(|one| job.table.service(one.service).name.as_str()).collect();
         let snapshot = self.shared.snapshot.load();
         let versions = self.shared.served_versions();
-        let (directory, now_ms) = (&snapshot.directory, self.now_ms());
-        match history {
-            History::Recent => versions.only_recent_version(&services, directory, now_ms),
-            History::Complete => versions.only_version(&services, directory, now_ms),
-        }
+        versions.only_version(&services, &snapshot.directory, self.now_ms())
     }
 }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -16,7 +16,9 @@
 use tokio::{task, time};
 
 use super::duties::{delivery, election, scaling, seals, tally};
-use super::fleet::{datagrams, exchange, members, peers, prefix_recovery, pulls, stream_keepers};
+use super::fleet::{
+    datagrams, exchange, members, peers, prefix_recovery, pulls, stream_keepers, version_store,
+};
 use super::policy::{budget, outage};
 use super::{directory, evacuation, request, route, shared, watch};
 use crate::{clock, lease, seal, sockets, store};
@@ -219,6 +221,7 @@
     task::spawn_local(pulls::serve(Rc::clone(&control), listener));
     task::spawn_local(datagrams::run_receiver(Rc::clone(&control)));
     task::spawn_local(stream_keepers::run(Rc::clone(&control)));
+    task::spawn_local(version_store::run(Rc::clone(&control)));
     task::spawn_local(members::register_and_discover(Rc::clone(&control)));
     task::spawn_local(election::contend(Rc::clone(&control)));
     datagrams::run_sender(control).await;
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -9,3 +9,4 @@
 pub(super) mod prefix_recovery;
 pub mod pulls;
 pub(super) mod stream_keepers;
+pub(super) mod version_store;
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -263,6 +263,16 @@
         self.store_readers_before(now_ms).filter(|peer| peer.has_store).count()
     }
 
+    /// Returns the peer that ranks first in this zone as a reader of the store and receives its answers, if it
+    /// ranks before this entry.
+    #[must_use]
+    pub fn first_store_reader(&self, now_ms: u64) -> Option<SocketAddr> {
+        let mut readers = self.live_peers(now_ms).filter(|(addr, peer)| {
+            **addr < self.own && peer.zone == self.zone && !peer.is_stopping && peer.has_store
+        });
+        readers.next().map(|(addr, _)| *addr)
+    }
+
     /// Returns how many peers rank before this entry as readers of the store, reachable or not.
     #[must_use]
     pub fn store_reader_rank(&self, now_ms: u64) -> usize {
--- a/src/gateway/fleet/stream_keepers.rs
+++ b/src/gateway/fleet/stream_keepers.rs
@@ -49,8 +49,12 @@
                 told.entry(addr).or_default().push(record);
             }
         }
+        // A reader of the store loads what entries have saved of streams that it does not know.
+        let reader = peers.first_store_reader(now_ms);
         for stream in unasked {
-            for addr in peers.stream_keepers(stream.seed(), ASKED, now_ms) {
+            let mut keepers = peers.stream_keepers(stream.seed(), ASKED, now_ms);
+            keepers.extend(reader.filter(|reader| !keepers.contains(reader)));
+            for addr in keepers {
                 asked.entry(addr).or_default().push(stream);
             }
         }
@@ -91,6 +95,9 @@
             }
         }
     }
+    if !unknown.is_empty() {
+        control.shared.stream_versions().request_load();
+    }
     let mut outgoing = Vec::new();
     if !known.is_empty() {
         outgoing.push(Outgoing { to: vec![from], message: Message::StreamVersions(known) });
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -257,6 +257,11 @@
         &self.data.services[key.0 as usize]
     }
 
+    #[must_use]
+    pub fn routes(&self) -> &[Route] {
+        &self.data.routes
+    }
+
     #[must_use]
     pub fn services(&self) -> &[Service] {
         &self.data.services
--- a/src/gateway/stream_versions.rs
+++ b/src/gateway/stream_versions.rs
@@ -3,9 +3,10 @@
 //! Software versions produce outputs that do not fit together, so a stream may only go on at the version that
 //! sent its first event. A caller goes on with a stream at any entry, also after the first one has ended, and
 //! the endpoint may have left the directory by then. So the entry that forwards a first event tells a few
-//! others, chosen by the stream's key, and an entry that does not know a stream asks the same ones.
+//! others, chosen by the stream's key, and an entry that does not know a stream asks the same ones. While several
+//! versions serve, each entry also saves the versions of its streams in the store.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
@@ -50,6 +51,29 @@
     at_ms: u64,
 }
 
+/// The versions of streams as an entry stores them, for the time after all entries have ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SavedStreams {
+    saved_unix_ms: u64,
+    /// Keys of streams in hexadecimal, concatenated, by version.
+    streams: Vec<(VersionKey, String)>,
+}
+
+/// Number of hexadecimal digits of a key.
+const KEY_DIGITS: usize = 16;
+
+impl SavedStreams {
+    fn records(&self) -> impl Iterator<Item = Record> {
+        self.streams.iter().flat_map(|(version, keys)| {
+            let keys = keys.as_bytes().chunks_exact(KEY_DIGITS);
+            keys.filter_map(|key| {
+                let key = u64::from_str_radix(std::str::from_utf8(key).ok()?, 16).ok()?;
+                Some(Record { stream: StreamKey(key), version: *version })
+            })
+        })
+    }
+}
+
 /// Versions of the streams that this entry began, was told of or has looked up.
 #[derive(Debug, Default)]
 pub struct StreamVersions {
@@ -62,6 +86,14 @@
     lookups: HashMap<StreamKey, bool>,
     /// Streams that other entries have not been asked about yet.
     unasked: Vec<StreamKey>,
+    /// Streams that began here, with the time, to be saved.
+    own: VecDeque<(u64, Record)>,
+    /// Whether streams have begun here since the last save.
+    has_unsaved: bool,
+    /// Whether the streams that all entries have saved are to be loaded.
+    is_load_due: bool,
+    /// Number of times that they were loaded.
+    loads: u64,
 }
 
 impl StreamVersions {
@@ -69,6 +101,88 @@
     pub fn record(&mut self, record: Record, now_ms: u64) {
         self.learn(record, now_ms);
         self.unsent.push(record);
+        self.add_own(record, now_ms);
+    }
+
+    fn add_own(&mut self, record: Record, now_ms: u64) {
+        self.own.push_back((now_ms, record));
+        self.has_unsaved = true;
+        while self.own.len() > MAX_STREAMS {
+            self.own.pop_front();
+        }
+    }
+
+    /// Returns whether streams have begun here since the last save.
+    #[must_use]
+    pub fn has_unsaved(&self) -> bool {
+        self.has_unsaved
+    }
+
+    /// Returns the streams that began here within the retention time, to be stored.
+    pub fn save(&mut self, now_unix_ms: u64) -> SavedStreams {
+        self.has_unsaved = false;
+        let mut streams: BTreeMap<VersionKey, String> = BTreeMap::new();
+        for (_, record) in &self.own {
+            let keys = streams.entry(record.version).or_default();
+            keys.push_str(&format!("{:0KEY_DIGITS$x}", record.stream.0));
+        }
+        SavedStreams { saved_unix_ms: now_unix_ms, streams: streams.into_iter().collect() }
+    }
+
+    /// Notes that a save has failed.
+    pub fn set_unsaved(&mut self) {
+        self.has_unsaved = true;
+    }
+
+    /// Learns streams that an entry has saved, unless it was too long ago. `is_own` if it was an earlier process
+    /// of this entry, whose streams are saved again.
+    pub fn learn_saved(
+        &mut self,
+        saved: &SavedStreams,
+        is_own: bool,
+        now_ms: u64,
+        now_unix_ms: u64,
+    ) {
+        if saved.saved_unix_ms + RETENTION_MS <= now_unix_ms {
+            return;
+        }
+        for record in saved.records() {
+            if self.find(record.stream).is_none() {
+                self.learn(record, now_ms);
+            }
+            if is_own {
+                self.add_own(record, now_ms);
+            }
+        }
+    }
+
+    /// Asks for the streams that all entries have saved to be loaded. Returns the number of loads so far.
+    pub fn request_load(&mut self) -> u64 {
+        self.is_load_due = true;
+        self.loads
+    }
+
+    /// Returns whether the saved streams are to be loaded.
+    #[must_use]
+    pub fn is_load_due(&self) -> bool {
+        self.is_load_due
+    }
+
+    /// Notes that the saved streams have been loaded, or could not be.
+    pub fn end_load(&mut self) {
+        self.is_load_due = false;
+        self.loads += 1;
+    }
+
+    /// Notes that another entry loads the saved streams for this one.
+    pub fn leave_load_to_reader(&mut self) {
+        self.is_load_due = false;
+    }
+
+    /// Returns how often the saved streams have been loaded.
+    #[must_use]
+    pub fn loads(&self) -> u64 {
+        self.loads
     }
 
     /// Records the version of a stream as told by another entry.
@@ -141,5 +255,8 @@
         while self.order.front().is_some_and(|(at_ms, _)| at_ms + RETENTION_MS <= now_ms) {
             self.drop_oldest();
         }
+        while self.own.front().is_some_and(|(at_ms, _)| at_ms + RETENTION_MS <= now_ms) {
+            self.own.pop_front();
+        }
     }
 }
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -5,8 +5,10 @@
 use std::net::SocketAddr;
 
 use briarwinch::gateway::directory::{Directory, Endpoint, VersionKey};
-use briarwinch::gateway::served_versions::ServedVersions;
-use briarwinch::gateway::stream_versions::{RETENTION_MS, Record, StreamKey, StreamVersions};
+use briarwinch::gateway::served_versions::{History, ServedVersions};
+use briarwinch::gateway::stream_versions::{
+    RETENTION_MS, Record, SavedStreams, StreamKey, StreamVersions,
+};
 
 use crate::directory::endpoint;
 use crate::virtual_fleet::{Fleet, SIZES};
@@ -142,3 +144,74 @@
         assert_eq!(missed, 0, "of 200 streams in a fleet of {entries}");
     }
 }
+
+const UNIX_MS: u64 = 1_700_000_000_000;
+
+/// Returns the history that an entry stores while it knows this directory, as another entry reads it.
+fn stored_history(directory: &Directory) -> History {
+    let mut served = ServedVersions::default();
+    served.observe(&Directory::default(), directory, NOW_MS);
+    let history = served.history(&["engine"], directory, 0, NOW_MS, UNIX_MS);
+    let stored = serde_json::to_string(&history).expect("the history is encoded");
+    serde_json::from_str(&stored).expect("the history is decoded")
+}
+
+/// Guards against streams that nobody goes on with after all entries were killed, although a single version has
+/// served all the time.
+#[test]
+fn an_entry_that_starts_alone_knows_the_stored_history() {
+    let listed = listing(&[("one", "v1"), ("two", "v1")], 1);
+    let mut started = ServedVersions::default();
+    assert_eq!(started.only_version(&["engine"], &listed, 10), None);
+    started.load(Some(&stored_history(&listed)), 10, UNIX_MS + 5_000);
+    assert_eq!(started.only_version(&["engine"], &listed, 10), Some(version("v1")));
+}
+
+/// Guards against a stream joined from two versions: the version that began it left while no entry ran.
+#[test]
+fn a_version_that_left_while_no_entry_ran_has_left_at_the_start() {
+    let old = stored_history(&listing(&[("one", "v1")], 1));
+    let new = listing(&[("two", "v1.1")], 2);
+    let mut started = ServedVersions::default();
+    started.load(Some(&old), NOW_MS, UNIX_MS + 10 * RETENTION_MS);
+    let only = |at_ms| started.only_version(&["engine"], &new, at_ms);
+    assert_eq!(only(NOW_MS + RETENTION_MS - 1), None);
+    assert_eq!(only(NOW_MS + RETENTION_MS), Some(version("v1.1")));
+}
+
+/// Guards against a version that is dropped from the history while its streams may still be continued.
+#[test]
+fn a_version_that_has_left_stays_in_the_stored_history() {
+    let before = stored_history(&listing(&[("one", "v1")], 1));
+    let new = listing(&[("two", "v1.1")], 2);
+    let mut after = stored_history(&new);
+    assert!(!before.lists_same(&after));
+    after.add_left(&before, UNIX_MS - RETENTION_MS, UNIX_MS);
+    let mut started = ServedVersions::default();
+    started.load(Some(&after), NOW_MS, UNIX_MS + 1_000);
+    assert_eq!(started.only_version(&["engine"], &new, NOW_MS), None);
+    assert_eq!(
+        started.only_version(&["engine"], &new, NOW_MS + RETENTION_MS),
+        Some(version("v1.1"))
+    );
+}
+
+/// Guards against saved streams that are lost on the way through the store, and against old ones that fill the
+/// memory.
+#[test]
+fn saved_streams_are_learned_within_the_retention_time() {
+    let mut before = StreamVersions::default();
+    let records = [("r-1", "v1"), ("r-2", "v1.1"), ("r-3", "v1")]
+        .map(|(id, name)| Record { stream: StreamKey::of(id), version: version(name) });
+    records.iter().for_each(|record| before.record(*record, NOW_MS));
+    assert!(before.has_unsaved());
+    let stored = serde_json::to_string(&before.save(UNIX_MS)).expect("the streams are encoded");
+    assert!(!before.has_unsaved());
+    let saved: SavedStreams = serde_json::from_str(&stored).expect("the streams are decoded");
+    let mut started = StreamVersions::default();
+    started.learn_saved(&saved, true, NOW_MS, UNIX_MS + RETENTION_MS);
+    assert_eq!(started.find(records[0].stream), None);
+    started.learn_saved(&saved, true, NOW_MS, UNIX_MS + RETENTION_MS - 1);
+    assert!(records.iter().all(|record| started.find(record.stream) == Some(record.version)));
+    assert_eq!(started.save(UNIX_MS), saved, "an earlier process's streams are saved again");
+}
