Entries register again after the store was restored

Seen: an entry whose registration was lost with a fall of the store was not in the list of entries any more, for as long as it ran; an entry that starts with outdated seeds could not find it there.

Cause: an entry registers once. Evidence: entries_register_again_after_the_store_was_restored failed on the code as landed after 20 s.

Change: the registration is checked again in each new era of the store.

--- a/src/gateway/fleet/members.rs
+++ b/src/gateway/fleet/members.rs
@@ -22,12 +22,18 @@
 pub(in crate::gateway) async fn register_and_discover<P: Platform>(control: Rc<Control<P>>) {
     let own = control.shared.settings.peer_addr();
     let key = format!("{MEMBERS_PREFIX}{}", control.shared.settings.id);
-    let mut is_registered = false;
+    let mut registered_era = None;
     let mut next_list_ms = 0;
     loop {
         time::sleep(CHECK_INTERVAL).await;
-        if !is_registered && control.reads_store() && control.is_store_available() {
-            is_registered = try_register(&control, &key, own).await;
+        // A store that comes back from an older copy may lack the registration.
+        let is_registered = registered_era == Some(control.platform.era());
+        if !is_registered
+            && control.reads_store()
+            && control.is_store_available()
+            && try_register(&control, &key, own).await
+        {
+            registered_era = Some(control.platform.era());
         }
         let now_ms = control.now_ms();
         if now_ms < next_list_ms || control.exchange.borrow().peers.live_count(now_ms) > 0 {
