Orders of endpoints outlast a fall of the store

Seen (by a test, not by callers): with the duties going on after a fall, the holder reads its orders from the copy and sends the platform an older number of endpoints, which cancels those that are starting.

Cause: the orders in the store are the only record that a new term begins with.

Change: a term that continues one of the era before keeps its planners and the orders that it wrote, repeats them and writes them again. Where the holder has ended, the copy's orders are repeated once, then planned on, as before.

--- a/src/gateway/duties/election.rs
+++ b/src/gateway/duties/election.rs
@@ -91,7 +91,7 @@
         let now_ms = control.now_ms();
         if contender.epoch(now_ms).is_some() && !held {
             billing.begin_term(contender.is_continued());
-            scaling = scaling::Scaling::default();
+            scaling.begin_term(contender.is_continued());
             slog::info!(control.log, "term begun"; "fence" => contender.epoch(now_ms).map(|one| one.0),
                 "continued" => contender.is_continued());
             act_from_ms =
--- a/src/gateway/duties/scaling.rs
+++ b/src/gateway/duties/scaling.rs
@@ -60,6 +60,8 @@
     orders: Vec<Order>,
     /// Targets whose order the platform is not known to have accepted.
     pending: BTreeSet<Target>,
+    /// Whether the store lacks some of the orders.
+    is_unsaved: bool,
 }
 
 impl Ordered {
@@ -79,10 +81,25 @@
 pub(in crate::gateway) struct Scaling {
     planners: HashMap<Target, Planner>,
     ordered: Option<Ordered>,
+    /// The orders that this entry last read or wrote as the holder.
+    remembered_orders: Vec<Order>,
+    /// Whether the term continues one in which this entry wrote the remembered orders.
+    is_continued: bool,
     next_ms: u64,
 }
 
 impl Scaling {
+    /// Begins a term. What this entry planned and ordered in its last one counts if the new one continues it: the
+    /// store has lost the newest orders.
+    pub(in crate::gateway) fn begin_term(&mut self, is_continued: bool) {
+        let before = std::mem::take(self);
+        if is_continued {
+            self.planners = before.planners;
+            self.remembered_orders = before.remembered_orders;
+            self.is_continued = true;
+        }
+    }
+
     /// Plans and orders what is due, one call at a time.
     pub(in crate::gateway) async fn tick<P: Platform>(
         &mut self,
@@ -122,7 +139,10 @@
 
     async fn read_orders<P: Platform>(&mut self, control: &Control<P>) -> bool {
         match control.platform.get(ORDERS_KEY).await {
-            Ok(None) => self.ordered = Some(Ordered::default()),
+            Ok(None) => {
+                let version = control.platform.era().version(0);
+                self.ordered = Some(Ordered { version, ..Ordered::default() });
+            }
             Ok(Some(object)) => {
                 let orders: Vec<Order> =
                     serde_json::from_str(&object.value).unwrap_or_else(|error| {
@@ -132,7 +152,8 @@
                     });
                 // The former holder may have ended between the write and the order.
                 let pending = orders.iter().map(|order| order.target.clone()).collect();
-                self.ordered = Some(Ordered { version: object.version, orders, pending });
+                let version = object.version;
+                self.ordered = Some(Ordered { version, orders, pending, is_unsaved: false });
             }
             Err(failure) => {
                 self.next_ms = control.now_ms() + RETRY_MS;
@@ -141,6 +162,16 @@
                 return false;
             }
         }
+        if let Some(ordered) = &mut self.ordered {
+            let remembered = self.remembered_orders.iter().filter(|_| self.is_continued);
+            for order in remembered {
+                if ordered.count(&order.target) != Some(order.count) {
+                    ordered.set(order.clone());
+                    ordered.is_unsaved = true;
+                }
+            }
+            self.remembered_orders = ordered.orders.clone();
+        }
         true
     }
 
@@ -150,7 +181,7 @@
             return;
         };
         let changes = self.planned_changes(control, table, &ordered);
-        if changes.is_empty() {
+        if changes.is_empty() && !ordered.is_unsaved {
             self.ordered = Some(ordered);
             return;
         }
@@ -165,6 +196,8 @@
         match control.platform.put(ORDERS_KEY, value, condition).await {
             Ok(version) => {
                 ordered.version = version;
+                ordered.is_unsaved = false;
+                self.remembered_orders = ordered.orders.clone();
                 self.ordered = Some(ordered);
             }
             // The orders are read again first: the write may have taken effect, or another one came first.
