Endpoints and evacuations are followed after the store was restored

Cause: lists, watches and what entries tell each other were ordered by the bare revision, which goes back with the fall.

Change: revisions of topics are versions of the store's era, as those of objects are. A watch of an older era ends at once, and the topic is listed again. The first list of a new era is as old as the copy: it takes back no evacuation and no departure or drain that the entry knows of, and endpoints that it lacks are kept as after an outage. After 2.2 s (endpoints) or 10 s (evacuations) the topic is listed once more and then holds as it is. A peer's directory or evacuations of a newer era undo as little.

An entry of an earlier version that runs beside this one takes its directory and no longer the store's own lists, since the versions compare higher; this lasts until it is replaced, and only where the store names an era.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -48,7 +48,7 @@
 /// The result of a list or a watch.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
-    /// The store's revision of this result; the next watch continues from it.
+    /// The store's era and revision of this result, see [`store::Era::version`]; the next watch continues from it.
     pub revision: u64,
     pub items: Vec<Item>,
 }
@@ -116,6 +116,8 @@
     restored_at_ms: RefCell<HashMap<CompactString, u64>>,
     /// Wakes watches that wait for a store that no longer answers.
     pub(super) store_silent: Notify,
+    /// Wakes watches that wait for changes of an older era of the store.
+    pub(super) store_restored: Notify,
     pub(super) exchange: RefCell<exchange::Exchange>,
     /// Delivers this entry's counts to the collectors.
     pub(super) outbox: RefCell<delivery::Outbox>,
@@ -199,6 +201,7 @@
         evacuations: RefCell::default(),
         restored_at_ms: RefCell::default(),
         store_silent: Notify::new(),
+        store_restored: Notify::new(),
         socket: UdpSocket::from_std(sockets.udp)?,
         holds_duties: Cell::new(false),
         own_term_notice: Cell::new(None),
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -4,6 +4,10 @@
 //! store is back. So an endpoint whose record disappears around the store's return is kept for a grace period
 //! and removed only if it is still missing then. An endpoint that has reported that it is leaving is removed
 //! immediately.
+//!
+//! A store that comes back from an older copy lists what was true before. Lists are ordered by the store's era
+//! first. The first list of a new era does not bring back a process that has left or is leaving; endpoints that
+//! it lacks are kept for a grace period as after an outage.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -12,6 +16,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
+use crate::store::Era;
+
 /// Identifies an endpoint across all instances: a digest of its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointKey([u8; 8]);
@@ -140,7 +146,7 @@
         Self { readmission_ms, ..Self::default() }
     }
 
-    /// Revision of the store at which the list last changed.
+    /// Era and revision of the store at which the list last changed, see [`Era::version`].
     #[must_use]
     pub fn revision(&self) -> u64 {
         self.revision
@@ -188,6 +194,36 @@
         self.set(endpoints, revision)
     }
 
+    /// Applies the first complete list that a watcher has received in a new era of the store, as [`Self::replace`].
+    /// It is as old as the copy from which the store came back.
+    pub fn restore(
+        &mut self,
+        listed: Vec<Endpoint>,
+        revision: u64,
+        keep_until_ms: Option<u64>,
+    ) -> bool {
+        self.replace(self.without_undone_changes(listed), revision, keep_until_ms)
+    }
+
+    fn is_new_era(&self, revision: u64) -> bool {
+        self.revision != 0 && Era::of(revision) > Era::of(self.revision)
+    }
+
+    /// Returns endpoints of a restored store without processes that this entry knows to have left, and with those
+    /// leaving that it knows to be leaving.
+    fn without_undone_changes(&self, mut listed: Vec<Endpoint>) -> Vec<Endpoint> {
+        listed.retain(|one| {
+            let removed = self.removed.get(&one.key);
+            removed.is_none_or(|removed| removed.started_unix_ms != one.started_unix_ms)
+        });
+        for endpoint in &mut listed {
+            let known = self.find(endpoint.key);
+            let known = known.filter(|known| known.started_unix_ms == endpoint.started_unix_ms);
+            endpoint.is_leaving |= known.is_some_and(|known| known.is_leaving);
+        }
+        listed
+    }
+
     /// Applies events from a watch, up to `revision` of the store, and returns whether anything changed.
     ///
     /// A watch that resumes after an outage delivers old events first. Events that a peer's newer list
@@ -315,12 +351,24 @@
         if other.revision <= self.revision {
             return false;
         }
+        let mut endpoints = other.endpoints;
+        let mut missing = Vec::new();
+        if self.is_new_era(other.revision) {
+            endpoints = self.without_undone_changes(endpoints);
+            let is_missing =
+                |old: &&Endpoint| !old.is_leaving && endpoints.iter().all(|one| one.key != old.key);
+            missing = self.endpoints.iter().filter(is_missing).cloned().collect();
+        }
         self.revision = other.revision;
-        self.endpoints = other.endpoints;
+        self.endpoints = endpoints;
         self.lapsed = lapsed
             .iter()
             .map(|one| (one.endpoint, self.grace_end_ms(one.endpoint, now_ms + one.remaining_ms)))
             .collect();
+        let until_ms = now_ms + self.readmission_ms;
+        self.lapsed.extend(missing.iter().map(|one| (one.key, until_ms)));
+        self.endpoints.extend(missing);
+        self.endpoints.sort_by(|a, b| a.id.cmp(&b.id));
         self.cold = cold.iter().map(|one| (one.endpoint, now_ms + one.remaining_ms)).collect();
         self.expire(now_ms);
         true
@@ -351,6 +399,9 @@
     fn set(&mut self, mut endpoints: Vec<Endpoint>, revision: u64) -> bool {
         endpoints.sort_by(|a, b| a.id.cmp(&b.id));
         if endpoints == self.endpoints && self.revision != 0 {
+            if self.is_new_era(revision) {
+                self.revision = revision;
+            }
             return false;
         }
         self.endpoints = endpoints;
--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -9,12 +9,17 @@
 //! The set carries the revision of the store up to which a list or changes confirmed it, and is always sent as
 //! a whole. A newer set replaces an older one, so an entry that missed the end of an evacuation cannot spread
 //! it again, and no tombstones are needed.
+//!
+//! Revisions are ordered by the store's era first. After the store has come back from an older copy, the first set
+//! of the new era may lack an evacuation that the operators have not written again yet, so it takes back no zone.
 
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use crate::store::Era;
+
 /// Maximum number of evacuated zones that are kept, far more than a deployment has. Entries send all of them
 /// in one datagram.
 const MAX_ZONES: usize = 24;
@@ -139,6 +144,18 @@
         is_changed
     }
 
+    /// Applies the first complete list that a watcher has received in a new era of the store, as [`Self::replace`].
+    /// It is as old as the copy from which the store came back, so the zones known now stay evacuated.
+    pub fn restore(
+        &mut self,
+        listed: impl Iterator<Item = CompactString>,
+        revision: u64,
+        now_ms: u64,
+    ) -> bool {
+        let known: Vec<CompactString> = self.zones.keys().cloned().collect();
+        self.replace(listed.chain(known), revision, now_ms)
+    }
+
     /// Applies changes from a watch, up to `revision` of the store, and returns whether they changed
     /// anything. Zones that they add close after `remaining_ms`.
     ///
@@ -200,7 +217,11 @@
             };
             (one.zone.clone(), self.zones.get(&one.zone).copied().unwrap_or(received))
         };
-        let zones = other.zones.iter().map(schedule).collect();
+        let mut zones: BTreeMap<CompactString, Schedule> =
+            other.zones.iter().map(schedule).collect();
+        if Era::of(other.revision) > Era::of(self.revision) {
+            zones.extend(self.zones.iter().map(|(zone, schedule)| (zone.clone(), *schedule)));
+        }
         self.set(zones, other.revision);
         true
     }
--- a/src/gateway/policy/outage.rs
+++ b/src/gateway/policy/outage.rs
@@ -42,7 +42,8 @@
     /// How long a leaving endpoint goes on taking requests.
     leave_ms: u64,
     since_ms: Option<u64>,
-    /// End of the last outage that was long enough for records to expire.
+    /// End of the last outage that was long enough for records to expire, or when the store came back from an
+    /// older copy.
     recovered_ms: Option<u64>,
     pause_ms: u64,
 }
@@ -74,6 +75,11 @@
         Some(down_ms)
     }
 
+    /// Records that the store has come back from an older copy, which lacks the newest records.
+    pub fn record_restored(&mut self, now_ms: u64) {
+        self.recovered_ms = Some(now_ms);
+    }
+
     #[must_use]
     pub fn is_down(&self) -> bool {
         self.since_ms.is_some()
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -24,6 +24,10 @@
 
 /// Interval between two probes of the store by a reader.
 const PROBE: Duration = Duration::from_millis(500);
+/// Time within which live endpoints write their records again after the store has come back from an older copy.
+const REWRITE_ENDPOINTS_MS: u64 = 2_200;
+/// The same for operators.
+const REWRITE_EVACUATIONS_MS: u64 = 10_000;
 
 /// Probes the store while this entry reads it, for as long as the process lives.
 ///
@@ -31,8 +35,13 @@
 /// instance. If that happened to all readers at the same time, no other entry would take over until the
 /// watches time out, and changes would take effect too late everywhere.
 pub(super) async fn probe<P: Platform>(control: Rc<Control<P>>) {
+    let mut era = None;
     loop {
         time::sleep(PROBE).await;
+        // Any call of this entry may have learned the era.
+        if era.replace(control.platform.era()) != Some(control.platform.era()) {
+            control.store_restored.notify_waiters();
+        }
         if !control.reads_store() || !control.is_store_available() {
             continue;
         }
@@ -49,6 +58,9 @@
     let mut has_listed = false;
     let leave_ms = control.shared.settings.leave_ms;
     let mut outage = outage::StoreOutage::new(leave_ms);
+    let mut known_era = None;
+    // When to list again after the store has come back from an older copy.
+    let mut relist_ms: Option<u64> = None;
     loop {
         // Each entry reads the topic once by itself: what peers send at its start may be outdated.
         let is_discovering = control.shared.time.age_ms() < DISCOVERY_MS;
@@ -60,12 +72,20 @@
             continue;
         }
         let called_ms = control.now_ms();
-        let wait_ms = outage.watch_wait_ms(called_ms);
+        let mut wait_ms = outage.watch_wait_ms(called_ms);
+        if let Some(at_ms) = relist_ms {
+            wait_ms = wait_ms.min(at_ms.saturating_sub(called_ms).max(1));
+            if called_ms >= at_ms {
+                relist_ms = None;
+                from = None;
+            }
+        }
         let result = match from {
             None => control.platform.list_all(topic).await.map_err(WatchFailure::Failed),
             Some(revision) => tokio::select! {
                 result = control.platform.watch(topic, revision, wait_ms) => result,
                 () = control.store_silent.notified() => Err(WatchFailure::Failed(store::Failure::NoAnswer)),
+                () = wait_for_restore(&control, revision) => Err(WatchFailure::HistoryGone),
             },
         };
         let now_ms = control.now_ms();
@@ -78,6 +98,14 @@
                         "away_ms" => away_ms);
                 }
                 let is_list = from.is_none();
+                let era = store::Era::of(batch.revision);
+                let is_restored = known_era.replace(era).is_some_and(|known| known < era);
+                if is_restored {
+                    slog::info!(control.log, "list of a new era"; "topic" => format!("{topic:?}"),
+                        "era" => era.0);
+                    outage.record_restored(now_ms);
+                    relist_ms = rewrite_ms(topic).map(|rewrite_ms| now_ms + rewrite_ms);
+                }
                 if !has_listed {
                     has_listed = true;
                     control.topics_to_list.set(control.topics_to_list.get() - 1);
@@ -86,6 +114,7 @@
                 let has_changes = !is_list && !batch.items.is_empty();
                 let origin = Origin {
                     is_list,
+                    is_restored,
                     is_live: !is_list && now_ms >= called_ms + LIVE_MS,
                     keep_until_ms: outage.keep_missing_until_ms(now_ms),
                 };
@@ -120,10 +149,29 @@
     }
 }
 
+/// Waits until the store is known to be in another era than this version.
+async fn wait_for_restore<P: Platform>(control: &Control<P>, version: u64) {
+    while control.platform.era() == store::Era::of(version) {
+        control.store_restored.notified().await;
+    }
+}
+
+/// Returns the time after which what is missing in the store has not been written again.
+fn rewrite_ms(topic: Topic) -> Option<u64> {
+    match topic {
+        // The configuration has a version of its own.
+        Topic::Config => None,
+        Topic::Endpoints => Some(REWRITE_ENDPOINTS_MS),
+        Topic::Evacuations => Some(REWRITE_EVACUATIONS_MS),
+    }
+}
+
 /// How a batch was obtained.
 #[derive(Clone, Copy, Debug)]
 struct Origin {
     is_list: bool,
+    /// Whether it is the first list of a new era of the store.
+    is_restored: bool,
     /// Whether a watch waited for it, so that the changes have just happened.
     is_live: bool,
     /// Time until which a missing endpoint is kept.
@@ -132,7 +180,7 @@
 
 fn apply<P: Platform>(control: &Control<P>, topic: Topic, batch: Batch, origin: Origin) {
     let revision = batch.revision;
-    let Origin { is_list, is_live, keep_until_ms } = origin;
+    let Origin { is_list, is_restored, is_live, keep_until_ms } = origin;
     match topic {
         Topic::Config => {
             for item in batch.items {
@@ -153,8 +201,12 @@
                     directory::Change::Present(endpoint) => Some(endpoint.clone()),
                     directory::Change::Gone(_) => None,
                 });
-                directory.replace(listed.collect(), revision, keep_until_ms)
-                    | directory.update_cold(&events, revision, now_ms)
+                let listed = listed.collect();
+                let is_changed = match is_restored {
+                    true => directory.restore(listed, revision, keep_until_ms),
+                    false => directory.replace(listed, revision, keep_until_ms),
+                };
+                is_changed | directory.update_cold(&events, revision, now_ms)
             } else {
                 directory.apply_events(events, revision, keep_until_ms, now_ms)
             };
@@ -171,7 +223,10 @@
                     evacuation::Change::Evacuated(zone) => Some(zone),
                     evacuation::Change::Restored(_) => None,
                 });
-                return evacuations.replace(zones, revision, now_ms);
+                return match is_restored {
+                    true => evacuations.restore(zones, revision, now_ms),
+                    false => evacuations.replace(zones, revision, now_ms),
+                };
             }
             let allowed_ms = control.shared.settings.evacuation_ms.filter(|_| is_live);
             let left_ms = evacuation::leave_ms(allowed_ms.unwrap_or(0));
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -3,6 +3,7 @@
 //! data.
 
 use briarwinch::gateway::directory::{Change, Directory, Endpoint, EndpointKey, Event};
+use briarwinch::store::Era;
 
 pub fn endpoint(id: &str) -> Endpoint {
     Endpoint {
@@ -184,3 +185,59 @@
     assert!(directory.expire(9_000));
     assert!(accepting(&directory).is_empty());
 }
+
+fn in_era(era: u64, revision: u64) -> u64 {
+    Era(era).version(revision)
+}
+
+/// A directory of era 1 in which the endpoint `one` drains and `gone` was removed at 1,000 ms.
+fn before_restore() -> Directory {
+    let mut directory = Directory::new(1_700);
+    let first = vec![endpoint("one"), endpoint("two"), endpoint("gone")];
+    directory.replace(first, in_era(1, 900), None);
+    let draining = Endpoint { is_leaving: true, ..endpoint("one") };
+    directory.apply(Change::Present(draining), in_era(1, 901), None);
+    let before = directory.clone();
+    directory.apply(Change::Gone("gone".into()), in_era(1, 902), None);
+    directory.record_removals(&before, 1_000);
+    directory
+}
+
+/// Guards against changes that are not followed after the store has come back from an older copy, because their
+/// revisions are lower than known ones.
+#[test]
+fn lists_of_a_newer_era_are_taken_whatever_their_revision() {
+    let mut directory = listed();
+    assert!(directory.replace(vec![endpoint("three")], in_era(1, 5), None));
+    assert_eq!(accepting(&directory), ["three"]);
+    assert!(!directory.replace(vec![endpoint("one")], 11, None), "an older era");
+    assert!(directory.apply(Change::Gone("three".into()), in_era(1, 6), None));
+    assert!(accepting(&directory).is_empty());
+}
+
+/// Guards against requests to endpoints that had left or were draining when the copy was taken back, and against
+/// endpoints that are lost because they are newer than the copy.
+#[test]
+fn a_restored_list_undoes_no_departure() {
+    let mut directory = before_restore();
+    let copy = vec![endpoint("one"), endpoint("gone")];
+    directory.restore(copy, in_era(2, 5), Some(5_000));
+    assert_eq!(accepting(&directory), ["two"]);
+    assert!(directory.expire(5_000), "an endpoint that is not listed again is removed");
+    let restarted = Endpoint { started_unix_ms: 2, ..endpoint("gone") };
+    directory.replace(vec![endpoint("one"), restarted], in_era(2, 9), None);
+    assert_eq!(accepting(&directory), ["gone", "one"]);
+}
+
+/// Guards against the same where the first news of the era is a peer's directory.
+#[test]
+fn a_peers_directory_of_a_newer_era_undoes_no_departure() {
+    let mut directory = before_restore();
+    let mut peers = Directory::default();
+    peers.replace(vec![endpoint("one"), endpoint("gone")], in_era(2, 5), None);
+    assert!(directory.adopt(peers, &[], &[], 2_000));
+    assert_eq!(accepting(&directory), ["two"]);
+    assert!(!directory.expire(3_699));
+    assert!(directory.expire(3_700));
+    assert!(accepting(&directory).is_empty());
+}
--- a/tests/gateway/evacuations.rs
+++ b/tests/gateway/evacuations.rs
@@ -2,6 +2,7 @@
 //! revoked evacuation does not come back.
 
 use briarwinch::gateway::evacuation::{self, Change, Evacuations};
+use briarwinch::store::Era;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -192,3 +193,21 @@
     assert!(second.is_closed("a", NOW_MS + LEAVE_MS + 100));
     assert!(evacuation::leave_ms(5_000) + 1_500 < 5_000, "the rest covers the propagation delay");
 }
+
+/// Guards against requests to an evacuated zone because the store came back from a copy of before its evacuation, and
+/// against a zone that stays evacuated after the operators have taken it back in the new era.
+#[test]
+fn a_restored_set_takes_no_zone_back() {
+    let in_era = |revision: u64| Era(1).version(revision);
+    let mut evacuations = listed(&["a"], 900);
+    assert!(!evacuations.restore(std::iter::empty(), in_era(5), NOW_MS), "nothing has changed");
+    assert!(evacuations.contains("a"));
+    let mut told = listed(&["a"], 900);
+    assert!(told.adopt(&listed(&["b"], in_era(5)).snapshot(NOW_MS), NOW_MS));
+    assert!(told.contains("a") && told.contains("b"));
+    let restored = || [Change::Restored("a".into())].into_iter();
+    assert!(evacuations.apply_changes(restored(), in_era(7), 0, NOW_MS));
+    assert!(!evacuations.contains("a"));
+    assert!(told.replace(std::iter::empty(), in_era(9), NOW_MS), "listed again later");
+    assert_eq!(told.zones().count(), 0);
+}
