A stream does not go on at an endpoint that may have restarted unnoticed

Cause: an endpoint's version is that of the last list, whatever has happened to the endpoint since.

Change: an entry notes until when the store has confirmed its list (with the time for endpoints to write again after an outage), and when connections to an endpoint were last lost or refused. Once the store has not answered for a second, an endpoint with losses since then takes no stream that has begun elsewhere, and a stream that begins there is of unknown version: it goes on nowhere. While the store answers nothing changes.

Not covered: an entry that had no connection to the endpoint sees no loss.

--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -17,6 +17,9 @@
 const LOOKUP_TIMEOUT_MS: u64 = 50;
 /// How often other entries are asked about one stream.
 const MAX_LOOKUPS: usize = 2;
+/// Time without an answer of the store after which an endpoint may have started again unnoticed. Longer than the
+/// interval between two probes of the store.
+const UNCONFIRMED_MS: u64 = 1_000;
 /// Maximum wait for what entries have saved in the store.
 const STORE_TIMEOUT_MS: u64 = 250;
 /// Interval between checks whether an answer has arrived.
@@ -104,6 +107,17 @@
         }
     }
 
+    /// Returns whether an endpoint may have started again with another version since its record was received: the
+    /// store has not answered for a while, and connections to the endpoint have been lost meanwhile.
+    pub(super) fn may_have_restarted(&self, endpoint: directory::EndpointKey) -> bool {
+        let confirmed_ms = self.shared.directory_confirmed_ms.load(Ordering::Relaxed);
+        if self.now_ms() <= confirmed_ms + UNCONFIRMED_MS {
+            return false;
+        }
+        let lost_ms = self.lost_connections_ms.borrow().get(&endpoint).copied();
+        lost_ms.is_some_and(|lost_ms| lost_ms >= confirmed_ms)
+    }
+
     /// Records which version sent the first event of a stream, and tells other entries.
     pub(super) fn record_stream_version(&self, job: &Job, version: VersionKey) {
         if !matches!(job.kind, route::Kind::Stream { resumable: true }) {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -145,6 +145,10 @@
     failing_topics: RefCell<Vec<Topic>>,
     /// Wakes the topics that wait until the store answers again.
     store_regained: Notify,
+    /// When the store last answered a watch or a probe.
+    pub(super) store_answered_ms: Cell<u64>,
+    /// Since when the store has answered this entry, or the one that reads it for the zone.
+    store_available_since_ms: Cell<Option<u64>>,
 }
 
 /// Number of zones from which one reader in each is enough: while it is gone, the readers of other zones
@@ -213,6 +217,8 @@
         topics_to_list: Cell::new(topics(&shared).len()),
         failing_topics: RefCell::default(),
         store_regained: Notify::new(),
+        store_answered_ms: Cell::new(0),
+        store_available_since_ms: Cell::new(None),
         shared,
         log,
     });
@@ -297,6 +303,26 @@
         peers.active_readers_before(now_ms) < readers
     }
 
+    /// Notes up to when the directory is known to be current. After an outage of the store, endpoints first have to
+    /// write their records again.
+    pub(super) fn confirm_directory(&self, now_ms: u64) {
+        let is_read_here = self.reads_store();
+        let is_available = match is_read_here {
+            true => self.is_store_available(),
+            false => self.exchange.borrow().peers.first_store_reader(now_ms).is_some(),
+        };
+        if !is_available {
+            self.store_available_since_ms.set(None);
+            return;
+        }
+        let since_ms = self.store_available_since_ms.get().unwrap_or(now_ms);
+        self.store_available_since_ms.set(Some(since_ms));
+        if now_ms >= since_ms + watch::REWRITE_ENDPOINTS_MS {
+            let at_ms = if is_read_here { self.store_answered_ms.get() } else { now_ms };
+            self.shared.directory_confirmed_ms.store(at_ms, Ordering::Relaxed);
+        }
+    }
+
     /// Applies a configuration if it is newer than the one in force.
     pub(super) fn apply_config(&self, parts: route::TableData, source: &'static str) {
         let known = self.config_version();
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -129,6 +129,7 @@
             }
             http1::Error::Connect(_) | http1::Error::Unsent(_) | http1::Error::Malformed => return,
         }
+        self.lost_connections_ms.borrow_mut().insert(endpoint.key, self.now_ms());
         let mut checks = self.crash_checks.borrow_mut();
         if !checks.contains_key(&endpoint.key) {
             task::spawn_local(Rc::clone(self).check_crash(endpoint.clone()));
@@ -184,7 +185,11 @@
         endpoint: directory::EndpointKey,
         error: &http1::Error,
     ) {
-        if !is_refused(error) || self.crash_checks.borrow().contains_key(&endpoint) {
+        if !is_refused(error) {
+            return;
+        }
+        self.lost_connections_ms.borrow_mut().insert(endpoint, self.now_ms());
+        if self.crash_checks.borrow().contains_key(&endpoint) {
             return;
         }
         let last_ms = {
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -45,6 +45,13 @@
         let seed = xxh3::xxh3_64(service.as_bytes());
         Self(xxh3::xxh3_64_with_seed(version.as_bytes(), seed).to_le_bytes())
     }
+
+    /// Returns a key that stands for the version of an endpoint whose record is out of date. No endpoint has it.
+    #[must_use]
+    pub fn unknown(endpoint: EndpointKey) -> Self {
+        const SEED: u64 = 0x756e_6b6e_6f77_6e00;
+        Self(xxh3::xxh3_64_with_seed(&endpoint.0, SEED).to_le_bytes())
+    }
 }
 
 /// An endpoint as listed by the store.
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -16,7 +16,9 @@
 use super::attempt::OpenResponse;
 use super::job::Job;
 use super::policy::health;
-use super::{Gateway, buffer_allowance, event_splitter, event_timing, http1, metrics, request};
+use super::{
+    Gateway, buffer_allowance, directory, event_splitter, event_timing, http1, metrics, request,
+};
 use crate::{drain, error};
 
 /// The stream ended before it was complete. The caller's connection has to be closed, so that the
@@ -295,7 +297,10 @@
         // process that sends events is the latest one.
         let snapshot = self.gateway.shared.snapshot.load();
         let sender = snapshot.directory.find(endpoint.key).unwrap_or(endpoint);
-        let version = sender.version_key();
+        let version = match self.gateway.may_have_restarted(endpoint.key) {
+            true => directory::VersionKey::unknown(endpoint.key),
+            false => sender.version_key(),
+        };
         if self.job.version.is_some_and(|bound| bound != version) {
             slog::info!(self.gateway.log, "stream at another version";
                 "request" => self.job.request.id.as_str(), "endpoint" => sender.id.as_str(),
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -58,6 +58,7 @@
         if !has_urgent_work {
             update_entries(&control, now_ms);
             control.expire_endpoints(now_ms);
+            control.confirm_directory(now_ms);
             control.update_cold_endpoints();
             control.update_limit_shares();
             control.update_quarantine_trials();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -74,6 +74,8 @@
     call_queues: RefCell<call_admission::Queues>,
     /// Endpoints that may have ended, with what was lost with them.
     crash_checks: RefCell<HashMap<directory::EndpointKey, crash_check::Losses>>,
+    /// When a connection to each endpoint was last lost or refused.
+    lost_connections_ms: RefCell<HashMap<directory::EndpointKey, u64>>,
     /// Requests that were sent and have not ended.
     open_sends: RefCell<slab::Slab<attempt::OpenSend>>,
     /// Requests that endpoints may still be at work on although this entry no longer waits for them.
@@ -103,6 +105,7 @@
             backoff: RefCell::default(),
             call_queues: RefCell::default(),
             crash_checks: RefCell::default(),
+            lost_connections_ms: RefCell::default(),
             open_sends: RefCell::default(),
             abandoned: RefCell::default(),
             log,
@@ -136,6 +139,7 @@
         let is_known = |endpoint| snapshot.directory.find(endpoint).is_some();
         gateway.health.borrow_mut().retain(is_known);
         gateway.event_gaps.borrow_mut().retain(is_known);
+        gateway.lost_connections_ms.borrow_mut().retain(|endpoint, _| is_known(*endpoint));
         gateway.shared.work_durations().retain(is_known);
         gateway.cold_sends.borrow_mut().sweep(now_ms);
         gateway.backoff.borrow_mut().sweep(now_ms);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -294,7 +294,9 @@
         let candidates =
             snapshot.accepting(&service.name, job.evacuation_key(), now_ms).filter(|endpoint| {
                 !job.tried_endpoints.contains(&endpoint.key)
-                    && job.version.is_none_or(|version| endpoint.version_key() == version)
+                    && job.version.is_none_or(|version| {
+                        endpoint.version_key() == version && !self.may_have_restarted(endpoint.key)
+                    })
                     && eligibility.allows(endpoint)
             });
         let load_table = self.shared.load_table();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the control thread and the traffic thread of an entry.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
@@ -74,6 +74,8 @@
     pub counts_delivered: AtomicBool,
     /// Number of other live entries that are not stopping.
     pub serving_peers: AtomicUsize,
+    /// Time up to which the store is known to have told this entry of each endpoint that started again.
+    pub directory_confirmed_ms: AtomicU64,
     /// Admission control: rejects prompts while almost no engine capacity is free.
     pub admission: admission::AdmissionControl,
     /// Bounds the memory of incomplete responses.
@@ -125,6 +127,7 @@
             retry_budget_divisor: AtomicUsize::new(1),
             counts_delivered: AtomicBool::new(true),
             serving_peers: AtomicUsize::new(0),
+            directory_confirmed_ms: AtomicU64::new(0),
             admission: admission::AdmissionControl::default(),
             buffer_allowance: Arc::new(buffer_allowance),
             load_table: Mutex::default(),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -25,7 +25,7 @@
 /// Interval between two probes of the store by a reader.
 const PROBE: Duration = Duration::from_millis(500);
 /// Time within which live endpoints write their records again after the store has come back from an older copy.
-const REWRITE_ENDPOINTS_MS: u64 = 2_200;
+pub(super) const REWRITE_ENDPOINTS_MS: u64 = 2_200;
 /// The same for operators.
 const REWRITE_EVACUATIONS_MS: u64 = 10_000;
 
@@ -45,9 +45,14 @@
         if !control.reads_store() || !control.is_store_available() {
             continue;
         }
-        if let Err(failure) = control.platform.probe().await {
-            slog::info!(control.log, "store gives no sign of life"; "failure" => failure.to_string());
-            control.store_silent.notify_waiters();
+        let called_ms = control.now_ms();
+        match control.platform.probe().await {
+            Ok(()) => control.store_answered_ms.set(called_ms),
+            Err(failure) => {
+                slog::info!(control.log, "store gives no sign of life";
+                    "failure" => failure.to_string());
+                control.store_silent.notify_waiters();
+            }
         }
     }
 }
@@ -91,6 +96,9 @@
         let now_ms = control.now_ms();
         let is_good = !matches!(result, Err(WatchFailure::Failed(_)));
         control.record_store_outcome(topic, is_good);
+        if is_good {
+            control.store_answered_ms.set(now_ms);
+        }
         match result {
             Ok(batch) => {
                 if let Some(away_ms) = outage.record_answer(now_ms) {
