No warning of withheld usage at the first start of a fleet

Cause: the first holder in a store without seals marks all windows before its start, and the log said that their usage was withheld.

Change: the line is written only where a seal stands before the mark.

--- a/src/gateway/duties/billing.rs
+++ b/src/gateway/duties/billing.rs
@@ -188,7 +188,8 @@
         let withheld = seals.confirm(&self.remembered_seals, era, last_in_doubt);
         slog::info!(control.log, "sealed windows confirmed"; "era" => era.0,
             "continued" => is_continued, "first_unsealed" => seals.first_unsealed());
-        if let Some(withheld) = withheld {
+        // Before the first seal there is nothing to withhold: the fleet has just started for the first time.
+        if let Some(withheld) = withheld.filter(|withheld| *withheld.start() > 0) {
             slog::warn!(control.log, "usage withheld"; "era" => era.0,
                 "first_window" => withheld.start(), "last_window" => withheld.end());
         }
