Streams are saved sooner, and only while their callers wait

Cause: each save holds the streams of 60 s, so that its size sets the pause to more than 300 ms; and the task that saves looks for work every 25 ms. The log shows that the refused streams had begun within 320 ms before the kill, and that callers ask for each of them three times.

Change: a stream is saved until its caller's deadline, and a save begins as soon as a stream has begun and the last save is 50 ms old.

--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -8,7 +8,7 @@
 
 use super::directory::VersionKey;
 use super::job::Job;
-use super::stream_versions::{Record, StreamKey};
+use super::stream_versions::{RETENTION_MS, Record, StreamKey};
 use super::{Gateway, directory, route};
 use crate::error;
 
@@ -89,6 +89,7 @@
     /// read the store asks the others again, of which one has begun to load them.
     async fn find_saved(&self, stream: StreamKey) -> Option<VersionKey> {
         let loads = self.shared.stream_versions().request_load();
+        self.shared.version_store_due.notify_one();
         let end_ms = self.now_ms() + STORE_TIMEOUT_MS;
         while self.now_ms() < end_ms {
             time::sleep(LOOKUP_POLL).await;
@@ -124,8 +125,13 @@
             return;
         }
         let record = Record { stream: job.stream_key(), version };
-        self.shared.stream_versions().record(record, self.now_ms());
+        let now_ms = self.now_ms();
+        let until_ms = now_ms + job.left_ms(now_ms).min(RETENTION_MS);
+        let mut versions = self.shared.stream_versions();
+        versions.record(record, now_ms);
+        versions.save_until(record, until_ms);
         self.shared.stream_versions_due.notify_one();
+        self.shared.version_store_due.notify_one();
     }
 
     /// Asks other entries which version began a stream.
--- a/src/gateway/fleet/stream_keepers.rs
+++ b/src/gateway/fleet/stream_keepers.rs
@@ -97,6 +97,7 @@
     }
     if !unknown.is_empty() {
         control.shared.stream_versions().request_load();
+        control.shared.version_store_due.notify_one();
     }
     let mut outgoing = Vec::new();
     if !known.is_empty() {
--- a/src/gateway/fleet/version_store.rs
+++ b/src/gateway/fleet/version_store.rs
@@ -15,8 +15,8 @@
 const HISTORY_KEY: &str = "briarwinch-versions/served";
 /// Prefix of the keys under which entries save the versions of their streams.
 const STREAMS_PREFIX: &str = "briarwinch-streams/";
-/// Interval between two checks of what is due.
-const TICK: Duration = Duration::from_millis(25);
+/// Maximum interval between two checks of what is due.
+const TICK_MS: u64 = 100;
 /// Interval between two comparisons of the known versions with the stored ones.
 const CHECK_MS: u64 = 300;
 /// Pause after a failed call to the store.
@@ -26,10 +26,10 @@
 /// Seed by which one entry ranks first for writing the history.
 const WRITER_SEED: u64 = 0x7665_7273;
 /// Minimum interval between two saves of this entry's streams.
-const SAVE_INTERVAL_MS: u64 = 100;
+const SAVE_INTERVAL_MS: u64 = 50;
 /// Maximum rate of these writes of one entry in bytes, and of all entries in calls.
 const SAVE_BYTES_PER_S: u64 = 50_000;
-const SAVES_PER_S: u64 = 60;
+const SAVES_PER_S: u64 = 80;
 /// Minimum interval between two loads of all entries' streams.
 const LOAD_INTERVAL_MS: u64 = 5_000;
 
@@ -65,7 +65,11 @@
         if control.shared.stream_versions().is_load_due() {
             store.load_streams(&control, now_ms).await;
         }
-        time::sleep(TICK).await;
+        let now_ms = control.now_ms();
+        let save_ms = store.next_save_ms.saturating_sub(now_ms).clamp(1, TICK_MS);
+        let has_unsaved = control.shared.stream_versions().has_unsaved();
+        let pause = Duration::from_millis(if has_unsaved { save_ms } else { TICK_MS });
+        let _ = time::timeout(pause, control.shared.version_store_due.notified()).await;
     }
 }
 
@@ -175,7 +179,8 @@
         let Some(version) = self.own_version else {
             return;
         };
-        let saved = control.shared.stream_versions().save(control.shared.time.unix_ms());
+        let unix_ms = control.shared.time.unix_ms();
+        let saved = control.shared.stream_versions().save(now_ms, unix_ms);
         let value = serde_json::to_string(&saved).unwrap_or_default();
         let size_ms = value.len() as u64 * 1_000 / SAVE_BYTES_PER_S;
         match control.platform.put(&key, value, Condition::at(version)).await {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -85,6 +85,8 @@
     pub urgent_update: Notify,
     /// Wakes the control thread to send the versions of new streams to other entries, or to ask for them.
     pub stream_versions_due: Notify,
+    /// Wakes the control thread to save the versions of new streams in the store, or to load them.
+    pub version_store_due: Notify,
     /// Retry settings; they may be reloaded while the process runs.
     retries: Mutex<settings::Retries>,
     load_table: Mutex<load::LoadTable>,
@@ -115,6 +117,7 @@
         Self {
             urgent_update: Notify::new(),
             stream_versions_due: Notify::new(),
+            version_store_due: Notify::new(),
             retries: Mutex::new(settings.retries),
             settings,
             boot,
--- a/src/gateway/stream_versions.rs
+++ b/src/gateway/stream_versions.rs
@@ -86,7 +86,7 @@
     lookups: HashMap<StreamKey, bool>,
     /// Streams that other entries have not been asked about yet.
     unasked: Vec<StreamKey>,
-    /// Streams that began here, with the time, to be saved.
+    /// Streams that began here and that their callers may still go on with, with the time until when.
     own: VecDeque<(u64, Record)>,
     /// Whether streams have begun here since the last save.
     has_unsaved: bool,
@@ -101,11 +101,11 @@
     pub fn record(&mut self, record: Record, now_ms: u64) {
         self.learn(record, now_ms);
         self.unsent.push(record);
-        self.add_own(record, now_ms);
     }
 
-    fn add_own(&mut self, record: Record, now_ms: u64) {
-        self.own.push_back((now_ms, record));
+    /// Saves the version of a stream of this entry from now until its caller has given it up.
+    pub fn save_until(&mut self, record: Record, until_ms: u64) {
+        self.own.push_back((until_ms, record));
         self.has_unsaved = true;
         while self.own.len() > MAX_STREAMS {
             self.own.pop_front();
@@ -118,9 +118,10 @@
         self.has_unsaved
     }
 
-    /// Returns the streams that began here within the retention time, to be stored.
-    pub fn save(&mut self, now_unix_ms: u64) -> SavedStreams {
+    /// Returns the streams that began here and may still be continued, to be stored.
+    pub fn save(&mut self, now_ms: u64, now_unix_ms: u64) -> SavedStreams {
         self.has_unsaved = false;
+        self.own.retain(|(until_ms, _)| now_ms < *until_ms);
         let mut streams: BTreeMap<VersionKey, String> = BTreeMap::new();
         for (_, record) in &self.own {
             let keys = streams.entry(record.version).or_default();
@@ -151,7 +152,7 @@
                 self.learn(record, now_ms);
             }
             if is_own {
-                self.add_own(record, now_ms);
+                self.save_until(record, now_ms + RETENTION_MS);
             }
         }
     }
@@ -255,8 +256,6 @@
         while self.order.front().is_some_and(|(at_ms, _)| at_ms + RETENTION_MS <= now_ms) {
             self.drop_oldest();
         }
-        while self.own.front().is_some_and(|(at_ms, _)| at_ms + RETENTION_MS <= now_ms) {
-            self.own.pop_front();
-        }
+        self.own.retain(|(until_ms, _)| now_ms < *until_ms);
     }
 }
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -203,9 +203,12 @@
     let mut before = StreamVersions::default();
     let records = [("r-1", "v1"), ("r-2", "v1.1"), ("r-3", "v1")]
         .map(|(id, name)| Record { stream: StreamKey::of(id), version: version(name) });
-    records.iter().for_each(|record| before.record(*record, NOW_MS));
+    records.iter().for_each(|record| before.save_until(*record, NOW_MS + 1));
+    let given_up = Record { stream: StreamKey::of("r-4"), version: version("v1") };
+    before.save_until(given_up, NOW_MS);
     assert!(before.has_unsaved());
-    let stored = serde_json::to_string(&before.save(UNIX_MS)).expect("the streams are encoded");
+    let saved = before.save(NOW_MS, UNIX_MS);
+    let stored = serde_json::to_string(&saved).expect("the streams are encoded");
     assert!(!before.has_unsaved());
     let saved: SavedStreams = serde_json::from_str(&stored).expect("the streams are decoded");
     let mut started = StreamVersions::default();
@@ -213,5 +216,10 @@
     assert_eq!(started.find(records[0].stream), None);
     started.learn_saved(&saved, true, NOW_MS, UNIX_MS + RETENTION_MS - 1);
     assert!(records.iter().all(|record| started.find(record.stream) == Some(record.version)));
-    assert_eq!(started.save(UNIX_MS), saved, "an earlier process's streams are saved again");
+    assert_eq!(started.find(given_up.stream), None, "nobody goes on with it");
+    assert_eq!(
+        started.save(NOW_MS, UNIX_MS),
+        saved,
+        "an earlier process's streams are saved again"
+    );
 }
