--- a/src/lease/contender.rs
+++ b/src/lease/contender.rs
@@ -175,14 +175,14 @@
         if self.releasing || now_ms < known.free_at_ms {
             return self.read_when_due(now_ms);
         }
-        let is_continued = self.is_before_fall(&known.seen) && self.has_carried_term(now_ms);
+        let is_continued = self.predates_era(&known.seen) && self.has_carried_term(now_ms);
         let if_version = known.seen.version;
         let epoch = next_epoch(&known.seen);
         self.write(if_version, epoch, self.timing.term_ms, is_continued, now_ms)
     }
 
-    /// Returns whether a later record than this one may have been lost in a fall of the store.
-    fn is_before_fall(&self, seen: &VersionedRecord) -> bool {
+    /// Returns whether the record was written in an older era, so that a later one may have been lost.
+    fn predates_era(&self, seen: &VersionedRecord) -> bool {
         match &seen.record {
             Some(record) => record.epoch.era() < Era::of(seen.version),
             None => self.has_changed_era,
@@ -196,7 +196,7 @@
 
     /// Returns the time from which a record first seen now may be replaced.
     fn free_at_ms(&self, seen: &VersionedRecord, now_ms: u64) -> u64 {
-        if self.is_before_fall(seen) {
+        if self.predates_era(seen) {
             let is_last_holder = self.has_carried_term(now_ms);
             let term_ms = seen.record.as_ref().map_or(0, |record| record.term_ms);
             let wait_ms = term_ms.max(self.timing.term_ms) + self.timing.margin_ms;
