--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -250,26 +250,22 @@
     }
 
     /// Returns the live peers of this zone that rank before this entry as readers of the store.
-    fn store_readers_before(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
-        let before = self.live_peers(now_ms).filter(|(addr, peer)| {
-            **addr < self.own && peer.zone == self.zone && !peer.is_stopping
-        });
-        before.map(|(_, peer)| peer)
+    fn store_readers_before(&self, now_ms: u64) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        self.live_peers(now_ms)
+            .filter(|(addr, peer)| **addr < self.own && peer.zone == self.zone && !peer.is_stopping)
     }
 
     /// Returns how many peers rank before this entry as readers of the store and receive its answers.
     #[must_use]
     pub fn active_readers_before(&self, now_ms: u64) -> usize {
-        self.store_readers_before(now_ms).filter(|peer| peer.has_store).count()
+        self.store_readers_before(now_ms).filter(|(_, peer)| peer.has_store).count()
     }
 
     /// Returns the peer that ranks first in this zone as a reader of the store and receives its answers, if it
     /// ranks before this entry.
     #[must_use]
     pub fn first_store_reader(&self, now_ms: u64) -> Option<SocketAddr> {
-        let mut readers = self.live_peers(now_ms).filter(|(addr, peer)| {
-            **addr < self.own && peer.zone == self.zone && !peer.is_stopping && peer.has_store
-        });
+        let mut readers = self.store_readers_before(now_ms).filter(|(_, peer)| peer.has_store);
         readers.next().map(|(addr, _)| *addr)
     }
 
