One constant for the time in which endpoints write again

The grace after an outage and the time until a topic is listed again after a restore are the same promise of the platform; they stood in two places with one value. Nothing changes in behaviour.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -317,7 +317,7 @@
         }
         let since_ms = self.store_available_since_ms.get().unwrap_or(now_ms);
         self.store_available_since_ms.set(Some(since_ms));
-        if now_ms >= since_ms + watch::REWRITE_ENDPOINTS_MS {
+        if now_ms >= since_ms + outage::LAPSE_GRACE_MS {
             let at_ms = if is_read_here { self.store_answered_ms.get() } else { now_ms };
             self.shared.directory_confirmed_ms.store(at_ms, Ordering::Relaxed);
         }
--- a/src/gateway/policy/outage.rs
+++ b/src/gateway/policy/outage.rs
@@ -31,7 +31,7 @@
 const LAPSE_AFTER_MS: u64 = 1_200;
 /// How long after the recovery of the store a vanished record may reappear. The platform documents
 /// that live endpoints are back within 2 s.
-const LAPSE_GRACE_MS: u64 = 2_200;
+pub const LAPSE_GRACE_MS: u64 = 2_200;
 /// Margin subtracted from the time during which a leaving endpoint still serves: it covers the
 /// delay until its removal reaches this entry, and that of a request to it.
 const LEAVE_MARGIN_MS: u64 = 300;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -24,9 +24,7 @@
 
 /// Interval between two probes of the store by a reader.
 const PROBE: Duration = Duration::from_millis(500);
-/// Time within which live endpoints write their records again after the store has come back from an older copy.
-pub(super) const REWRITE_ENDPOINTS_MS: u64 = 2_200;
-/// The same for operators.
+/// Time within which operators write again after the store has come back from an older copy.
 const REWRITE_EVACUATIONS_MS: u64 = 10_000;
 
 /// Probes the store while this entry reads it, for as long as the process lives.
@@ -169,7 +167,7 @@
     match topic {
         // The configuration has a version of its own.
         Topic::Config => None,
-        Topic::Endpoints => Some(REWRITE_ENDPOINTS_MS),
+        Topic::Endpoints => Some(outage::LAPSE_GRACE_MS),
         Topic::Evacuations => Some(REWRITE_EVACUATIONS_MS),
     }
 }
