Log what tells the ways into a late request apart

Added, without a change of logic: requests still open at an endpoint when it is removed, and since when it was quiet; for how long a removed endpoint was kept; the age of the list behind each send; how late the control thread runs.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -112,6 +112,8 @@
     pub(super) table: RefCell<Option<Arc<route::Table>>>,
     pub(super) directory: RefCell<directory::Directory>,
     pub(super) evacuations: RefCell<evacuation::Evacuations>,
+    /// Since when endpoints have been kept although their record has disappeared.
+    kept_since_ms: RefCell<HashMap<directory::EndpointKey, u64>>,
     /// Zones whose evacuation ended recently, with the time.
     restored_at_ms: RefCell<HashMap<CompactString, u64>>,
     /// Wakes watches that wait for a store that no longer answers.
@@ -203,6 +205,7 @@
             shared.settings.leave_ms,
         ))),
         evacuations: RefCell::default(),
+        kept_since_ms: RefCell::default(),
         restored_at_ms: RefCell::default(),
         store_silent: Notify::new(),
         store_restored: Notify::new(),
@@ -369,6 +372,9 @@
             self.directory.borrow_mut().record_removals(&before, self.now_ms());
             self.log_directory(&before, source);
         }
+        let lapsed = self.directory.borrow().lapsed(0);
+        let is_kept = |key| lapsed.iter().any(|one| one.endpoint == key);
+        self.kept_since_ms.borrow_mut().retain(|key, _| is_kept(*key));
         if is_changed || !self.shared.is_ready.load(Ordering::Acquire) {
             self.publish();
         }
@@ -383,10 +389,11 @@
             if known.iter().any(|one| one.endpoint == lapsed.endpoint) {
                 continue;
             }
+            self.kept_since_ms.borrow_mut().entry(lapsed.endpoint).or_insert(now_ms);
             let id = directory.find(lapsed.endpoint).map(|endpoint| endpoint.id.as_str());
             slog::info!(self.log, "endpoint kept without a record"; "endpoint" => id,
-                "left_ms" => lapsed.remaining_ms, "revision" => directory.revision(),
-                "source" => source);
+                "left_ms" => lapsed.remaining_ms, "list_age_ms" => self.shared.directory_age_ms(),
+                "revision" => directory.revision(), "source" => source);
         }
     }
 
@@ -416,8 +423,10 @@
         }
         for old in before.endpoints().iter().filter(|old| directory.find(old.key).is_none()) {
             self.shared.prefix_index().remove_endpoint(old.key);
+            let kept_since_ms = self.kept_since_ms.borrow().get(&old.key).copied();
             slog::info!(self.log, "endpoint gone"; "endpoint" => old.id.as_str(),
-                "revision" => directory.revision(), "source" => source);
+                "kept_ms" => kept_since_ms.map(|since_ms| now_ms - since_ms),
+                "list_age_ms" => self.shared.directory_age_ms(), "revision" => directory.revision(), "source" => source);
         }
     }
 
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -16,6 +16,8 @@
 
 /// Interval between two ticks of the exchange.
 const TICK_MS: u64 = 50;
+/// Delay of a tick from which it is logged: the lists that requests are sent by are older by as much.
+const LATE_TICK_MS: u64 = 250;
 /// Delay before urgent load is sent, to send further load together with it.
 const URGENT_BATCH_MS: u64 = 10;
 /// Interval at which billing counts are sent in a fleet of up to [`COUNTS_ENTRIES`] entries.
@@ -41,6 +43,7 @@
             // send there wait behind it.
             time::sleep(Duration::from_millis(URGENT_BATCH_MS)).await;
         } else {
+            record_tick(&control, next_ms);
             next_ms = control.now_ms() + TICK_MS;
         }
         let now_ms = control.now_ms();
@@ -66,6 +69,16 @@
     }
 }
 
+/// Records how late the control thread is with a tick that was due at `due_ms`; zero for the first one.
+fn record_tick<P>(control: &Control<P>, due_ms: u64) {
+    let late_ms = if due_ms == 0 { 0 } else { control.now_ms().saturating_sub(due_ms) };
+    metrics::control_late(late_ms);
+    if late_ms >= LATE_TICK_MS {
+        slog::info!(control.log, "control thread late"; "late_ms" => late_ms,
+            "list_age_ms" => control.shared.directory_age_ms());
+    }
+}
+
 /// Maximum number of reported durations in a state message, at most 14 bytes each: under 2 kB/s from an aggregator to
 /// each member.
 const MAX_DURATIONS: usize = 36;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -152,6 +152,11 @@
     metrics::gauge!("briarwinch_gateway_holds_duties").set(f64::from(u8::from(holds_duties)));
 }
 
+/// Records how late the control thread was with a tick.
+pub fn control_late(late_ms: u64) {
+    metrics::histogram!("briarwinch_gateway_control_late_seconds").record(late_ms as f64 / 1_000.0);
+}
+
 /// Sets the gauges of a service's call queue.
 pub fn call_queue(service: &str, waiting: usize, in_progress: u32, limit: u32) {
     metrics::gauge!("briarwinch_gateway_calls_waiting", "service" => service.to_owned())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -129,6 +129,7 @@
 }
 
 async fn sweep(gateway: Rc<Gateway>) {
+    let mut listed = Arc::clone(&gateway.shared.snapshot.load().directory);
     loop {
         time::sleep(Duration::from_millis(SWEEP_MS)).await;
         let now_ms = gateway.now_ms();
@@ -136,6 +137,10 @@
         gateway.shared.load_table().sweep(now_ms);
         gateway.budgets.borrow_mut().set(gateway.shared.retries().budget_config());
         let snapshot = gateway.shared.snapshot.load();
+        let before = std::mem::replace(&mut listed, Arc::clone(&snapshot.directory));
+        if !Arc::ptr_eq(&before, &listed) {
+            gateway.log_requests_at_removed_endpoints(&before, &listed);
+        }
         let is_known = |endpoint| snapshot.directory.find(endpoint).is_some();
         gateway.health.borrow_mut().retain(is_known);
         gateway.event_gaps.borrow_mut().retain(is_known);
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -118,7 +118,29 @@
     }
 }
 
+/// Requests at an endpoint that has been removed from the list.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RequestsAtRemoved {
+    /// Requests that have not been answered completely.
+    pub open: usize,
+    /// Time since the first of them was sent; `None` if there is none.
+    pub oldest_ms: Option<u64>,
+    /// Time since the endpoint last sent data; `None` if it never has.
+    pub quiet_ms: Option<u64>,
+}
+
 impl Gateway {
+    /// Logs the requests at an endpoint that has been removed from the list.
+    pub(super) fn log_requests_at_removed(
+        &self,
+        endpoint: &directory::Endpoint,
+        requests: RequestsAtRemoved,
+    ) {
+        slog::info!(self.log, "requests at a removed endpoint"; "endpoint" => endpoint.id.as_str(),
+            "open" => requests.open, "oldest_ms" => requests.oldest_ms,
+            "quiet_ms" => requests.quiet_ms);
+    }
+
     /// Version of the active configuration; zero if there is none.
     fn config_version(&self) -> u64 {
         self.shared.snapshot.load().table.as_ref().map_or(0, |table| table.version())
@@ -194,6 +216,7 @@
             "first_ms" => choice.first_ms as u64, "unread_tokens" => choice.unread_tokens,
             "ahead_tokens" => choice.work.unread_tokens, "running" => choice.work.requests,
             "load_age_ms" => load_age_ms, "details_age_ms" => details_age_ms,
+            "list_age_ms" => self.shared.directory_age_ms(),
             "duration_percent" => choice.duration_percent(),
             "duration_age_ms" => choice.duration_age_ms,
             "gap_ms" => choice.gaps.map(|gaps| gaps.longest_ms as u64),
@@ -248,6 +271,7 @@
             "unacked_bytes" => evidence.and_then(|one| one.unacked_bytes),
             "reused" => evidence.map(|one| one.was_reused),
             "quiet_ms" => evidence.and_then(|one| one.quiet_ms),
+            "list_age_ms" => self.shared.directory_age_ms(),
             "fingerprint" => evidence.map(|_| job.fingerprint().to_string()),
             "parts" => prompt.map(request::Prompt::shared_part_ids));
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -259,6 +259,13 @@
         self.tally().forget_before(first);
     }
 
+    /// Time since the store is known to have told this entry of each change of the endpoints; `None` if it never has.
+    #[must_use]
+    pub fn directory_age_ms(&self) -> Option<u64> {
+        let confirmed_ms = self.directory_confirmed_ms.load(Ordering::Relaxed);
+        (confirmed_ms > 0).then(|| clock::boot_ms().saturating_sub(confirmed_ms))
+    }
+
     /// Returns what is known of the other entries.
     #[must_use]
     pub fn others(&self) -> drain::Others {
