Reproductions of late requests to removed endpoints

- grace periods of peers replace earlier ones, and a removal is forgotten after 10 s (directory only).

--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -128,6 +128,60 @@
     assert!(!late.expire(75_000));
 }
 
+/// Guards against a grace period that a peer's later one replaces: the peer has seen the removal later, and its list is
+/// newer.
+#[test]
+fn a_grace_period_here_is_not_extended_by_a_peer_that_saw_the_removal_later() {
+    let mut early = listed();
+    early.apply(Change::Gone("one".into()), 20, Some(1_700));
+    let mut late = listed();
+    late.apply(Change::Gone("one".into()), 20, Some(3_200));
+    late.apply(Change::Present(endpoint("three")), 21, Some(3_200));
+    assert!(early.adopt(late.clone(), &late.lapsed(1_550), &[], 1_550));
+    assert_eq!(accepting(&early), ["one", "three", "two"]);
+    assert!(early.expire(1_700));
+    assert_eq!(accepting(&early), ["three", "two"]);
+}
+
+/// Guards against an endpoint that is used again long after its removal, because a peer that was away meanwhile keeps
+/// it for a grace period.
+#[test]
+fn a_removal_is_remembered_for_longer_than_peers_are_away() {
+    for away_ms in [5_000, 12_000, 40_000, 300_000] {
+        let mut knowing = Directory::new(1_700);
+        knowing.replace(vec![endpoint("one"), endpoint("two")], 10, None);
+        let before = knowing.clone();
+        knowing.apply(Change::Gone("one".into()), 20, None);
+        knowing.record_removals(&before, 1_000);
+        let other = knowing.clone();
+        knowing.apply(Change::Present(endpoint("three")), 21, None);
+        knowing.record_removals(&other, 1_000 + away_ms / 2);
+        let mut back = listed();
+        let now_ms = 1_000 + away_ms;
+        back.apply(Change::Gone("one".into()), 20, Some(now_ms + 1_700));
+        back.apply(Change::Present(endpoint("three")), 21, None);
+        back.apply(Change::Present(endpoint("four")), 22, None);
+        assert!(knowing.adopt(back.clone(), &back.lapsed(now_ms), &[], now_ms));
+        assert_eq!(accepting(&knowing), ["four", "three", "two"], "{away_ms} ms");
+    }
+}
+
+/// Guards against an entry that goes on using an endpoint because its reader's list advertises no change: neither the
+/// disappearance of the record nor the end of the grace period.
+#[test]
+fn peers_hear_of_a_grace_period() {
+    let mut keeping = listed();
+    assert!(keeping.apply(Change::Gone("one".into()), 20, Some(5_000)));
+    let mut listing = listed();
+    assert!(listing.replace(vec![endpoint("two")], 20, Some(5_000)));
+    for keeping in [keeping, listing] {
+        let mut pulling = listed();
+        assert!(pulling.adopt(keeping.clone(), &keeping.lapsed(4_000), &[], 70_000));
+        assert!(pulling.expire(71_000));
+        assert_eq!(accepting(&pulling), ["two"]);
+    }
+}
+
 /// Guards against requests to an endpoint that left seconds ago. The store was unavailable to this entry for
 /// a while, and a peer has reported that the endpoint is gone. The watch resumes from before the outage and
 /// delivers the endpoint's last heartbeat and its removal. Applied as they come, they bring the endpoint
