Grace periods of endpoints are ordered like the list

Cause: an endpoint whose record disappears around an outage is kept on a guess, and nobody owned since when it was gone. Three forms, one cause: - Neither the beginning nor the end of a grace period, nor the return of the record within it, changed the revision that an entry advertises. Entries that do not read the store pull only what is newer, so they used the endpoint for as long as nothing else changed. - A peer's grace period, counted from when that peer saw the removal, replaced an earlier one. - A removal was forgotten after 10 s, and outweighed by a peer's guess for up to 1.7 s after it even if the store had served this entry all the while.

Change: grace periods that begin or end early are changes of the list. On their way between entries they only become shorter. Removals are remembered for ten minutes, told with pulled lists, and count for certain where the store has served the entry without failures; no guess outweighs those. While records are kept, changes are read every 100 ms, since the period counts from then.

The signature of record_removals changed: calls in older tests got one argument, their checks are as they were. Looked at as well: the first list of a new era (undoes no removal, now for ten minutes), departures (owned and remembered the same way already), evacuations (ordered by revision already).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -37,6 +37,21 @@
 /// All topics; the last one is followed only where zones may be evacuated.
 const TOPICS: [Topic; 3] = [Topic::Config, Topic::Endpoints, Topic::Evacuations];
 
+/// Where a change of the endpoints comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub(super) enum UpdateSource {
+    /// The store, which has served this entry without failures.
+    #[display("store")]
+    SoundStore,
+    /// The store, around an outage: records of live endpoints may have expired.
+    #[display("store")]
+    RecoveringStore,
+    #[display("peer")]
+    Peer,
+    #[display("grace time over")]
+    Expiry,
+}
+
 /// A decoded object or change from the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Item {
@@ -346,7 +361,7 @@
     /// Applies endpoints received from the store or a peer, and publishes the result if it differs.
     pub(super) fn update_directory(
         &self,
-        source: &'static str,
+        source: UpdateSource,
         change: impl FnOnce(&mut directory::Directory) -> bool,
     ) {
         self.has_endpoint_list.set(true);
@@ -355,12 +370,12 @@
 
     /// Removes endpoints whose grace period is over.
     pub(super) fn expire_endpoints(&self, now_ms: u64) {
-        self.change_directory("grace time over", |directory| directory.expire(now_ms));
+        self.change_directory(UpdateSource::Expiry, |directory| directory.expire(now_ms));
     }
 
     fn change_directory(
         &self,
-        source: &'static str,
+        source: UpdateSource,
         change: impl FnOnce(&mut directory::Directory) -> bool,
     ) {
         let before = self.directory.borrow().clone();
@@ -369,7 +384,8 @@
         if is_changed {
             let now_ms = self.now_ms();
             self.shared.served_versions().observe(&before, &self.directory.borrow(), now_ms);
-            self.directory.borrow_mut().record_removals(&before, self.now_ms());
+            let is_certain = source == UpdateSource::SoundStore;
+            self.directory.borrow_mut().record_removals(&before, now_ms, is_certain);
             self.log_directory(&before, source);
         }
         let lapsed = self.directory.borrow().lapsed(0);
@@ -381,7 +397,7 @@
     }
 
     /// Logs endpoints whose record has disappeared and that are kept for a grace period.
-    fn log_kept_endpoints(&self, before: &directory::Directory, source: &'static str) {
+    fn log_kept_endpoints(&self, before: &directory::Directory, source: UpdateSource) {
         let directory = self.directory.borrow();
         let now_ms = self.now_ms();
         let known = before.lapsed(now_ms);
@@ -393,11 +409,11 @@
             let id = directory.find(lapsed.endpoint).map(|endpoint| endpoint.id.as_str());
             slog::info!(self.log, "endpoint kept without a record"; "endpoint" => id,
                 "left_ms" => lapsed.remaining_ms, "list_age_ms" => self.shared.directory_age_ms(),
-                "revision" => directory.revision(), "source" => source);
+                "revision" => directory.revision(), "source" => source.to_string());
         }
     }
 
-    fn log_directory(&self, before: &directory::Directory, source: &'static str) {
+    fn log_directory(&self, before: &directory::Directory, source: UpdateSource) {
         let directory = self.directory.borrow();
         for endpoint in directory.endpoints() {
             let old = before.find(endpoint.key);
@@ -410,7 +426,7 @@
                     "zone" => endpoint.zone.as_str(), "leaving" => endpoint.is_leaving,
                     "started" => endpoint.started_unix_ms,
                     "endpoint_version" => endpoint.version.as_str(),
-                    "revision" => directory.revision(), "source" => source);
+                    "revision" => directory.revision(), "source" => source.to_string());
             }
         }
         let now_ms = self.now_ms();
@@ -419,14 +435,15 @@
         for cold in directory.cold(now_ms).into_iter().filter(is_newly_cold) {
             let id = directory.find(cold.endpoint).map(|endpoint| endpoint.id.as_str());
             slog::info!(self.log, "endpoint cold"; "endpoint" => id, "left_ms" => cold.remaining_ms,
-                "revision" => directory.revision(), "source" => source);
+                "revision" => directory.revision(), "source" => source.to_string());
         }
         for old in before.endpoints().iter().filter(|old| directory.find(old.key).is_none()) {
             self.shared.prefix_index().remove_endpoint(old.key);
             let kept_since_ms = self.kept_since_ms.borrow().get(&old.key).copied();
             slog::info!(self.log, "endpoint gone"; "endpoint" => old.id.as_str(),
                 "kept_ms" => kept_since_ms.map(|since_ms| now_ms - since_ms),
-                "list_age_ms" => self.shared.directory_age_ms(), "revision" => directory.revision(), "source" => source);
+                "list_age_ms" => self.shared.directory_age_ms(),
+                "revision" => directory.revision(), "source" => source.to_string());
         }
     }
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -5,6 +5,10 @@
 //! and removed only if it is still missing then. An endpoint that has reported that it is leaving is removed
 //! immediately.
 //!
+//! A grace period is a guess that an endpoint lives. No entry that hears of one uses the endpoint for longer than its own
+//! knowledge allows: grace periods only become shorter on their way between entries, and none outweighs a removal that
+//! an entry has seen while the store served it without failures.
+//!
 //! A store that comes back from an older copy lists what was true before. Lists are ordered by the store's era
 //! first. The first list of a new era does not bring back a process that has left or is leaving; endpoints that
 //! it lacks are kept for a grace period as after an outage.
@@ -121,10 +125,25 @@
 struct Removed {
     started_unix_ms: u64,
     at_ms: u64,
+    /// Whether the store served the entry that saw the removal without failures, so that the record had not expired in
+    /// an outage.
+    is_certain: bool,
 }
 
-/// How long a removal is remembered: longer than any grace period that a peer may send.
-const REMOVED_RETENTION_MS: u64 = 10_000;
+/// A removal as it is sent to peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Removal {
+    pub endpoint: EndpointKey,
+    /// Identifies the process, as [`Endpoint::started_unix_ms`] does.
+    pub started_unix_ms: u64,
+    pub age_ms: u64,
+    pub is_certain: bool,
+}
+
+/// How long a removal is remembered: longer than entries are cut off from each other.
+const REMOVED_RETENTION_MS: u64 = 600_000;
+/// Maximum number of removals that are sent to a peer, the latest ones; at most 25 bytes each.
+const MAX_REMOVALS: usize = 500;
 
 /// All endpoints, with the revision of the store at which the list last changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -189,6 +208,7 @@
             return false;
         }
         self.removed.retain(|key, _| listed.iter().all(|one| one.key != *key));
+        let kept_before = self.lapsed.clone();
         let mut endpoints = listed;
         for old in &self.endpoints {
             if endpoints.iter().any(|one| one.key == old.key) {
@@ -198,7 +218,7 @@
                 endpoints.push(old.clone());
             }
         }
-        self.set(endpoints, revision)
+        self.set(endpoints, revision, &kept_before)
     }
 
     /// Applies the first complete list that a watcher has received in a new era of the store, as [`Self::replace`].
@@ -308,6 +328,7 @@
 
     /// Applies one change from the store and returns whether anything changed.
     pub fn apply(&mut self, change: Change, revision: u64, keep_until_ms: Option<u64>) -> bool {
+        let kept_before = self.lapsed.clone();
         let mut endpoints = self.endpoints.clone();
         match change {
             Change::Present(endpoint) => {
@@ -323,11 +344,14 @@
                     Some(until_ms) => {
                         self.lapsed.entry(key).or_insert(until_ms);
                     }
-                    None => endpoints.retain(|one| one.key != key),
+                    None => {
+                        self.lapsed.remove(&key);
+                        endpoints.retain(|one| one.key != key);
+                    }
                 }
             }
         }
-        self.set(endpoints, revision)
+        self.set(endpoints, revision, &kept_before)
     }
 
     /// Removes endpoints whose grace period is over and returns whether there were any. Also drops expired
@@ -352,8 +376,8 @@
     }
 
     /// Replaces this directory with a peer's directory if that is newer, and returns whether it was. Grace
-    /// periods end here when they end at the peer, or earlier for endpoints that this entry has removed: a
-    /// peer that has just reached the store again sees a removal later than this entry did.
+    /// periods end here when they end at the peer, or earlier for endpoints whose record this entry has missed or
+    /// that it has removed: a peer that has just reached the store again sees a removal later than this entry did.
     pub fn adopt(&mut self, other: Self, lapsed: &[Lapsed], cold: &[Cold], now_ms: u64) -> bool {
         if other.revision <= self.revision {
             return false;
@@ -372,6 +396,9 @@
             .iter()
             .map(|one| (one.endpoint, self.grace_end_ms(one.endpoint, now_ms + one.remaining_ms)))
             .collect();
+        let (listed, kept) = (&self.endpoints, &self.lapsed);
+        self.removed
+            .retain(|key, _| kept.contains_key(key) || listed.iter().all(|one| one.key != *key));
         let until_ms = now_ms + self.readmission_ms;
         self.lapsed.extend(missing.iter().map(|one| (one.key, until_ms)));
         self.endpoints.extend(missing);
@@ -383,29 +410,94 @@
 
     /// Returns the end of a grace period that lasts until `until_ms` at a peer.
     fn grace_end_ms(&self, endpoint: EndpointKey, until_ms: u64) -> u64 {
+        let own_until_ms = self.lapsed.get(&endpoint).copied().unwrap_or(until_ms);
         let started_unix_ms = self.find(endpoint).map(|one| one.started_unix_ms);
         let removed = self.removed.get(&endpoint);
         let removed = removed.filter(|one| Some(one.started_unix_ms) == started_unix_ms);
-        removed.map_or(until_ms, |one| until_ms.min(one.at_ms + self.readmission_ms))
+        let removed_until_ms = removed.map_or(until_ms, |one| match one.is_certain {
+            true => one.at_ms,
+            false => one.at_ms + self.readmission_ms,
+        });
+        until_ms.min(own_until_ms).min(removed_until_ms)
     }
 
-    /// Records which endpoints of an earlier state are removed in this one.
-    pub fn record_removals(&mut self, before: &Self, now_ms: u64) {
+    /// Records which endpoints of an earlier state are removed in this one. `is_certain` says that the store has
+    /// served this entry without failures, so that no record has expired in an outage.
+    pub fn record_removals(&mut self, before: &Self, now_ms: u64, is_certain: bool) {
         self.removed.retain(|_, one| now_ms < one.at_ms + REMOVED_RETENTION_MS);
         for old in &before.endpoints {
             if self.find(old.key).is_none() {
-                let removed = Removed { started_unix_ms: old.started_unix_ms, at_ms: now_ms };
-                let known = self.removed.entry(old.key).or_insert(removed);
-                if known.started_unix_ms != removed.started_unix_ms {
-                    *known = removed;
-                }
+                let started_unix_ms = old.started_unix_ms;
+                let removed = Removed { started_unix_ms, at_ms: now_ms, is_certain };
+                self.merge_removed(old.key, removed);
             }
         }
     }
 
-    fn set(&mut self, mut endpoints: Vec<Endpoint>, revision: u64) -> bool {
+    fn merge_removed(&mut self, endpoint: EndpointKey, removed: Removed) {
+        let known = self.removed.entry(endpoint).or_insert(removed);
+        if known.started_unix_ms == removed.started_unix_ms {
+            known.at_ms = known.at_ms.min(removed.at_ms);
+            known.is_certain |= removed.is_certain;
+        } else if known.started_unix_ms < removed.started_unix_ms {
+            *known = removed;
+        }
+    }
+
+    /// Returns the latest removals, to send to peers.
+    #[must_use]
+    pub fn removals(&self, now_ms: u64) -> Vec<Removal> {
+        let removals = self.removed.iter().map(|(endpoint, removed)| Removal {
+            endpoint: *endpoint,
+            started_unix_ms: removed.started_unix_ms,
+            age_ms: now_ms.saturating_sub(removed.at_ms),
+            is_certain: removed.is_certain,
+        });
+        let mut removals: Vec<Removal> = removals.collect();
+        removals.sort_unstable_by_key(|removal| (removal.age_ms, removal.endpoint));
+        removals.truncate(MAX_REMOVALS);
+        removals
+    }
+
+    /// Records removals that a peer has seen, after its list was adopted. Returns whether an endpoint in its grace
+    /// period was removed.
+    pub fn learn_removals(&mut self, removals: &[Removal], now_ms: u64) -> bool {
+        for removal in removals {
+            let known = self.find(removal.endpoint);
+            let is_same =
+                known.is_some_and(|known| known.started_unix_ms == removal.started_unix_ms);
+            if known.is_some() && !(is_same && self.lapsed.contains_key(&removal.endpoint)) {
+                continue;
+            }
+            self.merge_removed(
+                removal.endpoint,
+                Removed {
+                    started_unix_ms: removal.started_unix_ms,
+                    at_ms: now_ms.saturating_sub(removal.age_ms),
+                    is_certain: removal.is_certain,
+                },
+            );
+            if let Some(until_ms) = self.lapsed.get(&removal.endpoint).copied() {
+                let until_ms = self.grace_end_ms(removal.endpoint, until_ms);
+                self.lapsed.insert(removal.endpoint, until_ms);
+            }
+        }
+        self.expire(now_ms)
+    }
+
+    /// Sets the endpoints as of a revision, and returns whether they or those in their grace period have changed since
+    /// `kept_before`. Peers pull only what is newer, so grace periods that begin or end early are changes as well.
+    fn set(
+        &mut self,
+        mut endpoints: Vec<Endpoint>,
+        revision: u64,
+        kept_before: &HashMap<EndpointKey, u64>,
+    ) -> bool {
         endpoints.sort_by(|a, b| a.id.cmp(&b.id));
-        if endpoints == self.endpoints && self.revision != 0 {
+        let is_kept_before = |key| kept_before.contains_key(key);
+        let keeps_same =
+            self.lapsed.len() == kept_before.len() && self.lapsed.keys().all(is_kept_before);
+        if endpoints == self.endpoints && keeps_same && self.revision != 0 {
             if self.is_new_era(revision) {
                 self.revision = revision;
             }
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Semaphore;
 use tokio::{task, time};
 
-use crate::gateway::control::{Control, Platform};
+use crate::gateway::control::{Control, Platform, UpdateSource};
 use crate::gateway::duties::tally;
 use crate::gateway::policy::{prefix_index, quarantine};
 use crate::gateway::{directory, route, served_versions};
@@ -41,8 +41,19 @@
     lapsed: Vec<directory::Lapsed>,
     cold: Vec<directory::Cold>,
     soft_state: Option<SoftState>,
-    /// Ignored by earlier builds, and missing in their responses.
+    /// Ignored by earlier builds, and missing in their responses, as all that follows.
     tokens_per_event: route::TokensPerEvent,
+    removals: Removals,
+}
+
+/// The removals that a peer knows; empty in responses of earlier builds.
+#[derive(Clone, Debug, Serialize)]
+struct Removals(Vec<directory::Removal>);
+
+impl<'de> Deserialize<'de> for Removals {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(Self(Vec::deserialize(deserializer).unwrap_or_default()))
+    }
 }
 
 /// State that an entry loses when it stops and obtains from other entries after its next start.
@@ -117,8 +128,13 @@
                 }
                 if let Some(newer) = response.directory {
                     let now_ms = control.now_ms();
-                    control.update_directory("peer", |directory| {
-                        directory.adopt(newer, &response.lapsed, &response.cold, now_ms)
+                    control.update_directory(UpdateSource::Peer, |directory| {
+                        let is_newer =
+                            directory.adopt(newer, &response.lapsed, &response.cold, now_ms);
+                        if is_newer {
+                            directory.learn_removals(&response.removals.0, now_ms);
+                        }
+                        is_newer
                     });
                 }
             }
@@ -301,6 +317,7 @@
             config: newer.map(|table| table.data().clone()),
             directory: (directory.revision() > request.directory_revision)
                 .then(|| directory.clone()),
+            removals: Removals(directory.removals(control.now_ms())),
             lapsed: directory.lapsed(control.now_ms()),
             cold: directory.cold(control.now_ms()),
             soft_state: soft_state(control, request.scope),
--- a/src/gateway/policy/outage.rs
+++ b/src/gateway/policy/outage.rs
@@ -45,6 +45,8 @@
     /// End of the last outage that was long enough for records to expire, or when the store came back from an
     /// older copy.
     recovered_ms: Option<u64>,
+    /// When a call last failed.
+    failed_ms: Option<u64>,
     pause_ms: u64,
 }
 
@@ -53,13 +55,14 @@
     /// requests.
     #[must_use]
     pub fn new(leave_ms: u64) -> Self {
-        Self { leave_ms, since_ms: None, recovered_ms: None, pause_ms: 0 }
+        Self { leave_ms, since_ms: None, recovered_ms: None, failed_ms: None, pause_ms: 0 }
     }
 
     /// Records a failed call and returns the pause before the next one. `is_behind` says that other
     /// entries of the zone read the store before this one.
     pub fn record_failure(&mut self, now_ms: u64, is_behind: bool, random: &mut impl Rng) -> u64 {
         self.since_ms.get_or_insert(now_ms);
+        self.failed_ms = Some(now_ms);
         let max_ms = if is_behind { MAX_PAUSE_BEHIND_MS } else { MAX_PAUSE_MS };
         self.pause_ms = (self.pause_ms * 2).clamp(MIN_PAUSE_MS, max_ms);
         random.random_range(self.pause_ms / 2..=self.pause_ms)
@@ -85,6 +88,15 @@
         self.since_ms.is_some()
     }
 
+    /// Returns whether no record that is missing now can have expired in an outage: no call has failed for longer than
+    /// live endpoints take to write their records again.
+    #[must_use]
+    pub fn is_over(&self, now_ms: u64) -> bool {
+        let is_over =
+            |last_ms: Option<u64>| last_ms.is_none_or(|last_ms| now_ms >= last_ms + LAPSE_GRACE_MS);
+        is_over(self.failed_ms) && is_over(self.recovered_ms)
+    }
+
     /// Returns the long-poll time of the next watch.
     #[must_use]
     pub fn watch_wait_ms(&self, now_ms: u64) -> u64 {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,7 +6,7 @@
 
 use tokio::time;
 
-use super::control::{Batch, Control, Item, Platform, Topic, WatchFailure};
+use super::control::{Batch, Control, Item, Platform, Topic, UpdateSource, WatchFailure};
 use super::policy::outage;
 use super::{directory, evacuation};
 use crate::store;
@@ -16,6 +16,8 @@
 /// Pause after a change of endpoints, so that a burst of changes costs one call. The delay does no harm:
 /// endpoints that leave keep serving for seconds after they announce it.
 const COALESCE: Duration = Duration::from_millis(300);
+/// The same while records that disappear are kept: the grace period counts from when that is seen.
+const COALESCE_KEPT: Duration = Duration::from_millis(100);
 /// A change that a watch returns after waiting at least this long has just happened: earlier changes are
 /// returned immediately, also by a slow store.
 const LIVE_MS: u64 = 500;
@@ -123,10 +125,15 @@
                     is_restored,
                     is_live: !is_list && now_ms >= called_ms + LIVE_MS,
                     keep_until_ms: outage.keep_missing_until_ms(now_ms),
+                    source: match outage.is_over(now_ms) {
+                        true => UpdateSource::SoundStore,
+                        false => UpdateSource::RecoveringStore,
+                    },
                 };
                 apply(&control, topic, batch, origin);
                 if topic == Topic::Endpoints && has_changes {
-                    time::sleep(COALESCE).await;
+                    let is_kept = origin.keep_until_ms.is_some();
+                    time::sleep(if is_kept { COALESCE_KEPT } else { COALESCE }).await;
                 }
             }
             Err(WatchFailure::HistoryGone) => {
@@ -182,11 +189,12 @@
     is_live: bool,
     /// Time until which a missing endpoint is kept.
     keep_until_ms: Option<u64>,
+    source: UpdateSource,
 }
 
 fn apply<P: Platform>(control: &Control<P>, topic: Topic, batch: Batch, origin: Origin) {
     let revision = batch.revision;
-    let Origin { is_list, is_restored, is_live, keep_until_ms } = origin;
+    let Origin { is_list, is_restored, is_live, keep_until_ms, source } = origin;
     match topic {
         Topic::Config => {
             for item in batch.items {
@@ -195,7 +203,7 @@
                 }
             }
         }
-        Topic::Endpoints => control.update_directory("store", |directory| {
+        Topic::Endpoints => control.update_directory(source, |directory| {
             let now_ms = control.now_ms();
             let events = batch.items.into_iter().filter_map(|item| match item {
                 Item::Endpoint(event) => Some(event),
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -109,7 +109,7 @@
         knowing.replace(vec![endpoint("one"), endpoint("two")], 10, None);
         let before = knowing.clone();
         knowing.apply(Change::Gone("one".into()), 20, None);
-        knowing.record_removals(&before, 70_000);
+        knowing.record_removals(&before, 70_000, false);
         assert!(knowing.adopt(keeping.clone(), &lapsed, &[], now_ms));
         knowing
     };
@@ -118,7 +118,7 @@
     assert!(!early.expire(71_699));
     let before = early.clone();
     assert!(early.expire(71_700));
-    early.record_removals(&before, 71_700);
+    early.record_removals(&before, 71_700, false);
     let mut newer = keeping.clone();
     newer.apply(Change::Present(endpoint("four")), 22, Some(5_000));
     assert!(early.adopt(newer, &lapsed, &[], 71_700));
@@ -152,10 +152,10 @@
         knowing.replace(vec![endpoint("one"), endpoint("two")], 10, None);
         let before = knowing.clone();
         knowing.apply(Change::Gone("one".into()), 20, None);
-        knowing.record_removals(&before, 1_000);
+        knowing.record_removals(&before, 1_000, false);
         let other = knowing.clone();
         knowing.apply(Change::Present(endpoint("three")), 21, None);
-        knowing.record_removals(&other, 1_000 + away_ms / 2);
+        knowing.record_removals(&other, 1_000 + away_ms / 2, false);
         let mut back = listed();
         let now_ms = 1_000 + away_ms;
         back.apply(Change::Gone("one".into()), 20, Some(now_ms + 1_700));
@@ -182,6 +182,44 @@
     }
 }
 
+/// Guards against an endpoint that is used again because of a peer's guess, although this entry, or one that has told it,
+/// has seen the removal while the store served it without failures.
+#[test]
+fn a_certain_removal_outweighs_a_grace_period_of_a_peer() {
+    let mut keeping = listed();
+    keeping.apply(Change::Gone("one".into()), 22, Some(5_000));
+    let mut knowing = Directory::new(1_700);
+    knowing.replace(vec![endpoint("one"), endpoint("two")], 10, None);
+    let before = knowing.clone();
+    knowing.apply(Change::Gone("one".into()), 20, None);
+    knowing.record_removals(&before, 3_000, true);
+    let removals = knowing.removals(3_100);
+    assert!(knowing.adopt(keeping.clone(), &keeping.lapsed(3_300), &[], 3_300));
+    assert_eq!(accepting(&knowing), ["two"]);
+    let mut told = Directory::new(1_700);
+    told.adopt(keeping.clone(), &keeping.lapsed(3_300), &[], 3_300);
+    assert!(told.learn_removals(&removals, 3_300));
+    assert_eq!(accepting(&told), ["two"]);
+    let mut back = keeping.clone();
+    back.apply(Change::Present(endpoint("one")), 30, None);
+    assert!(knowing.adopt(back, &[], &[], 3_400));
+    assert_eq!(accepting(&knowing), ["one", "two"], "its record is back");
+}
+
+/// Guards against an endpoint that a peer removes although its record is back: the peer has pulled the list while the
+/// endpoint was in its grace period.
+#[test]
+fn peers_hear_that_a_kept_endpoint_is_back() {
+    let mut keeping = listed();
+    keeping.apply(Change::Gone("one".into()), 20, Some(5_000));
+    let mut pulling = listed();
+    assert!(pulling.adopt(keeping.clone(), &keeping.lapsed(4_000), &[], 4_000));
+    assert!(keeping.apply(Change::Present(endpoint("one")), 21, None));
+    assert!(pulling.adopt(keeping.clone(), &keeping.lapsed(4_100), &[], 4_100));
+    assert!(!pulling.expire(9_000));
+    assert_eq!(accepting(&pulling), ["one", "two"]);
+}
+
 /// Guards against requests to an endpoint that left seconds ago. The store was unavailable to this entry for
 /// a while, and a peer has reported that the endpoint is gone. The watch resumes from before the outage and
 /// delivers the endpoint's last heartbeat and its removal. Applied as they come, they bring the endpoint
@@ -253,7 +291,7 @@
     directory.apply(Change::Present(draining), in_era(1, 901), None);
     let before = directory.clone();
     directory.apply(Change::Gone("gone".into()), in_era(1, 902), None);
-    directory.record_removals(&before, 1_000);
+    directory.record_removals(&before, 1_000, false);
     directory
 }
 
