Silent endpoints are asked before they get another request

Cause: the entry learned of a silence only by the time limits of callers. Until the first of them ended it went on sending, and after each time of avoidance it tried the endpoint with a caller's request.

Change: a response that has taken some time takes at least that long, which the cost of plain endpoints says now. An endpoint that has left a request unanswered for 100 ms and three times the expected time is suspected: it is asked by a health check, on an idle connection if there is one, and used only if there is no other; after a second not at all. Requests then wait at the entry, for as long as they would have waited at a sole endpoint, and are refused as not run. An answer to the check, or any other, ends the suspicion; while an endpoint answers checks and nothing else, the time until the next one doubles. Paths of health checks are told with pulled tables.

Looked at: crash checks connect only; engines are asked for their cache once. An endpoint without a known health path is tried as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -39,6 +39,8 @@
     prefill_tokens: u64,
     /// Other requests at the endpoint, as of the time of the send.
     requests_at_send: u32,
+    /// Expected time to the first byte of the response.
+    expected_ms: u64,
     /// Key of the request among those that were sent and have not ended.
     open_send: Option<usize>,
 }
@@ -74,6 +76,7 @@
             used_parts,
             prefill_tokens: choice.work.unread_tokens + work.unread_tokens,
             requests_at_send: choice.work.requests,
+            expected_ms: choice.first_ms as u64,
             open_send: None,
         }
     }
@@ -82,6 +85,7 @@
     fn mark_sent(&mut self, now_ms: u64) {
         let send = OpenSend { endpoint: self.endpoint, sent_ms: now_ms };
         self.open_send = Some(self.gateway.open_sends.borrow_mut().insert(send));
+        self.gateway.health.borrow_mut().record_send(self.endpoint, self.expected_ms, now_ms);
     }
 
     /// Prompt tokens to prefill before the first event, as of the time of the send.
@@ -113,6 +117,8 @@
         drop(load_table);
         if let Some(key) = self.open_send {
             self.gateway.open_sends.borrow_mut().remove(key);
+            let now_ms = self.gateway.now_ms();
+            self.gateway.health.borrow_mut().record_send_end(self.endpoint, now_ms);
         }
     }
 }
@@ -265,11 +271,7 @@
         if let Some(wait_ms) = info.retry_after_ms {
             self.backoff.borrow_mut().record_wait(endpoint, wait_ms, now_ms);
         }
-        let departure = departures::Departure::of(endpoint);
-        if info.is_leaving && self.shared.departures().record(departure, now_ms) {
-            request_log::log_endpoint_leaving(&self.log, endpoint, "answer");
-            self.shared.urgent_update.notify_one();
-        }
+        self.record_departure(endpoint, info);
         let unix_ms = self.shared.time.unix_ms();
         let mut limits = self.shared.limits();
         let change = limits.record_response(endpoint.key, info.limit, sent_ms, now_ms, unix_ms);
@@ -280,6 +282,19 @@
         }
     }
 
+    /// Records that the endpoint leaves, if its response says so.
+    pub(super) fn record_departure(
+        &self,
+        endpoint: &directory::Endpoint,
+        info: &request::ResponseInfo,
+    ) {
+        let departure = departures::Departure::of(endpoint);
+        if info.is_leaving && self.shared.departures().record(departure, self.now_ms()) {
+            request_log::log_endpoint_leaving(&self.log, endpoint, "answer");
+            self.shared.urgent_update.notify_one();
+        }
+    }
+
     /// Logs the requests that are still at endpoints of an earlier list and no longer in this one.
     pub(super) fn log_requests_at_removed_endpoints(
         &self,
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -44,6 +44,7 @@
     /// Ignored by earlier builds, and missing in their responses, as all that follows.
     tokens_per_event: route::TokensPerEvent,
     removals: Removals,
+    health_paths: route::HealthPaths,
 }
 
 /// The removals that a peer knows; empty in responses of earlier builds.
@@ -124,6 +125,7 @@
             Ok(response) => {
                 if let Some(mut parts) = response.config {
                     parts.set_tokens_per_event(&response.tokens_per_event);
+                    parts.set_health_paths(response.health_paths);
                     control.apply_config(parts, "peer");
                 }
                 if let Some(newer) = response.directory {
@@ -314,6 +316,7 @@
             tokens_per_event: newer
                 .map(|table| table.data().tokens_per_event())
                 .unwrap_or_default(),
+            health_paths: newer.map(|table| table.data().health_paths()).unwrap_or_default(),
             config: newer.map(|table| table.data().clone()),
             directory: (directory.revision() > request.directory_revision)
                 .then(|| directory.clone()),
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -182,6 +182,17 @@
             .max(8 * u64::from(route.gap_target_ms))
     }
 
+    /// Time after its arrival for which a request waits here for an endpoint that stands still. The rest is kept for the
+    /// caller, who may reach another endpoint through another entry.
+    #[must_use]
+    pub fn silent_hold_ms(&self) -> u64 {
+        let limit_ms = self.deadline_ms.saturating_sub(self.arrived_ms);
+        match self.kind.is_stream() {
+            true => (self.stream_timeout_ms() * 4 / 5).min(limit_ms),
+            false => limit_ms / 2,
+        }
+    }
+
     /// Whether the route's attempt limit and the remaining time allow another attempt.
     #[must_use]
     pub fn has_attempt_left(&self, now_ms: u64) -> bool {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -152,6 +152,13 @@
     metrics::gauge!("briarwinch_gateway_holds_duties").set(f64::from(u8::from(holds_duties)));
 }
 
+/// Counts a health check of an endpoint that had left a request unanswered.
+pub fn silent_endpoint_checked(service: &str, outcome: &str) {
+    metrics::counter!("briarwinch_gateway_silence_checks_total", "service" => service.to_owned(),
+        "outcome" => outcome.to_owned())
+    .increment(1);
+}
+
 /// Records how late the control thread was with a tick.
 pub fn control_late(late_ms: u64) {
     metrics::histogram!("briarwinch_gateway_control_late_seconds").record(late_ms as f64 / 1_000.0);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,13 +39,14 @@
 pub mod served_versions;
 pub mod settings;
 pub mod shared;
+mod silence_check;
 pub mod stream_versions;
 pub mod watch;
 mod whole_response;
 mod work_times;
 
 use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,6 +77,8 @@
     crash_checks: RefCell<HashMap<directory::EndpointKey, crash_check::Losses>>,
     /// When a connection to each endpoint was last lost or refused.
     lost_connections_ms: RefCell<HashMap<directory::EndpointKey, u64>>,
+    /// Endpoints that are being asked whether they are alive.
+    silence_checks: RefCell<HashSet<directory::EndpointKey>>,
     /// Requests that were sent and have not ended.
     open_sends: RefCell<slab::Slab<attempt::OpenSend>>,
     /// Requests that endpoints may still be at work on although this entry no longer waits for them.
@@ -106,11 +109,13 @@
             call_queues: RefCell::default(),
             crash_checks: RefCell::default(),
             lost_connections_ms: RefCell::default(),
+            silence_checks: RefCell::default(),
             open_sends: RefCell::default(),
             abandoned: RefCell::default(),
             log,
         });
         task::spawn_local(sweep(Rc::clone(&gateway)));
+        task::spawn_local(silence_check::run(Rc::clone(&gateway)));
         if gateway.shared.settings.overload_control {
             task::spawn_local(caller_buffers::watch(Rc::clone(&gateway)));
         }
--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -166,8 +166,8 @@
     pub cost_ms: f64,
 }
 
-/// Selects the endpoint for a request. Endpoints that are avoided because they were unreachable are
-/// used only if there are no others.
+/// Selects the endpoint for a request. Endpoints that are avoided are used only if there are no others, and those that
+/// stand still not at all.
 pub fn choose<'a>(
     endpoints: impl Iterator<Item = &'a Endpoint>,
     engine: Option<&route::Engine>,
@@ -178,7 +178,11 @@
     let all: Vec<&Endpoint> = endpoints.collect();
     let is_open = |one: &&Endpoint| !inputs.health.is_avoided(one.key, inputs.now_ms);
     let open: Vec<&Endpoint> = all.iter().copied().filter(is_open).collect();
-    let mut candidates = if open.is_empty() { all } else { open };
+    let stands_still = |one: &&Endpoint| inputs.health.stands_still(one.key, inputs.now_ms);
+    let mut candidates = match open.is_empty() {
+        true => all.into_iter().filter(|one| !stands_still(one)).collect(),
+        false => open,
+    };
     exclude_lost_zones(&mut candidates, inputs.unreachable_zones);
     // The order decides between equal costs. It is random, since otherwise all entries would choose
     // the same endpoint.
@@ -405,10 +409,16 @@
     let response_ms = usual_ms * duration_factor;
     let rounds = f64::from(work.requests) / f64::from(endpoint.slots.max(1));
     let first_ms = response_ms * (1.0 + rounds);
-    let cost_ms = first_ms + fixed_cost_ms(endpoint, inputs);
+    let cost_ms = first_ms.max(silent_ms(endpoint, inputs)) + fixed_cost_ms(endpoint, inputs);
     Choice::new(endpoint, cost_ms, work, first_ms, inputs)
 }
 
+/// Returns the time for which a request has been unanswered at an endpoint that sends nothing: a response there takes at
+/// least as long.
+fn silent_ms(endpoint: &Endpoint, inputs: &Inputs<'_>) -> f64 {
+    inputs.health.silent_ms(endpoint.key, inputs.now_ms) as f64
+}
+
 /// Returns the part of the cost that does not depend on the load.
 fn fixed_cost_ms(endpoint: &Endpoint, inputs: &Inputs<'_>) -> f64 {
     let zone_ms = if endpoint.zone == inputs.zone { 0.0 } else { CROSS_ZONE_MS };
--- a/src/gateway/policy/choose/estimated.rs
+++ b/src/gateway/policy/choose/estimated.rs
@@ -7,6 +7,7 @@
 
 use super::{
     Balance, Choice, Inputs, RunnerUp, estimates_load, fastest_response_ms, fixed_cost_ms,
+    silent_ms,
 };
 use crate::gateway::directory::Endpoint;
 use crate::gateway::policy::load_estimate;
@@ -28,7 +29,7 @@
             let load_estimate::Estimate { requests, factor, .. } = estimates.at(index);
             let slots = f64::from(one.slots.max(1));
             let response_ms = usual_ms * factor * (1.0 + requests / slots);
-            let cost_ms = response_ms + fixed_cost_ms(one, inputs);
+            let cost_ms = response_ms.max(silent_ms(one, inputs)) + fixed_cost_ms(one, inputs);
             load_estimate::Cost { cost_ms, slope_ms: usual_ms * factor / slots }
         })
         .collect();
--- a/src/gateway/policy/health.rs
+++ b/src/gateway/policy/health.rs
@@ -19,6 +19,17 @@
 /// than the others gets no requests, so nothing else would change its average.
 const RESPONSE_TIME_MS: u64 = 5_000;
 
+/// Shortest silence after which an endpoint with an unanswered request is suspected to stand still.
+const MIN_SUSPICION_MS: u64 = 100;
+/// The same as a multiple of the expected time to the first byte.
+const SUSPICION_FACTOR: u64 = 3;
+/// How often the time until the next suspicion doubles while an endpoint answers health checks and nothing else: it works
+/// on a request for long.
+const MAX_DOUBLINGS: u32 = 6;
+/// Silence after which a suspected endpoint gets no request even if there is no other. Sound endpoints pause for about
+/// a second.
+const LONG_SILENCE_MS: u64 = 1_000;
+
 /// An endpoint that sent bytes of any response within this time is alive; a wait there is due to
 /// queueing.
 pub const ALIVE_MS: u64 = 400;
@@ -32,6 +43,31 @@
     updated_ms: u64,
     response_ms: Option<f64>,
     last_bytes_ms: u64,
+    /// Requests there that have not ended.
+    open_sends: u32,
+    /// Since when a request has been there while nothing has arrived; kept when the request is given up.
+    silent_since_ms: Option<u64>,
+    /// Longest expected time to the first byte among these requests.
+    expected_ms: u64,
+    /// Health checks that the endpoint has answered during the silence.
+    answered_checks: u32,
+}
+
+impl Observed {
+    fn silent_ms(&self, now_ms: u64) -> u64 {
+        self.silent_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+    }
+
+    fn is_suspected(&self, now_ms: u64) -> bool {
+        let patience_ms = MIN_SUSPICION_MS.max(self.expected_ms * SUSPICION_FACTOR);
+        self.silent_ms(now_ms) >= patience_ms << self.answered_checks.min(MAX_DOUBLINGS)
+    }
+
+    fn end_silence(&mut self) {
+        self.silent_since_ms = None;
+        self.expected_ms = 0;
+        self.answered_checks = 0;
+    }
 }
 
 /// Observations of all endpoints by this entry.
@@ -66,6 +102,64 @@
         observed.last_bytes_ms = now_ms;
         observed.avoid_ms = 0;
         observed.avoid_until_ms = 0;
+        observed.answered_checks = 0;
+        observed.silent_since_ms = (observed.open_sends > 0).then_some(now_ms);
+    }
+
+    /// Records that a health check was answered. The process does not stand still, but what it does with requests is
+    /// not known.
+    pub fn record_answered_check(&mut self, endpoint: EndpointKey, now_ms: u64) {
+        let Some(observed) = self.observed.get_mut(&endpoint) else {
+            return;
+        };
+        if observed.open_sends == 0 {
+            observed.end_silence();
+        } else {
+            observed.answered_checks += 1;
+            observed.silent_since_ms = Some(now_ms);
+        }
+    }
+
+    /// Records that a request is sent, with the expected time to the first byte of its response.
+    pub fn record_send(&mut self, endpoint: EndpointKey, expected_ms: u64, now_ms: u64) {
+        let observed = self.observed.entry(endpoint).or_default();
+        observed.open_sends += 1;
+        observed.silent_since_ms.get_or_insert(now_ms);
+        observed.expected_ms = observed.expected_ms.max(expected_ms);
+    }
+
+    /// Records that a request has ended, answered or not. An endpoint that is suspected by then stays so.
+    pub fn record_send_end(&mut self, endpoint: EndpointKey, now_ms: u64) {
+        let Some(observed) = self.observed.get_mut(&endpoint) else {
+            return;
+        };
+        observed.open_sends = observed.open_sends.saturating_sub(1);
+        if observed.open_sends == 0 && !observed.is_suspected(now_ms) {
+            observed.end_silence();
+        }
+    }
+
+    /// Returns for how long a request has been unanswered while nothing has arrived from the endpoint; zero if none is.
+    #[must_use]
+    pub fn silent_ms(&self, endpoint: EndpointKey, now_ms: u64) -> u64 {
+        self.observed.get(&endpoint).map_or(0, |observed| observed.silent_ms(now_ms))
+    }
+
+    /// Returns whether the endpoint has been suspected to stand still for longer than sound endpoints pause.
+    #[must_use]
+    pub fn stands_still(&self, endpoint: EndpointKey, now_ms: u64) -> bool {
+        self.observed.get(&endpoint).is_some_and(|observed| {
+            observed.is_suspected(now_ms) && observed.silent_ms(now_ms) >= LONG_SILENCE_MS
+        })
+    }
+
+    /// Returns the suspected endpoints that may be asked now.
+    #[must_use]
+    pub fn suspects(&self, now_ms: u64) -> Vec<EndpointKey> {
+        let suspects = self.observed.iter().filter(|(_, observed)| {
+            observed.is_suspected(now_ms) && now_ms >= observed.avoid_until_ms
+        });
+        suspects.map(|(endpoint, _)| *endpoint).collect()
     }
 
     /// Returns when bytes of any response last arrived from the endpoint; zero if none have.
@@ -101,10 +195,12 @@
         observed.response_ms = Some(response_ms + (took_ms - response_ms) * NEWEST_WEIGHT);
     }
 
-    /// Returns whether the endpoint is avoided because it was unreachable recently.
+    /// Returns whether the endpoint is avoided because it was unreachable recently or is suspected to stand still.
     #[must_use]
     pub fn is_avoided(&self, endpoint: EndpointKey, now_ms: u64) -> bool {
-        self.observed.get(&endpoint).is_some_and(|observed| now_ms < observed.avoid_until_ms)
+        self.observed.get(&endpoint).is_some_and(|observed| {
+            now_ms < observed.avoid_until_ms || observed.is_suspected(now_ms)
+        })
     }
 
     /// Returns the share of recent responses that failed, from 0 to 1.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,12 +13,13 @@
 use tokio::time;
 
 use super::attempt::{Failure, OpenResponse};
+use super::eligibility::Eligibility;
 use super::job::{Billed, Job};
 use super::policy::{choose, gap_forecast};
 use super::request::{Request, Response};
 use super::sent_request::SentRequest;
 use super::whole_response::Answer;
-use super::{Gateway, event_stream, http1, metrics, overlap, request_log, shared};
+use super::{Gateway, directory, event_stream, http1, metrics, overlap, request_log, shared};
 use crate::{drain, error};
 
 /// Maximum number of failed connects per request. It is more than it takes to move away from two failed
@@ -159,7 +160,13 @@
             self.check_quarantine(job)?;
             let snapshot = self.shared.snapshot.load_full();
             let Some(choice) = self.choose_endpoint(&snapshot, job) else {
-                if now_ms > job.arrived_ms + hold_ms {
+                let has_responded =
+                    silent.as_ref().is_some_and(|one| one.connection.has_unread_bytes());
+                let hold_ms = match self.awaits_silent_endpoint(&snapshot, job) {
+                    true => hold_ms.max(job.silent_hold_ms()),
+                    false => hold_ms,
+                };
+                if now_ms > job.arrived_ms + hold_ms || has_responded {
                     return Err(self.final_refusal(job, error::Kind::NoEndpoint));
                 }
                 time::sleep(NO_ENDPOINT_POLL).await;
@@ -282,6 +289,33 @@
             && self.budgets.borrow_mut().try_spend(&job.service().name, divisor, now_ms)
     }
 
+    /// Returns the eligible endpoints that have not been tried.
+    fn candidates<'a>(
+        &self,
+        snapshot: &'a shared::Snapshot,
+        job: &Job,
+        eligibility: &Eligibility<'_>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a directory::Endpoint> {
+        let accepting = snapshot.accepting(&job.service().name, job.evacuation_key(), now_ms);
+        accepting.filter(move |endpoint| {
+            !job.tried_endpoints.contains(&endpoint.key)
+                && job.version.is_none_or(|version| {
+                    endpoint.version_key() == version && !self.may_have_restarted(endpoint.key)
+                })
+                && eligibility.allows(endpoint)
+        })
+    }
+
+    /// Whether an endpoint would be chosen if it did not stand still.
+    fn awaits_silent_endpoint(&self, snapshot: &shared::Snapshot, job: &Job) -> bool {
+        let now_ms = self.now_ms();
+        let eligibility = self.eligibility(snapshot, now_ms);
+        let health = self.health.borrow();
+        self.candidates(snapshot, job, &eligibility, now_ms)
+            .any(|endpoint| health.stands_still(endpoint.key, now_ms))
+    }
+
     /// Chooses an endpoint among the eligible ones that have not been tried.
     fn choose_endpoint<'a>(
         &self,
@@ -291,14 +325,7 @@
         let service = job.service();
         let now_ms = self.now_ms();
         let eligibility = self.eligibility(snapshot, now_ms);
-        let candidates =
-            snapshot.accepting(&service.name, job.evacuation_key(), now_ms).filter(|endpoint| {
-                !job.tried_endpoints.contains(&endpoint.key)
-                    && job.version.is_none_or(|version| {
-                        endpoint.version_key() == version && !self.may_have_restarted(endpoint.key)
-                    })
-                    && eligibility.allows(endpoint)
-            });
+        let candidates = self.candidates(snapshot, job, &eligibility, now_ms);
         let load_table = self.shared.load_table();
         let prefix_index = self.shared.prefix_index();
         let health = self.health.borrow();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 
 use super::policy::limits;
-use super::{event_stream, http1};
+use super::{directory, event_stream, http1};
 use crate::error;
 
 /// A part of a prompt that several requests may share, as in a prefix cache.
@@ -147,6 +147,8 @@
 pub trait EndpointProtocol: std::fmt::Debug {
     /// Encodes a request for an HTTP/1.1 connection.
     fn encode(&self, request: &EndpointRequest<'_>) -> Vec<u8>;
+    /// Encodes a health check of an endpoint, at the path that its service has for that.
+    fn encode_health_check(&self, endpoint: &directory::Endpoint, path: &str) -> Vec<u8>;
     /// Extracts the protocol information from the head of a response.
     fn parse_head(&self, head: &http1::Head) -> ResponseInfo;
 }
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -96,6 +96,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     pub name: CompactString,
+    /// Path of health checks; empty if unknown. Not part of the serialized table, as above.
+    #[serde(skip)]
+    pub health_path: CompactString,
     /// Maximum number of connections that one endpoint accepts from all callers together.
     pub max_connections: u32,
     pub engine: Option<Engine>,
@@ -169,7 +172,30 @@
     }
 }
 
+/// Paths of health checks of a table's services, by index. It follows a serialized table, as [`TokensPerEvent`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct HealthPaths(Vec<CompactString>);
+
+impl<'de> Deserialize<'de> for HealthPaths {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(Self(Vec::deserialize(deserializer).unwrap_or_default()))
+    }
+}
+
 impl TableData {
+    /// Returns the paths of health checks of the services.
+    #[must_use]
+    pub fn health_paths(&self) -> HealthPaths {
+        HealthPaths(self.services.iter().map(|service| service.health_path.clone()).collect())
+    }
+
+    /// Sets the paths of health checks of the services.
+    pub fn set_health_paths(&mut self, paths: HealthPaths) {
+        for (service, path) in self.services.iter_mut().zip(paths.0) {
+            service.health_path = path;
+        }
+    }
+
     /// Returns the tokens of each event of the services.
     #[must_use]
     pub fn tokens_per_event(&self) -> TokensPerEvent {
@@ -257,6 +283,12 @@
         &self.data.services[key.0 as usize]
     }
 
+    /// Returns the service with this name.
+    #[must_use]
+    pub fn service_named(&self, name: &str) -> Option<&Service> {
+        self.services().iter().find(|service| service.name == name)
+    }
+
     #[must_use]
     pub fn routes(&self) -> &[Route] {
         &self.data.routes
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -2,8 +2,8 @@
 
 use briarwinch::gateway::request::Rank;
 use briarwinch::gateway::route::{
-    Account, Engine, Kind, Limits, Route, Service, ServiceKey, Table, TableData, TokensPerEvent,
-    WeightedService,
+    Account, Engine, HealthPaths, Kind, Limits, Route, Service, ServiceKey, Table, TableData,
+    TokensPerEvent, WeightedService,
 };
 
 fn route(host: &str, prefix: &str, weighted_services: &[(u32, u32)]) -> Route {
@@ -29,6 +29,7 @@
 fn table() -> Table {
     let service = |name: &str| Service {
         name: name.into(),
+        health_path: "".into(),
         max_connections: 100,
         engine: None,
         warm_up: None,
@@ -118,6 +119,24 @@
 
 /// Entries of an earlier build pull the configuration from this one, and the reverse. Guards against a table
 /// that they cannot read because of the size of events.
+/// Guards against endpoints that are never asked whether they are alive, because the entry pulled its table from a peer.
+#[test]
+fn paths_of_health_checks_follow_a_table_that_earlier_builds_read() {
+    let mut data = table().data().clone();
+    data.services[0].health_path = "/health".into();
+    let response = postcard::to_stdvec(&(&data, data.health_paths())).expect("bytes");
+    assert!(postcard::from_bytes::<TableData>(&response).is_ok(), "an earlier build reads it");
+    let (mut pulled, paths): (TableData, HealthPaths) =
+        postcard::from_bytes(&response).expect("a response");
+    pulled.set_health_paths(paths);
+    assert_eq!(pulled, data);
+    let response = postcard::to_stdvec(&data).expect("bytes");
+    let (mut pulled, paths): (TableData, HealthPaths) =
+        postcard::from_bytes(&response).expect("a response of an earlier build");
+    pulled.set_health_paths(paths);
+    assert_eq!(pulled, *table().data());
+}
+
 #[test]
 fn the_size_of_events_follows_a_table_that_earlier_builds_read() {
     let engine = |tokens_per_event| Engine { slots: 8, kv_cache_tokens: 100, tokens_per_event };
