Entries tell each other which endpoints are silent

Change: an endpoint that leaves a health check unanswered for 150 ms is told to the other entries with the state messages. They use it only if there is no other, for 0.7 s unless that is repeated, and not at all so if it has sent something to them in the last 0.4 s: the path may have failed for one entry only.

--- a/src/gateway/control/restrictions.rs
+++ b/src/gateway/control/restrictions.rs
@@ -3,7 +3,7 @@
 
 use crate::gateway::control::Control;
 use crate::gateway::policy::{limits, quarantine, warmup};
-use crate::gateway::{departures, directory, evacuation, request_log, route};
+use crate::gateway::{departures, directory, evacuation, request_log, route, silences};
 
 impl<P> Control<P> {
     /// Applies a change to the evacuated zones, and publishes the result if it differs.
@@ -79,6 +79,23 @@
         }
     }
 
+    /// Applies silences of endpoints received from a peer.
+    pub(in crate::gateway) fn apply_peer_silences(
+        &self,
+        received: &[silences::Silence],
+        now_ms: u64,
+    ) {
+        let directory = self.directory.borrow();
+        let mut silences = self.shared.silences();
+        for silence in received {
+            let is_new = silences.record(*silence, now_ms);
+            if let Some(endpoint) = directory.find(silence.endpoint).filter(|_| is_new) {
+                slog::info!(self.log, "endpoint silent elsewhere";
+                    "endpoint" => endpoint.id.as_str(), "age_ms" => silence.age_ms);
+            }
+        }
+    }
+
     /// Applies suspected requests and prompt parts received from a peer.
     pub(in crate::gateway) fn apply_suspicions(
         &self,
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -100,6 +100,7 @@
     // traffic thread takes these locks in the opposite order.
     let durations = control.shared.work_durations().recent(MAX_DURATIONS, now_ms);
     let departures = control.shared.departures().recent(now_ms);
+    let silences = control.shared.silences().recent(now_ms);
     LocalState {
         age_ms: control.shared.time.age_ms(),
         unix_ms: control.shared.time.unix_ms(),
@@ -115,6 +116,7 @@
         durations,
         limits_stamp,
         departures,
+        silences,
         suspicions,
         suspicions_stamp,
     }
@@ -241,6 +243,7 @@
         }
         Message::Limits(limits) => control.apply_peer_limits(&limits, now_ms),
         Message::Departures(departures) => control.apply_peer_departures(&departures, now_ms),
+        Message::Silences(silences) => control.apply_peer_silences(&silences, now_ms),
         Message::StreamVersions(records) => stream_keepers::learn(control, &records, now_ms),
         Message::StreamQuery { from, streams } => {
             stream_keepers::answer(control, from, &streams);
--- a/src/gateway/fleet/exchange.rs
+++ b/src/gateway/fleet/exchange.rs
@@ -21,7 +21,7 @@
 use crate::gateway::policy::{
     admission, limits, load, prefix_index, quarantine, warmup, work_duration,
 };
-use crate::gateway::{departures, directory, evacuation};
+use crate::gateway::{departures, directory, evacuation, silences};
 use crate::lease;
 
 /// Silence of the first-ranked entry of a zone after which the second aggregates. Each further rank waits
@@ -57,6 +57,7 @@
     /// Stamp of the newest change of an endpoint's limit.
     pub limits_stamp: u64,
     pub departures: Vec<departures::Departure>,
+    pub silences: Vec<silences::Silence>,
     pub suspicions: Vec<quarantine::Suspicion>,
     /// Stamp of the newest change of the suspected prompt parts.
     pub suspicions_stamp: u64,
@@ -75,8 +76,8 @@
             self.limits_stamp,
             self.suspicions_stamp,
         ];
-        let departures = self.departures.len();
-        Urgent { versions, flags, term_notice, departures }
+        let endpoints = [self.departures.len(), self.silences.len()];
+        Urgent { versions, flags, term_notice, endpoints }
     }
 }
 
@@ -85,8 +86,8 @@
     versions: [u64; 5],
     flags: [bool; 4],
     term_notice: Option<(u64, bool)>,
-    /// Number of endpoints that have recently announced that they leave.
-    departures: usize,
+    /// Numbers of endpoints that have recently announced that they leave, and that are silent.
+    endpoints: [usize; 2],
 }
 
 /// A message and its receivers.
--- a/src/gateway/fleet/exchange/sending.rs
+++ b/src/gateway/fleet/exchange/sending.rs
@@ -34,6 +34,8 @@
 const MAX_LIMITS: usize = 60;
 /// Maximum number of departures in a message; about 14 bytes each.
 const MAX_DEPARTURES: usize = 75;
+/// Maximum number of silent endpoints in a message; about 16 bytes each.
+const MAX_SILENCES: usize = 60;
 /// Maximum number of suspected requests and prompt parts in a message; at most 200 bytes each.
 const MAX_SUSPICIONS: usize = 6;
 /// Maximum number of parts queued for forwarding. Older ones are dropped, so that engines may have to
@@ -116,6 +118,10 @@
             let message = Message::Departures(departures.to_vec());
             out.push(Outgoing { to: to.clone(), message });
         }
+        for silences in local.silences.chunks(MAX_SILENCES) {
+            let message = Message::Silences(silences.to_vec());
+            out.push(Outgoing { to: to.clone(), message });
+        }
         self.push_suspicions(&local.suspicions, role, &to, now_ms, out);
         let message = Message::State(state);
         out.push(Outgoing { to, message });
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -8,7 +8,7 @@
 use crate::gateway::duties::{delivery, tally};
 use crate::gateway::fleet::peers::{self, roster};
 use crate::gateway::policy::{admission, limits, load, prefix_index, quarantine, work_duration};
-use crate::gateway::{departures, evacuation, stream_versions};
+use crate::gateway::{departures, evacuation, silences, stream_versions};
 use crate::lease;
 
 /// State of an entry, sent periodically as its heartbeat. Its load travels separately as [`Work`].
@@ -129,6 +129,8 @@
     Details(Details),
     /// Durations of work that endpoints have reported, sent with each state message.
     Durations(Vec<work_duration::Report>),
+    /// Endpoints that leave requests and health checks unanswered, sent with each state message.
+    Silences(Vec<silences::Silence>),
 }
 
 impl Message {
@@ -149,6 +151,7 @@
             Self::Suspicions(_) => "suspicions",
             Self::Details(_) => "details",
             Self::Durations(_) => "durations",
+            Self::Silences(_) => "silences",
             Self::Counts { .. } => "counts",
             Self::CountsAck { .. } => "counts_taken",
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,13 +40,14 @@
 pub mod settings;
 pub mod shared;
 mod silence_check;
+pub mod silences;
 pub mod stream_versions;
 pub mod watch;
 mod whole_response;
 mod work_times;
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -77,8 +78,8 @@
     crash_checks: RefCell<HashMap<directory::EndpointKey, crash_check::Losses>>,
     /// When a connection to each endpoint was last lost or refused.
     lost_connections_ms: RefCell<HashMap<directory::EndpointKey, u64>>,
-    /// Endpoints that are being asked whether they are alive.
-    silence_checks: RefCell<HashSet<directory::EndpointKey>>,
+    /// Endpoints that are being asked whether they are alive, and since when.
+    silence_checks: RefCell<HashMap<directory::EndpointKey, u64>>,
     /// Requests that were sent and have not ended.
     open_sends: RefCell<slab::Slab<attempt::OpenSend>>,
     /// Requests that endpoints may still be at work on although this entry no longer waits for them.
@@ -156,6 +157,7 @@
         gateway.sweep_abandoned(now_ms);
         gateway.shared.limits().sweep(now_ms, is_known);
         gateway.shared.departures().sweep(now_ms);
+        gateway.shared.silences().sweep(now_ms);
         gateway.shared.stream_versions().sweep(now_ms);
         let changes = gateway.shared.quarantine().sweep(now_ms);
         request_log::log_quarantine(&gateway.log, &changes, "own");
--- a/src/gateway/policy/health.rs
+++ b/src/gateway/policy/health.rs
@@ -1,7 +1,7 @@
 //! Passive health checks: what an entry has observed of each endpoint (silence, refused
 //! connections, failed responses, response times).
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::gateway::directory::EndpointKey;
 
@@ -74,6 +74,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     observed: HashMap<EndpointKey, Observed>,
+    /// Endpoints that this entry or another has found silent.
+    silent_elsewhere: HashSet<EndpointKey>,
 }
 
 impl Health {
@@ -195,12 +197,20 @@
         observed.response_ms = Some(response_ms + (took_ms - response_ms) * NEWEST_WEIGHT);
     }
 
-    /// Returns whether the endpoint is avoided because it was unreachable recently or is suspected to stand still.
+    /// Sets which endpoints some entry has found silent. It does not count for those that have sent something here
+    /// recently.
+    pub fn set_silent_elsewhere(&mut self, endpoints: HashSet<EndpointKey>) {
+        self.silent_elsewhere = endpoints;
+    }
+
+    /// Returns whether the endpoint is avoided because it was unreachable recently or seems to stand still.
     #[must_use]
     pub fn is_avoided(&self, endpoint: EndpointKey, now_ms: u64) -> bool {
-        self.observed.get(&endpoint).is_some_and(|observed| {
+        let is_avoided = self.observed.get(&endpoint).is_some_and(|observed| {
             now_ms < observed.avoid_until_ms || observed.is_suspected(now_ms)
-        })
+        });
+        is_avoided
+            || (self.silent_elsewhere.contains(&endpoint) && !self.is_alive(endpoint, now_ms))
     }
 
     /// Returns the share of recent responses that failed, from 0 to 1.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -14,7 +14,7 @@
 };
 use super::{
     buffer_allowance, departures, directory, evacuation, route, served_versions, settings,
-    stream_versions,
+    silences, stream_versions,
 };
 use crate::{clock, drain};
 
@@ -93,6 +93,7 @@
     rejections: Mutex<load::Rejections>,
     limits: Mutex<limits::Limits>,
     departures: Mutex<departures::Departures>,
+    silences: Mutex<silences::Silences>,
     quarantine: Mutex<quarantine::Quarantine>,
     stream_versions: Mutex<stream_versions::StreamVersions>,
     served_versions: Mutex<served_versions::ServedVersions>,
@@ -137,6 +138,7 @@
             rejections: Mutex::default(),
             limits: Mutex::default(),
             departures: Mutex::default(),
+            silences: Mutex::default(),
             quarantine: Mutex::default(),
             stream_versions: Mutex::default(),
             served_versions: Mutex::default(),
@@ -169,6 +171,11 @@
         lock(&self.departures)
     }
 
+    /// Locks the endpoints that this entry or another has found silent.
+    pub fn silences(&self) -> MutexGuard<'_, silences::Silences> {
+        lock(&self.silences)
+    }
+
     /// Locks the requests and prompt parts that are suspected of ending endpoints.
     pub fn quarantine(&self) -> MutexGuard<'_, quarantine::Quarantine> {
         lock(&self.quarantine)
--- a/src/gateway/silence_check.rs
+++ b/src/gateway/silence_check.rs
@@ -10,7 +10,7 @@
 use compact_str::CompactString;
 use tokio::{task, time};
 
-use super::{Gateway, directory, http1, metrics, pool};
+use super::{Gateway, directory, http1, metrics, pool, shared, silences};
 
 /// Interval at which suspected endpoints are looked for.
 const POLL: Duration = Duration::from_millis(50);
@@ -18,6 +18,9 @@
 /// within it answers at once.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after which a check that is still unanswered is told to the other entries.
+const TELL_AFTER_MS: u64 = 150;
+
 /// Result of a check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 enum Outcome {
@@ -38,11 +41,14 @@
         let now_ms = gateway.now_ms();
         let suspects = gateway.health.borrow().suspects(now_ms);
         let snapshot = gateway.shared.snapshot.load();
+        gateway.tell_silences(&snapshot, now_ms);
+        gateway.learn_silences(&snapshot, now_ms);
         for endpoint in suspects.into_iter().filter_map(|key| snapshot.directory.find(key)) {
             let service =
                 snapshot.table.as_ref().and_then(|table| table.service_named(&endpoint.service));
             let path = service.map(|service| service.health_path.clone()).unwrap_or_default();
-            if !path.is_empty() && gateway.silence_checks.borrow_mut().insert(endpoint.key) {
+            if !path.is_empty() && !gateway.silence_checks.borrow().contains_key(&endpoint.key) {
+                gateway.silence_checks.borrow_mut().insert(endpoint.key, now_ms);
                 task::spawn_local(Rc::clone(&gateway).check_silent(endpoint.clone(), path));
             }
         }
@@ -50,6 +56,28 @@
 }
 
 impl Gateway {
+    /// Tells the other entries which endpoints leave a check unanswered.
+    fn tell_silences(&self, snapshot: &shared::Snapshot, now_ms: u64) {
+        let checks = self.silence_checks.borrow();
+        let unanswered = checks.iter().filter(|(_, since_ms)| now_ms >= **since_ms + TELL_AFTER_MS);
+        for endpoint in unanswered.filter_map(|(key, _)| snapshot.directory.find(*key)) {
+            let is_silent = self.health.borrow().silent_ms(endpoint.key, now_ms) >= TELL_AFTER_MS;
+            let silence = silences::Silence::of(endpoint);
+            if is_silent && self.shared.silences().record(silence, now_ms) {
+                self.shared.urgent_update.notify_one();
+            }
+        }
+    }
+
+    /// Takes over which endpoints any entry has found silent.
+    fn learn_silences(&self, snapshot: &shared::Snapshot, now_ms: u64) {
+        let silences = self.shared.silences();
+        let endpoints = snapshot.directory.endpoints().iter();
+        let silent = endpoints.filter(|endpoint| silences.contains(endpoint, now_ms));
+        let silent = silent.map(|endpoint| endpoint.key).collect();
+        self.health.borrow_mut().set_silent_elsewhere(silent);
+    }
+
     async fn check_silent(self: Rc<Self>, endpoint: directory::Endpoint, path: CompactString) {
         let begin_ms = self.now_ms();
         let silent_ms = self.health.borrow().silent_ms(endpoint.key, begin_ms);
@@ -87,6 +115,7 @@
             return Ok(false);
         }
         self.health.borrow_mut().record_answered_check(endpoint.key, self.now_ms());
+        self.shared.silences().forget(endpoint.key);
         self.record_departure(endpoint, &info);
         self.recycle(endpoint, connection).await;
         Ok(true)
--- a/tests/gateway/departures.rs
+++ b/tests/gateway/departures.rs
@@ -4,6 +4,8 @@
 use briarwinch::gateway::departures::{Departure, Departures};
 use briarwinch::gateway::directory::Endpoint;
 
+use briarwinch::gateway::silences::{Silence, Silences};
+
 use crate::directory::endpoint;
 use crate::virtual_fleet::{Fleet, SIZES};
 
@@ -40,3 +42,24 @@
         assert_eq!(missing, 0, "of {entries} entries do not know the departure");
     }
 }
+
+/// Guards against entries that each write a request to an endpoint that another one has found silent, and against one that
+/// avoids it for good.
+#[test]
+fn a_silence_reaches_all_entries_within_500_ms_and_lapses() {
+    for (entries, zones) in SIZES {
+        let mut fleet = Fleet::open(entries, zones, 0.02);
+        fleet.run_ms(2_500);
+        let now_ms = fleet.now_ms;
+        fleet.nodes[entries / 2].silences.record(Silence::of(&started(5_000)), now_ms);
+        fleet.run_ms(500);
+        let knowing = |fleet: &Fleet| {
+            let now_ms = fleet.now_ms;
+            let knows = |silences: &Silences| silences.contains(&started(5_000), now_ms);
+            fleet.nodes.iter().filter(|node| knows(&node.silences)).count()
+        };
+        assert_eq!(knowing(&fleet), entries, "entries know the silence");
+        fleet.run_ms(1_000);
+        assert_eq!(knowing(&fleet), 0, "entries still know it");
+    }
+}
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -11,7 +11,7 @@
 use briarwinch::gateway::fleet::peers::Peers;
 use briarwinch::gateway::policy::{admission, limits, load, prefix_index, quarantine};
 use briarwinch::gateway::settings;
-use briarwinch::gateway::{departures, evacuation};
+use briarwinch::gateway::{departures, evacuation, silences};
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -35,6 +35,7 @@
     pub prefix_index: prefix_index::PrefixIndex,
     pub limits: limits::Limits,
     pub departures: departures::Departures,
+    pub silences: silences::Silences,
     pub quarantine: quarantine::Quarantine,
     pub tally: Tally,
     pub outbox: Outbox,
@@ -155,6 +156,7 @@
             prefix_index: prefix_index::PrefixIndex::default(),
             limits: limits::Limits::default(),
             departures: departures::Departures::default(),
+            silences: silences::Silences::default(),
             quarantine: quarantine::Quarantine::default(),
             tally: Tally::default(),
             outbox: Outbox::new(boot, WINDOW_MS),
@@ -269,6 +271,11 @@
                     node.limits.apply_update(limit, now_ms);
                 }
             }
+            Message::Silences(silences) => {
+                for silence in silences {
+                    node.silences.record(silence, now_ms);
+                }
+            }
             Message::Departures(departures) => {
                 for departure in departures {
                     node.departures.record(departure, now_ms);
@@ -411,6 +418,7 @@
         limits: node.limits.updates(now_ms),
         limits_stamp: node.limits.newest_stamp(),
         departures: node.departures.recent(now_ms),
+        silences: node.silences.recent(now_ms),
         suspicions: node.quarantine.recent(now_ms),
         suspicions_stamp: node.quarantine.stamp(),
     }
