Requests wait for the lists of an entry that wakes

Cause: requests and news of changes wait side by side in the sockets of a process that stands still or gets no processor. When it goes on, the traffic thread sends by the list of before, in a race with the control thread.

Change: a control thread that was 500 ms late has 200 ms to read what waits for it; a send waits for that, 500 ms at most, and its endpoint is checked again afterwards as after each connect.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,11 @@
 /// the other entries would send to the same last slots.
 const ANNOUNCE_FILL_RATIO: f64 = 0.75;
 
+/// Maximum wait of a request for lists that are current.
+const MAX_LIST_WAIT_MS: u64 = 500;
+/// Interval between checks whether they are.
+const LIST_POLL: Duration = Duration::from_millis(10);
+
 /// Whether a send has to be announced to the other entries immediately.
 fn must_announce(choice: &choose::Choice<'_>) -> bool {
     let fill_ratio = f64::from(choice.work.requests) / f64::from(choice.endpoint.slots.max(1));
@@ -178,6 +183,7 @@
         let mut load_guard = LoadGuard::open(self, job, choice);
         let endpoint = choice.endpoint.clone();
         let connection = self.connect_or_reuse(job, &endpoint).await?;
+        self.await_current_lists().await;
         let now_ms = self.now_ms();
         if !self.is_still_eligible(&endpoint, now_ms) {
             self.pool.borrow_mut().put(endpoint.addr, connection, now_ms);
@@ -225,6 +231,17 @@
         })
     }
 
+    /// Waits while the control thread is late: a process that has stood still would send the requests in its sockets
+    /// before it reads the news beside them. The wait is bounded, since requests have to be served by any list.
+    async fn await_current_lists(&self) {
+        let begin_ms = self.now_ms();
+        while !self.shared.control_progress.is_current(self.now_ms())
+            && self.now_ms() < begin_ms + MAX_LIST_WAIT_MS
+        {
+            time::sleep(LIST_POLL).await;
+        }
+    }
+
     /// Whether the chosen endpoint still accepts a request, checked again after connecting.
     fn is_still_eligible(&self, endpoint: &directory::Endpoint, now_ms: u64) -> bool {
         let snapshot = self.shared.snapshot.load();
--- a/src/gateway/fleet/datagrams.rs
+++ b/src/gateway/fleet/datagrams.rs
@@ -73,6 +73,7 @@
 fn record_tick<P>(control: &Control<P>, due_ms: u64) {
     let late_ms = if due_ms == 0 { 0 } else { control.now_ms().saturating_sub(due_ms) };
     metrics::control_late(late_ms);
+    control.shared.control_progress.record(control.now_ms());
     if late_ms >= LATE_TICK_MS {
         slog::info!(control.log, "control thread late"; "late_ms" => late_ms,
             "list_age_ms" => control.shared.directory_age_ms());
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -76,6 +76,8 @@
     pub serving_peers: AtomicUsize,
     /// Time up to which the store is known to have told this entry of each endpoint that started again.
     pub directory_confirmed_ms: AtomicU64,
+    /// When the control thread last ran, and until when it reads what has waited while it did not.
+    pub control_progress: ControlProgress,
     /// Admission control: rejects prompts while almost no engine capacity is free.
     pub admission: admission::AdmissionControl,
     /// Bounds the memory of incomplete responses.
@@ -132,6 +134,7 @@
             counts_delivered: AtomicBool::new(true),
             serving_peers: AtomicUsize::new(0),
             directory_confirmed_ms: AtomicU64::new(0),
+            control_progress: ControlProgress::default(),
             admission: admission::AdmissionControl::default(),
             buffer_allowance: Arc::new(buffer_allowance),
             load_table: Mutex::default(),
@@ -290,6 +293,40 @@
     }
 }
 
+/// Delay of the control thread from which the lists that requests are sent by may be out of date. Changes have to take
+/// effect within seconds.
+const LATE_MS: u64 = 500;
+/// Time within which the control thread reads what has waited for it: answers of the store, and pulls from peers.
+const CATCH_UP_MS: u64 = 200;
+
+/// Progress of the control thread, by which traffic knows whether the lists are current.
+#[derive(Debug, Default)]
+pub struct ControlProgress {
+    ran_ms: AtomicU64,
+    current_from_ms: AtomicU64,
+}
+
+impl ControlProgress {
+    /// Records that the control thread runs.
+    pub fn record(&self, now_ms: u64) {
+        if self.is_late(now_ms) {
+            self.current_from_ms.store(now_ms + CATCH_UP_MS, Ordering::Relaxed);
+        }
+        self.ran_ms.store(now_ms, Ordering::Release);
+    }
+
+    /// Whether the control thread has run lately and has read what waited for it. True before it has first run.
+    #[must_use]
+    pub fn is_current(&self, now_ms: u64) -> bool {
+        !self.is_late(now_ms) && now_ms >= self.current_from_ms.load(Ordering::Relaxed)
+    }
+
+    fn is_late(&self, now_ms: u64) -> bool {
+        let ran_ms = self.ran_ms.load(Ordering::Acquire);
+        ran_ms > 0 && now_ms >= ran_ms + LATE_MS
+    }
+}
+
 /// A send whose request is not counted yet. It is dropped once the request is counted or known not to
 /// have run.
 #[derive(Debug)]
