Calls that the store refuses for their rate are no outage

Cause: any failed call counted as an outage in which records of live endpoints expire. A store that answers 429 serves all others, so a record that disappears meanwhile has not expired; the endpoint was kept for its grace period.

Change: a refusal for the rate is a failure of its own. It is retried and counted for who reads the store like the others, and starts no outage.

Calls that time out although the store is sound remain: the entry cannot tell them from a silent store.

--- a/src/billing.rs
+++ b/src/billing.rs
@@ -73,7 +73,7 @@
                     version = found.map_or(0, |object| object.version);
                 }
             }
-            Err(Failure::Down) => {}
+            Err(Failure::Down | Failure::Throttled) => {}
         }
     }
 }
@@ -213,7 +213,7 @@
         Err(Failure::Conflict | Failure::NoAnswer) => {
             read_sealed(store, &key).await?.ok_or(Failure::NoAnswer)
         }
-        Err(Failure::Down) => Err(Failure::Down),
+        Err(failure @ (Failure::Down | Failure::Throttled)) => Err(failure),
     }
 }
 
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -103,7 +103,7 @@
             Err(Failure::Conflict) => {}
             Err(Failure::NoAnswer) => write_unanswered = true,
             // The store did not perform this write, but an earlier attempt may still take effect.
-            Err(Failure::Down) => break,
+            Err(Failure::Down | Failure::Throttled) => break,
         }
         // The claim may have been created by another side, or by an earlier write of this call whose
         // answer was lost. Reading shows which. Without this read, a payment could be sent twice.
@@ -171,7 +171,7 @@
                 }
                 claim.version = object.version;
             }
-            Err(Failure::Down) => return false,
+            Err(Failure::Down | Failure::Throttled) => return false,
         }
     }
     false
--- a/src/control.rs
+++ b/src/control.rs
@@ -162,7 +162,10 @@
     /// Counts a store call and records whether the store is up; logs each change.
     pub fn record_store_outcome<T>(&self, outcome: &Result<T, store::Failure>) {
         self.hub.store_calls.fetch_add(1, Ordering::Relaxed);
-        let up = !matches!(outcome, Err(store::Failure::Down | store::Failure::NoAnswer));
+        let up = !matches!(
+            outcome,
+            Err(store::Failure::Down | store::Failure::Throttled | store::Failure::NoAnswer)
+        );
         if self.hub.store_up.swap(up, Ordering::Relaxed) != up {
             slog::warn!(self.log, "store availability changed"; "up" => up);
         }
--- a/src/gateway/policy/outage.rs
+++ b/src/gateway/policy/outage.rs
@@ -42,10 +42,13 @@
     /// How long a leaving endpoint goes on taking requests.
     leave_ms: u64,
     since_ms: Option<u64>,
+    /// Since when calls have failed because the store is down or silent. Records do not expire while it only refuses
+    /// calls of this watcher for their rate.
+    unavailable_since_ms: Option<u64>,
     /// End of the last outage that was long enough for records to expire, or when the store came back from an
     /// older copy.
     recovered_ms: Option<u64>,
-    /// When a call last failed.
+    /// When a call last failed because the store was down or silent.
     failed_ms: Option<u64>,
     pause_ms: u64,
 }
@@ -55,27 +58,40 @@
     /// requests.
     #[must_use]
     pub fn new(leave_ms: u64) -> Self {
-        Self { leave_ms, since_ms: None, recovered_ms: None, failed_ms: None, pause_ms: 0 }
+        Self {
+            leave_ms,
+            since_ms: None,
+            unavailable_since_ms: None,
+            recovered_ms: None,
+            failed_ms: None,
+            pause_ms: 0,
+        }
     }
 
     /// Records a failed call and returns the pause before the next one. `is_behind` says that other
     /// entries of the zone read the store before this one.
     pub fn record_failure(&mut self, now_ms: u64, is_behind: bool, random: &mut impl Rng) -> u64 {
-        self.since_ms.get_or_insert(now_ms);
+        self.unavailable_since_ms.get_or_insert(now_ms);
         self.failed_ms = Some(now_ms);
+        self.record_refusal(now_ms, is_behind, random)
+    }
+
+    /// Records a call that the store refused for its rate, as [`Self::record_failure`].
+    pub fn record_refusal(&mut self, now_ms: u64, is_behind: bool, random: &mut impl Rng) -> u64 {
+        self.since_ms.get_or_insert(now_ms);
         let max_ms = if is_behind { MAX_PAUSE_BEHIND_MS } else { MAX_PAUSE_MS };
         self.pause_ms = (self.pause_ms * 2).clamp(MIN_PAUSE_MS, max_ms);
         random.random_range(self.pause_ms / 2..=self.pause_ms)
     }
 
-    /// Records an answer and returns how long the store was down, if it was.
+    /// Records an answer and returns for how long calls failed, if they did.
     pub fn record_answer(&mut self, now_ms: u64) -> Option<u64> {
         self.pause_ms = 0;
-        let down_ms = now_ms - self.since_ms.take()?;
-        if down_ms >= LAPSE_AFTER_MS {
+        let unavailable_since_ms = self.unavailable_since_ms.take();
+        if unavailable_since_ms.is_some_and(|since_ms| now_ms - since_ms >= LAPSE_AFTER_MS) {
             self.recovered_ms = Some(now_ms);
         }
-        Some(down_ms)
+        Some(now_ms - self.since_ms.take()?)
     }
 
     /// Records that the store has come back from an older copy, which lacks the newest records.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -150,7 +150,14 @@
                 }
                 // An entry that has not listed the topic yet cannot serve, so it retries at the full rate.
                 let is_standby = has_listed && control.is_standby_reader();
-                let pause_ms = outage.record_failure(now_ms, is_standby, &mut rand::rng());
+                let pause_ms = match failure {
+                    store::Failure::Throttled => {
+                        outage.record_refusal(now_ms, is_standby, &mut rand::rng())
+                    }
+                    store::Failure::Conflict | store::Failure::NoAnswer | store::Failure::Down => {
+                        outage.record_failure(now_ms, is_standby, &mut rand::rng())
+                    }
+                };
                 let pause = Duration::from_millis(pause_ms);
                 if has_listed {
                     control.wait_to_retry(topic, pause).await;
--- a/src/lease_io.rs
+++ b/src/lease_io.rs
@@ -47,7 +47,7 @@
     match written {
         Ok(version) => contender.written(version, now_ms),
         Err(Failure::Conflict) => contender.refused(now_ms),
-        Err(Failure::NoAnswer | Failure::Down) => contender.no_answer(now_ms),
+        Err(Failure::NoAnswer | Failure::Down | Failure::Throttled) => contender.no_answer(now_ms),
     }
     written.map(|_| ())
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -53,7 +53,9 @@
             Failure::Conflict => {
                 Self::Conflict("the object was changed by somebody else in the meantime".to_owned())
             }
-            Failure::NoAnswer | Failure::Down => Self::NoAnswer(failure.to_string()),
+            Failure::NoAnswer | Failure::Down | Failure::Throttled => {
+                Self::NoAnswer(failure.to_string())
+            }
         }
     }
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -59,6 +59,9 @@
     /// The store is unreachable or reported that it is unavailable; nothing was written.
     #[display("the store is down")]
     Down,
+    /// The store refused the call because of the rate of calls, and serves others; nothing was written.
+    #[display("the store refuses calls for their rate")]
+    Throttled,
 }
 
 impl std::error::Error for Failure {}
