Tests: heads that stop in the middle are no responses

The connection that reads answers of endpoints, of the store and to the holder's calls refuses every cut of three heads, and so does the client of the product's own platform. Nothing of the product changes.

--- a/tests/gateway/connections.rs
+++ b/tests/gateway/connections.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use briarwinch::gateway::http1::{Connection, Error};
+use briarwinch::platform;
+use briarwinch::store::ObjectStore;
 
 const LIMIT: Duration = Duration::from_secs(10);
 const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -258,3 +260,54 @@
         assert!(!is_reusable, "resets: {resets}");
     }
 }
+
+/// Starts a server that answers each connection with the next longer part of this head and closes it in order.
+fn cut_heads(head: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for length in 1..head.len() {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            read_head(&mut stream);
+            stream.write_all(&head[..length]).expect("the part is sent");
+        }
+    });
+    addr
+}
+
+const EMPTY: &[u8] =
+    b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 0\r\n\r\n";
+const UNTIL_CLOSE: &[u8] = b"HTTP/1.0 200 OK\r\ncontent-type: application/json\r\n\r\n";
+const NO_CONTENT: &[u8] = b"HTTP/1.1 204 No Content\r\nstore-era: 1\r\n\r\n";
+
+/// Guards against a head that was cut off and is taken for a response, of an endpoint, of the platform's store or to a duty
+/// holder's call.
+#[test]
+fn a_cut_head_is_no_response() {
+    for head in [EMPTY, UNTIL_CLOSE, NO_CONTENT] {
+        let addr = cut_heads(head);
+        for length in 1..head.len() {
+            let result = run(async {
+                let mut connection = Connection::open(addr, LIMIT).await?;
+                exchange(&mut connection).await
+            });
+            assert!(matches!(result, Err(Error::Malformed)), "{length} bytes: {result:?}");
+        }
+    }
+}
+
+/// Guards against the same in answers to the product's own client of the platform, which the operator's tool uses too.
+#[test]
+fn a_cut_head_is_no_answer_of_the_platform() {
+    for head in [EMPTY, UNTIL_CLOSE, NO_CONTENT] {
+        let addr = cut_heads(head);
+        let runner = ntex::rt::System::build().disable_signals().build(ntex::rt::DefaultRuntime);
+        runner.block_on(async move {
+            for length in 1..head.len() {
+                let platform = platform::Platform::open(&format!("http://{addr}")).await;
+                let answer = platform.expect("a client").get("key").await;
+                assert!(answer.is_err(), "{length} bytes: {answer:?}");
+            }
+        });
+    }
+}
