A queue of unanswered requests does not make an endpoint look sound

Cause: an endpoint is suspected after three times the expected time, and the expected time counted the requests ahead in the queue. Those were unanswered too, so each request that was written there made the entry more patient.

Change: the expected time is that of the request alone.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -44,7 +44,7 @@
     prefill_tokens: u64,
     /// Other requests at the endpoint, as of the time of the send.
     requests_at_send: u32,
-    /// Expected time to the first byte of the response.
+    /// Expected time to the first byte of the response if no other request is ahead of it.
     expected_ms: u64,
     /// Key of the request among those that were sent and have not ended.
     open_send: Option<usize>,
@@ -81,7 +81,7 @@
             used_parts,
             prefill_tokens: choice.work.unread_tokens + work.unread_tokens,
             requests_at_send: choice.work.requests,
-            expected_ms: choice.first_ms as u64,
+            expected_ms: gateway.unqueued_response_ms(job, choice) as u64,
             open_send: None,
         }
     }
@@ -231,6 +231,19 @@
         })
     }
 
+    /// Returns the expected time until the endpoint sends something if no other request is ahead of this one. Those that
+    /// are do not count: they are answered first, and while they are not, they say nothing about a sound endpoint.
+    fn unqueued_response_ms(&self, job: &job::Job, choice: &choose::Choice<'_>) -> f64 {
+        let usual_ms = match job.service().engine {
+            Some(_) => {
+                let model = self.shared.prefill_model(&job.service().name);
+                Some(model.first_event_ms(u64::from(choice.unread_tokens)))
+            }
+            None => self.health.borrow().response_ms(choice.endpoint.key, self.now_ms()),
+        };
+        usual_ms.map_or(choice.first_ms, |usual_ms| usual_ms * choice.duration_factor)
+    }
+
     /// Waits while the control thread is late: a process that has stood still would send the requests in its sockets
     /// before it reads the news beside them. The wait is bounded, since requests have to be served by any list.
     async fn await_current_lists(&self) {
--- a/src/gateway/policy/health.rs
+++ b/src/gateway/policy/health.rs
@@ -122,7 +122,8 @@
         }
     }
 
-    /// Records that a request is sent, with the expected time to the first byte of its response.
+    /// Records that a request is sent, with the expected time to the first byte of its response if no other is ahead of
+    /// it.
     pub fn record_send(&mut self, endpoint: EndpointKey, expected_ms: u64, now_ms: u64) {
         let observed = self.observed.entry(endpoint).or_default();
         observed.open_sends += 1;
