--- a/src/gateway/silence_check.rs
+++ b/src/gateway/silence_check.rs
@@ -4,6 +4,7 @@
 //! them when it goes on, perhaps long after its record has expired. So an endpoint that is suspected to stand still is
 //! asked by a health check instead of being tried with callers' requests.
 
+use std::collections::hash_map::Entry;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,7 +35,7 @@
     OtherEndpoint,
 }
 
-/// Checks suspected endpoints for as long as the process lives.
+/// Checks suspected endpoints for as long as the process lives. Those that get no requests anyway are not asked.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     loop {
         time::sleep(POLL).await;
@@ -44,11 +45,16 @@
         gateway.tell_silences(&snapshot, now_ms);
         gateway.learn_silences(&snapshot, now_ms);
         for endpoint in suspects.into_iter().filter_map(|key| snapshot.directory.find(key)) {
-            let service =
-                snapshot.table.as_ref().and_then(|table| table.service_named(&endpoint.service));
+            let is_used = snapshot.accepts(endpoint, now_ms)
+                && gateway.eligibility(&snapshot, now_ms).allows(endpoint);
+            let table = snapshot.table.as_ref();
+            let service = table.and_then(|table| table.service_named(&endpoint.service));
             let path = service.map(|service| service.health_path.clone()).unwrap_or_default();
-            if !path.is_empty() && !gateway.silence_checks.borrow().contains_key(&endpoint.key) {
-                gateway.silence_checks.borrow_mut().insert(endpoint.key, now_ms);
+            if !is_used || path.is_empty() {
+                continue;
+            }
+            if let Entry::Vacant(check) = gateway.silence_checks.borrow_mut().entry(endpoint.key) {
+                check.insert(now_ms);
                 task::spawn_local(Rc::clone(&gateway).check_silent(endpoint.clone(), path));
             }
         }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -8,6 +8,7 @@
 mod billing;
 mod caller;
 mod configuration;
+mod cut_heads;
 mod fake_side;
 mod faults;
 mod fleet;
