--- a/src/gateway/policy/health.rs
+++ b/src/gateway/policy/health.rs
@@ -142,6 +142,13 @@
         }
     }
 
+    /// Ends the suspicion of an endpoint that cannot be asked, so that it is tried again.
+    pub fn forget_silence(&mut self, endpoint: EndpointKey) {
+        if let Some(observed) = self.observed.get_mut(&endpoint) {
+            observed.end_silence();
+        }
+    }
+
     /// Returns for how long a request has been unanswered while nothing has arrived from the endpoint; zero if none is.
     #[must_use]
     pub fn silent_ms(&self, endpoint: EndpointKey, now_ms: u64) -> u64 {
--- a/src/gateway/silence_check.rs
+++ b/src/gateway/silence_check.rs
@@ -50,7 +50,12 @@
             let table = snapshot.table.as_ref();
             let service = table.and_then(|table| table.service_named(&endpoint.service));
             let path = service.map(|service| service.health_path.clone()).unwrap_or_default();
-            if !is_used || path.is_empty() {
+            if !is_used {
+                continue;
+            }
+            if path.is_empty() {
+                // Only another request can show whether it is alive.
+                gateway.health.borrow_mut().forget_silence(endpoint.key);
                 continue;
             }
             if let Entry::Vacant(check) = gateway.silence_checks.borrow_mut().entry(endpoint.key) {
