--- a/src/gateway/policy/choose.rs
+++ b/src/gateway/policy/choose.rs
@@ -178,9 +178,9 @@
     let all: Vec<&Endpoint> = endpoints.collect();
     let is_open = |one: &&Endpoint| !inputs.health.is_avoided(one.key, inputs.now_ms);
     let open: Vec<&Endpoint> = all.iter().copied().filter(is_open).collect();
-    let stands_still = |one: &&Endpoint| inputs.health.stands_still(one.key, inputs.now_ms);
+    let is_stalled = |one: &&Endpoint| inputs.health.is_stalled(one.key, inputs.now_ms);
     let mut candidates = match open.is_empty() {
-        true => all.into_iter().filter(|one| !stands_still(one)).collect(),
+        true => all.into_iter().filter(|one| !is_stalled(one)).collect(),
         false => open,
     };
     exclude_lost_zones(&mut candidates, inputs.unreachable_zones);
--- a/src/gateway/policy/health.rs
+++ b/src/gateway/policy/health.rs
@@ -157,7 +157,7 @@
 
     /// Returns whether the endpoint has been suspected to stand still for longer than sound endpoints pause.
     #[must_use]
-    pub fn stands_still(&self, endpoint: EndpointKey, now_ms: u64) -> bool {
+    pub fn is_stalled(&self, endpoint: EndpointKey, now_ms: u64) -> bool {
         self.observed.get(&endpoint).is_some_and(|observed| {
             observed.is_suspected(now_ms) && observed.silent_ms(now_ms) >= LONG_SILENCE_MS
         })
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -313,7 +313,7 @@
         let eligibility = self.eligibility(snapshot, now_ms);
         let health = self.health.borrow();
         self.candidates(snapshot, job, &eligibility, now_ms)
-            .any(|endpoint| health.stands_still(endpoint.key, now_ms))
+            .any(|endpoint| health.is_stalled(endpoint.key, now_ms))
     }
 
     /// Chooses an endpoint among the eligible ones that have not been tried.
