One way to decode what earlier builds do not send

Found when the change was read once more; behaviour and wire are as they were. - Three types had the same Deserialize by hand (one before, two from this change); they share seal::or_default, and the one that only wrapped a vector is gone. - The line about requests at a removed endpoint had a struct and two functions; it is one function beside the other log lines. - Silences were looked up for each listed endpoint, 20 times a second; the few that are known are looked up in the list instead.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -325,29 +325,6 @@
         }
     }
 
-    /// Logs the requests that are still at endpoints of an earlier list and no longer in this one.
-    pub(super) fn log_requests_at_removed_endpoints(
-        &self,
-        before: &directory::Directory,
-        listed: &directory::Directory,
-    ) {
-        let now_ms = self.now_ms();
-        let removed = before.endpoints().iter().filter(|one| listed.find(one.key).is_none());
-        for endpoint in removed {
-            let open_sends = self.open_sends.borrow();
-            let open = open_sends.iter().filter(|(_, send)| send.endpoint == endpoint.key);
-            let sent_ms: Vec<u64> = open.map(|(_, send)| send.sent_ms).collect();
-            self.log_requests_at_removed(
-                endpoint,
-                request_log::RequestsAtRemoved {
-                    open: sent_ms.len(),
-                    oldest_ms: sent_ms.iter().min().map(|sent_ms| now_ms - sent_ms),
-                    quiet_ms: self.quiet_ms(endpoint.key),
-                },
-            );
-        }
-    }
-
     /// Records that the endpoint is unreachable and closes its idle connections.
     pub(super) fn mark_unreachable(&self, endpoint: &directory::Endpoint) {
         self.pool.borrow_mut().close_idle(endpoint.addr);
--- a/src/gateway/fleet/pulls.rs
+++ b/src/gateway/fleet/pulls.rs
@@ -43,20 +43,11 @@
     soft_state: Option<SoftState>,
     /// Ignored by earlier builds, and missing in their responses, as all that follows.
     tokens_per_event: route::TokensPerEvent,
-    removals: Removals,
+    #[serde(deserialize_with = "seal::or_default")]
+    removals: Vec<directory::Removal>,
     health_paths: route::HealthPaths,
 }
 
-/// The removals that a peer knows; empty in responses of earlier builds.
-#[derive(Clone, Debug, Serialize)]
-struct Removals(Vec<directory::Removal>);
-
-impl<'de> Deserialize<'de> for Removals {
-    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        Ok(Self(Vec::deserialize(deserializer).unwrap_or_default()))
-    }
-}
-
 /// State that an entry loses when it stops and obtains from other entries after its next start.
 ///
 /// Without it, an entry that has just started would have engines prefill prompts again that are in their
@@ -134,7 +125,7 @@
                         let is_newer =
                             directory.adopt(newer, &response.lapsed, &response.cold, now_ms);
                         if is_newer {
-                            directory.learn_removals(&response.removals.0, now_ms);
+                            directory.learn_removals(&response.removals, now_ms);
                         }
                         is_newer
                     });
@@ -320,7 +311,7 @@
             config: newer.map(|table| table.data().clone()),
             directory: (directory.revision() > request.directory_revision)
                 .then(|| directory.clone()),
-            removals: Removals(directory.removals(control.now_ms())),
+            removals: directory.removals(control.now_ms()),
             lapsed: directory.lapsed(control.now_ms()),
             cold: directory.cold(control.now_ms()),
             soft_state: soft_state(control, request.scope),
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -118,27 +118,23 @@
     }
 }
 
-/// Requests at an endpoint that has been removed from the list.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct RequestsAtRemoved {
-    /// Requests that have not been answered completely.
-    pub open: usize,
-    /// Time since the first of them was sent; `None` if there is none.
-    pub oldest_ms: Option<u64>,
-    /// Time since the endpoint last sent data; `None` if it never has.
-    pub quiet_ms: Option<u64>,
-}
-
 impl Gateway {
-    /// Logs the requests at an endpoint that has been removed from the list.
-    pub(super) fn log_requests_at_removed(
+    /// Logs the requests that are still at endpoints of an earlier list and no longer in this one.
+    pub(super) fn log_requests_at_removed_endpoints(
         &self,
-        endpoint: &directory::Endpoint,
-        requests: RequestsAtRemoved,
+        before: &directory::Directory,
+        listed: &directory::Directory,
     ) {
-        slog::info!(self.log, "requests at a removed endpoint"; "endpoint" => endpoint.id.as_str(),
-            "open" => requests.open, "oldest_ms" => requests.oldest_ms,
-            "quiet_ms" => requests.quiet_ms);
+        let open_sends = self.open_sends.borrow();
+        let removed = before.endpoints().iter().filter(|one| listed.find(one.key).is_none());
+        for endpoint in removed {
+            let open = open_sends.iter().filter(|(_, send)| send.endpoint == endpoint.key);
+            let oldest_ms = open.clone().map(|(_, send)| send.sent_ms).min();
+            slog::info!(self.log, "requests at a removed endpoint";
+                "endpoint" => endpoint.id.as_str(), "open" => open.count(),
+                "oldest_ms" => oldest_ms.map(|sent_ms| self.now_ms() - sent_ms),
+                "quiet_ms" => self.quiet_ms(endpoint.key));
+        }
     }
 
     /// Version of the active configuration; zero if there is none.
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::request;
+use crate::seal;
 
 /// Index of a route within its table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -163,24 +164,12 @@
 
 /// Tokens of each event of a table's services, by index. It follows a serialized table: earlier builds ignore it
 /// and do not send it, and it is empty then.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct TokensPerEvent(Vec<Option<u32>>);
-
-impl<'de> Deserialize<'de> for TokensPerEvent {
-    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        Ok(Self(Vec::deserialize(deserializer).unwrap_or_default()))
-    }
-}
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokensPerEvent(#[serde(deserialize_with = "seal::or_default")] Vec<Option<u32>>);
 
 /// Paths of health checks of a table's services, by index. It follows a serialized table, as [`TokensPerEvent`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct HealthPaths(Vec<CompactString>);
-
-impl<'de> Deserialize<'de> for HealthPaths {
-    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        Ok(Self(Vec::deserialize(deserializer).unwrap_or_default()))
-    }
-}
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HealthPaths(#[serde(deserialize_with = "seal::or_default")] Vec<CompactString>);
 
 impl TableData {
     /// Returns the paths of health checks of the services.
--- a/src/gateway/silence_check.rs
+++ b/src/gateway/silence_check.rs
@@ -83,8 +83,9 @@
     /// Takes over which endpoints any entry has found silent.
     fn learn_silences(&self, snapshot: &shared::Snapshot, now_ms: u64) {
         let silences = self.shared.silences();
-        let endpoints = snapshot.directory.endpoints().iter();
-        let silent = endpoints.filter(|endpoint| silences.contains(endpoint, now_ms));
+        let known = silences.recent(now_ms).into_iter();
+        let listed = known.filter_map(|silence| snapshot.directory.find(silence.endpoint));
+        let silent = listed.filter(|endpoint| silences.contains(endpoint, now_ms));
         let silent = silent.map(|endpoint| endpoint.key).collect();
         self.health.borrow_mut().set_silent_elsewhere(silent);
     }
--- a/src/seal.rs
+++ b/src/seal.rs
@@ -4,8 +4,8 @@
 //! a TCP link the key is derived from the greetings of both ends and the digest covers a frame number, so
 //! that frames of other links and replayed frames are rejected.
 
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer, Serialize};
 use subtle::ConstantTimeEq;
 
 /// Maximum size of a datagram, sent or received.
@@ -127,6 +127,16 @@
     open(secret, 0, bytes)
 }
 
+/// Decodes a value at the end of a message that earlier builds do not send: its default if it is missing.
+///
+/// # Errors
+/// Never.
+pub fn or_default<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(
+    deserializer: D,
+) -> Result<T, D::Error> {
+    Ok(T::deserialize(deserializer).unwrap_or_default())
+}
+
 fn open<T: DeserializeOwned>(
     secret: &Secret,
     frame_number: u64,
