Tests: callers that do not keep to the limits

Crowds, lowered limits and bounds are fixed here, before the product changes. Each test starts the process (briarwinch-gateway or briarwinch-entry) on loopback, lets a crowd send one form of input and checks that the process lives, that its resident memory and the bytes that the kernel holds unread for it stay within the memory of the instance, that its descriptors stay within their limit, and that ordinary callers are answered beside the crowd and after it. No times, no share of served requests.

Forms: heads, fields and request lines, empty lines, bodies of stated length, large and small chunks, each whole, in pieces and stopping short of the end; lines before chunks and trailers without end; lengths over the limit, unknown keys, and silent connections where descriptors are few.

--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -58,8 +58,19 @@
 
 impl Process {
     pub fn spawn(name: &str, arguments: &[&str]) -> Self {
-        let mut child = Command::new(binary(name))
-            .args(arguments)
+        Self::start(name, Command::new(binary(name)).args(arguments))
+    }
+
+    /// Starts a process that may open this number of descriptors.
+    fn spawn_limited(name: &str, arguments: &[&str], max_descriptors: u64) -> Self {
+        let (program, arguments) = (binary(name), arguments.join(" "));
+        let script =
+            format!("ulimit -n {max_descriptors} && exec {} {arguments}", program.display());
+        Self::start(name, Command::new("sh").args(["-c", &script]))
+    }
+
+    fn start(name: &str, command: &mut Command) -> Self {
+        let mut child = command
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn()
@@ -74,6 +85,17 @@
         Self { child, first_line }
     }
 
+    #[allow(dead_code, reason = "only the tests of abusive callers measure the process")]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process has exited.
+    #[allow(dead_code, reason = "only the tests of abusive callers check it")]
+    pub fn has_exited(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     pub fn signal(&self, signal: Signal) {
         signal::kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process lives");
     }
@@ -126,13 +148,17 @@
 }
 
 impl Daemon {
-    fn spawn(binary: &str, settings: &Value) -> Self {
+    fn spawn(binary: &str, settings: &Value, max_descriptors: Option<u64>) -> Self {
         let folder = std::env::temp_dir();
         let name =
             format!("briarwinch-test-{}-{:x}.jsonc", std::process::id(), rand::random::<u64>());
         let file = folder.join(name);
         std::fs::write(&file, settings.to_string()).expect("the folder for temporary files");
-        let process = Process::spawn(binary, &["--settings", &file.display().to_string()]);
+        let arguments = ["--settings", &file.display().to_string()];
+        let process = match max_descriptors {
+            None => Process::spawn(binary, &arguments),
+            Some(count) => Process::spawn_limited(binary, &arguments, count),
+        };
         std::fs::remove_file(&file).expect("written above");
         let line: Value = serde_json::from_str(&process.first_line).expect("a line of JSON");
         let text = |name: &str| line[name].as_str().expect("an address").to_owned();
@@ -210,6 +236,10 @@
     pub linger_ms: u64,
     /// Duration of a call to the plain service.
     pub call_ms: u64,
+    /// Largest body that the entries accept.
+    pub max_body_bytes: usize,
+    /// Most descriptors that each entry may open; `None` leaves the limit as it is.
+    pub max_descriptors: Option<u64>,
 }
 
 impl Default for FleetOptions {
@@ -224,6 +254,8 @@
             drain_ms: 30_000,
             linger_ms: 10_000,
             call_ms: 5,
+            max_body_bytes: 100_000,
+            max_descriptors: None,
         }
     }
 }
@@ -333,10 +365,10 @@
         let settings = json!({
             "daemon": daemon,
             "listen_addr": "127.0.0.1:0",
-            "max_body_bytes": 100_000,
+            "max_body_bytes": self.options.max_body_bytes,
             "request_arrival_ms": 2000,
         });
-        Daemon::spawn("briarwinch-entry", &settings)
+        Daemon::spawn("briarwinch-entry", &settings, self.options.max_descriptors)
     }
 
     pub fn spawn_side(&self, id: &str, service: &str, url: &str) -> Daemon {
@@ -351,7 +383,7 @@
             "linger_ms": self.options.linger_ms,
             "endpoints": [{"id": format!("{service}-of-{id}"), "service": service, "url": url}],
         });
-        Daemon::spawn("briarwinch-side", &settings)
+        Daemon::spawn("briarwinch-side", &settings, None)
     }
 
     /// Runs the operator's tool; returns its exit code and output.
