Lines before chunks of a body are bounded

Callers saw: nothing, until the process was ended for its memory, with all their requests.

Cause: the HTTP server keeps what arrives until it can decode it. It bounds the head of a request, not the line before a chunk (size and extension), and reads that line from its start again at each read.

Change: a filter around each connection sees the bytes that wait to be decoded. While a request is in progress the server decodes all but such a line at once and then stops reading, so more than 16 KiB close the connection. Chunk lines of endpoints' responses were bounded before (64 bytes, http1.rs); the operators' listeners drop bodies unread.

The tests now measure once before the crowd's end as well: one form ended before the first sample.

--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -11,6 +11,7 @@
 use ntex::web::{self, HttpRequest, HttpResponse};
 
 use super::{Worker, relay, respond};
+use crate::caller_connections::ActiveRequest;
 use crate::{
     admission, body, clock, config, drain, error, explain, gossip, head_timer, keys, openai, trace,
     wire,
@@ -111,6 +112,7 @@
 ) -> HttpResponse {
     let worker: &Rc<Worker> = &worker;
     head_timer::stop(&http);
+    let active = ActiveRequest::begin(&http);
     worker.common.stop.record_arrival(clock::boot_ms());
     let mut response = match answer_locally(worker, &http) {
         Some(response) => response,
@@ -121,7 +123,10 @@
         // exited, and the caller would see the connection break.
         response.head_mut().set_connection_type(ntex::http::ConnectionType::Close);
     }
-    response
+    match active {
+        Some(active) => active.until_written(response),
+        None => response,
+    }
 }
 
 /// Serves a request from an endpoint. One that is not admitted when a stop comes to its final answers did not run.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,11 +19,14 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use ntex::http::{HttpServiceConfig, KeepAlive};
+use ntex::SharedCfg;
+use ntex::http::{HttpService, HttpServiceConfig, KeepAlive};
+use ntex::server::ServerBuilder;
 use ntex::time::Seconds;
-use ntex::web::{self, App, HttpServer};
+use ntex::web::{self, App};
 use tokio::{task, time};
 
+use crate::caller_connections::{self, BoundedConnections};
 use crate::{
     admin, admission, clock, control, drain, durations, error, explain, gossip, hub, logging,
     membership, metric, placement, retry, seal, settings, sockets, trace,
@@ -114,17 +117,20 @@
     let http = HttpServiceConfig::new()
         .set_keepalive(KeepAlive::Timeout(Seconds(KEEP_ALIVE_S)))
         .set_client_timeout(client_timeout_s);
+    let config: SharedCfg =
+        SharedCfg::new("entry").add(http).add(caller_connections::io_config()).into();
     let shared = Arc::clone(common);
-    let server = HttpServer::new(async move || {
-        let worker = Worker::start(Arc::clone(&shared)).await;
-        App::new().state(worker).default_service(web::route().to(intake::handle))
-    })
-    .workers(workers)
-    .disable_signals()
-    .shutdown_timeout(Seconds(1))
-    .config(ntex::SharedCfg::new("entry").add(http))
-    .listen(listener)?
-    .run();
+    let server = ServerBuilder::new()
+        .workers(workers)
+        .disable_signals()
+        .shutdown_timeout(Seconds(1))
+        .listen("entry", listener, async move |server_config| {
+            server_config.config(config.clone());
+            let worker = Worker::start(Arc::clone(&shared)).await;
+            let app = App::new().state(worker).default_service(web::route().to(intake::handle));
+            BoundedConnections::new(HttpService::new(app))
+        })?
+        .run();
     Ok(server)
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod answer;
 pub mod billing;
 pub mod body;
+pub mod caller_connections;
 pub mod claims;
 pub mod cli;
 pub mod clock;
--- a/tests/abusive_callers/crowd.rs
+++ b/tests/abusive_callers/crowd.rs
@@ -195,10 +195,20 @@
     is_over: AtomicBool,
 }
 
+impl Peaks {
+    fn measure(&self, pid: u32, addr: SocketAddr) {
+        let memory_bytes = status_bytes(pid, "VmRSS:") + unread_bytes(addr.port());
+        self.memory_bytes.fetch_max(memory_bytes, Ordering::Relaxed);
+        let descriptors = fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
+        self.descriptors.fetch_max(descriptors as u64, Ordering::Relaxed);
+    }
+}
+
 /// A running measurement of a process.
 #[derive(Debug)]
 pub struct Measurement {
     pid: u32,
+    addr: SocketAddr,
     peaks: Arc<Peaks>,
 }
 
@@ -209,19 +219,16 @@
         let shared = Arc::clone(&peaks);
         thread::spawn(move || {
             while !shared.is_over.load(Ordering::Acquire) {
-                let memory_bytes = status_bytes(pid, "VmRSS:") + unread_bytes(addr.port());
-                shared.memory_bytes.fetch_max(memory_bytes, Ordering::Relaxed);
-                let descriptors =
-                    fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
-                shared.descriptors.fetch_max(descriptors as u64, Ordering::Relaxed);
+                shared.measure(pid, addr);
                 thread::sleep(MEASURE_EACH);
             }
         });
-        Self { pid, peaks }
+        Self { pid, addr, peaks }
     }
 
     /// Checks that the process has stayed within its bounds.
     pub fn check(&self, max_memory_bytes: u64, max_descriptors: u64) {
+        self.peaks.measure(self.pid, self.addr);
         let sampled_bytes = self.peaks.memory_bytes.load(Ordering::Relaxed);
         let memory_bytes = sampled_bytes.max(status_bytes(self.pid, "VmHWM:"));
         let descriptors = self.peaks.descriptors.load(Ordering::Relaxed);
