What the kernel keeps of callers' connections is bounded

Cause: bytes that have arrived and are not read count toward the memory of the instance, and the kernel extends the receive buffer of a connection to megabytes while its process is slower than the caller.

Change: the callers' listeners set a receive buffer of 16 KiB, which accepted connections inherit; it takes twice as much memory. At 1 to 3 ms to callers a body of 4 MiB arrives within its time limit.

--- a/src/caller_connections.rs
+++ b/src/caller_connections.rs
@@ -6,6 +6,7 @@
 use std::any::{Any, TypeId};
 use std::cell::RefCell;
 use std::io;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
@@ -15,6 +16,7 @@
 use ntex::service::{Service, ServiceCtx, ServiceFactory};
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse};
+use rustix::net::sockopt;
 use slotmap::SlotMap;
 
 /// Size of a read from a connection.
@@ -25,6 +27,9 @@
 const CACHED_BUFFERS: usize = 128;
 /// Maximum size of a line before a chunk, and of what else is not decoded while a body is read.
 const MAX_LINE_BYTES: usize = 16 << 10;
+/// Receive buffer of the kernel for each connection, which it would otherwise extend to megabytes. It takes twice as much
+/// memory.
+pub const KERNEL_BUFFER_BYTES: usize = 16 << 10;
 
 slotmap::new_key_type! {
     /// Key of an open connection.
@@ -263,3 +268,11 @@
 pub fn io_config() -> IoConfig {
     IoConfig::new().set_read_buf(READ_BYTES, MIN_FREE_BYTES, CACHED_BUFFERS)
 }
+
+/// Bounds what the kernel keeps of each connection that is accepted.
+///
+/// # Errors
+/// If the listener's socket does not take the option.
+pub fn bound_kernel_buffers(listener: &TcpListener) -> io::Result<()> {
+    Ok(sockopt::set_socket_recv_buffer_size(listener, KERNEL_BUFFER_BYTES)?)
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -120,6 +120,7 @@
     let config: SharedCfg =
         SharedCfg::new("entry").add(http).add(caller_connections::io_config()).into();
     let shared = Arc::clone(common);
+    caller_connections::bound_kernel_buffers(&listener)?;
     let server = ServerBuilder::new()
         .workers(workers)
         .disable_signals()
