Incomplete heads are bounded over all connections

Callers saw: an entry that was ended for its memory while many callers sent heads that stop short of their end, or larger ones than the operators allow.

Cause: the server bounds the head of one request (128 KiB at the gateway, 64 KiB at the entry) and waits up to 60 s for its end, on any number of connections.

Change: the filter counts what incomplete heads hold, at least a read each. Above a twelfth of the memory (memory_mb, which briarwinch-entry may set now too; 64 if unknown) the connection whose head has waited longest is closed. A whole head is decoded at once and is never the oldest for long, so ordinary callers are served beside the crowd.

--- a/src/caller_connections.rs
+++ b/src/caller_connections.rs
@@ -1,7 +1,9 @@
-//! Connections of callers to one traffic thread: what they hold before it is decoded.
+//! Connections of callers to one traffic thread: what they hold before a request is decoded, and which of them is closed
+//! where that is too much.
 //!
-//! The HTTP server keeps what arrives until it can decode it. It bounds the head of a request, but not the line before a
-//! chunk of a body. Each connection therefore passes a filter that sees how many bytes wait to be decoded.
+//! The HTTP server keeps what arrives until it can decode it. It bounds the head of one request, but not the sum over all
+//! connections, and not the line before a chunk of a body. Each connection therefore passes a filter that sees how many
+//! bytes wait to be decoded. A connection on which a request is in progress is never closed in favour of others.
 
 use std::any::{Any, TypeId};
 use std::cell::RefCell;
@@ -12,13 +14,15 @@
 
 use ntex::SharedCfg;
 use ntex::http::body::{Body, BodySize, MessageBody, ResponseBody};
-use ntex::io::{Base, Filter, FilterCtx, Io, IoConfig, Readiness};
+use ntex::io::{Base, Filter, FilterCtx, Io, IoConfig, IoRef, Readiness};
 use ntex::service::{Service, ServiceCtx, ServiceFactory};
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse};
 use rustix::net::sockopt;
 use slotmap::SlotMap;
 
+use crate::caller_limits::CallerLimits;
+
 /// Size of a read from a connection.
 pub const READ_BYTES: usize = 4 << 10;
 /// Free bytes below which the server extends its read buffer.
@@ -39,13 +43,23 @@
 /// An open connection.
 #[derive(Debug)]
 struct Connection {
+    io: IoRef,
+    /// Bytes of an incomplete head.
+    head_bytes: usize,
+    /// Orders the connections by when the first byte of the incomplete head arrived.
+    idle_since: u64,
     /// Requests in progress.
     requests: u32,
+    /// Whether it is being closed in favour of others.
+    is_given_up: bool,
 }
 
 /// Why a connection is closed.
 #[derive(Clone, Copy, Debug, derive_more::Display)]
 enum Cause {
+    /// Incomplete heads hold too much.
+    #[display("heads")]
+    Heads,
     /// A line before a chunk is too long.
     #[display("line")]
     Line,
@@ -59,39 +73,97 @@
 /// The open connections of a traffic thread.
 #[derive(Debug)]
 struct Connections {
+    limits: CallerLimits,
     state: RefCell<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     open: SlotMap<ConnectionKey, Connection>,
+    /// Sum over all connections that are not given up.
+    head_bytes: usize,
+    /// Number of events that [`Connection::idle_since`] counts.
+    events: u64,
+}
+
+impl State {
+    fn next_event(&mut self) -> u64 {
+        self.events += 1;
+        self.events
+    }
+
+    fn set_head_bytes(&mut self, key: ConnectionKey, head_bytes: usize) {
+        let Some(connection) = self.open.get_mut(key).filter(|one| !one.is_given_up) else {
+            return;
+        };
+        self.head_bytes = self.head_bytes + head_bytes - connection.head_bytes;
+        connection.head_bytes = head_bytes;
+    }
+
+    /// Closes a connection; its record stays until the server has closed it.
+    fn give_up(&mut self, key: ConnectionKey, cause: Cause) {
+        self.set_head_bytes(key, 0);
+        let connection = &mut self.open[key];
+        connection.is_given_up = true;
+        connection.io.terminate();
+        count_closed(cause);
+    }
+
+    /// Closes the connection whose incomplete head has waited longest until the heads fit.
+    fn bound_heads(&mut self, max_bytes: usize) {
+        while self.head_bytes > max_bytes {
+            let waiting = self.open.iter().filter(|(_, one)| one.head_bytes > 0);
+            let Some((key, _)) = waiting.min_by_key(|(_, one)| one.idle_since) else {
+                return;
+            };
+            self.give_up(key, Cause::Heads);
+        }
+    }
 }
 
 impl Connections {
-    fn open(self: &Rc<Self>) -> Handle {
+    fn open(self: &Rc<Self>, io: IoRef) -> Handle {
         let state = &mut *self.state.borrow_mut();
-        let key = state.open.insert(Connection { requests: 0 });
+        let idle_since = state.next_event();
+        let key = state.open.insert(Connection {
+            io,
+            head_bytes: 0,
+            idle_since,
+            requests: 0,
+            is_given_up: false,
+        });
         metrics::gauge!("briarwinch_caller_connections").increment(1.0);
         Handle { connections: Rc::clone(self), key }
     }
 
     fn close(&self, key: ConnectionKey) {
         let state = &mut *self.state.borrow_mut();
+        state.set_head_bytes(key, 0);
         state.open.remove(key);
         metrics::gauge!("briarwinch_caller_connections").decrement(1.0);
     }
 
     /// Records that this many bytes of a connection wait to be decoded.
     fn record_undecoded(&self, key: ConnectionKey, bytes: usize) -> io::Result<()> {
-        let state = self.state.borrow();
-        let Some(connection) = state.open.get(key) else {
+        let state = &mut *self.state.borrow_mut();
+        let event = state.next_event();
+        let Some(connection) = state.open.get_mut(key) else {
             return Ok(());
         };
-        if connection.requests == 0 || bytes <= MAX_LINE_BYTES {
-            return Ok(());
+        if connection.requests > 0 {
+            if bytes <= MAX_LINE_BYTES {
+                return Ok(());
+            }
+            count_closed(Cause::Line);
+            return Err(io::Error::other("a line before a chunk is too long"));
+        }
+        if connection.head_bytes == 0 {
+            connection.idle_since = event;
         }
-        count_closed(Cause::Line);
-        Err(io::Error::other("a line before a chunk is too long"))
+        // The buffer is at least as large as a read.
+        state.set_head_bytes(key, bytes.max(READ_BYTES));
+        state.bound_heads(self.limits.heads_bytes);
+        Ok(())
     }
 }
 
@@ -159,6 +231,7 @@
     pub fn begin(http: &HttpRequest) -> Option<Self> {
         let handle = http.io()?.query::<Handle>().as_ref()?.clone();
         let state = &mut *handle.connections.state.borrow_mut();
+        state.set_head_bytes(handle.key, 0);
         let connection = state.open.get_mut(handle.key)?;
         connection.requests += 1;
         Some(Self(handle.clone()))
@@ -206,13 +279,14 @@
 #[derive(Debug)]
 pub struct BoundedConnections<S> {
     server: S,
+    limits: CallerLimits,
 }
 
 impl<S> BoundedConnections<S> {
     /// Bounds the connections of a server on each of its threads.
     #[must_use]
-    pub fn new(server: S) -> Self {
-        Self { server }
+    pub fn new(limits: CallerLimits, server: S) -> Self {
+        Self { server, limits }
     }
 }
 
@@ -226,7 +300,7 @@
     type Service = BoundedServer<S::Service>;
 
     async fn create(&self, config: SharedCfg) -> Result<Self::Service, Self::InitError> {
-        let connections = Connections { state: RefCell::default() };
+        let connections = Connections { limits: self.limits, state: RefCell::default() };
         let server = self.server.create(config).await?;
         Ok(BoundedServer { server, connections: Rc::new(connections) })
     }
@@ -253,7 +327,7 @@
         io: Io,
         context: ServiceCtx<'_, Self>,
     ) -> Result<Self::Response, Self::Error> {
-        let handle = self.connections.open();
+        let handle = self.connections.open(io.get_ref());
         let _open = OpenConnection(handle.clone());
         let io = io.map_filter(|inner| CountingFilter { inner, handle });
         context.call(&self.server, io).await
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -119,6 +119,7 @@
         .set_client_timeout(client_timeout_s);
     let config: SharedCfg =
         SharedCfg::new("entry").add(http).add(caller_connections::io_config()).into();
+    let limits = common.settings.caller_limits().of_thread(workers);
     let shared = Arc::clone(common);
     caller_connections::bound_kernel_buffers(&listener)?;
     let server = ServerBuilder::new()
@@ -129,7 +130,7 @@
             server_config.config(config.clone());
             let worker = Worker::start(Arc::clone(&shared)).await;
             let app = App::new().state(worker).default_service(web::route().to(intake::handle));
-            BoundedConnections::new(HttpService::new(app))
+            BoundedConnections::new(limits, HttpService::new(app))
         })?
         .run();
     Ok(server)
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::policy::budget;
+use crate::caller_limits::CallerLimits;
 use crate::{jsonc, settings};
 
 /// Retry budget of all entries together: sends beyond the first one of each request.
@@ -123,6 +124,12 @@
         SocketAddr::new(self.ip, self.internal_ports[0])
     }
 
+    /// Limits on what callers make this process hold.
+    #[must_use]
+    pub fn caller_limits(&self) -> CallerLimits {
+        CallerLimits::new(self.memory_mb)
+    }
+
     /// Returns this process's CPU share in thousandths of a core.
     #[must_use]
     pub fn millicores(&self) -> u16 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod billing;
 pub mod body;
 pub mod caller_connections;
+pub mod caller_limits;
 pub mod claims;
 pub mod cli;
 pub mod clock;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::caller_limits::CallerLimits;
 use crate::jsonc;
 
 /// Settings common to all daemons.
@@ -61,6 +62,9 @@
     pub workers: usize,
     #[serde(default = "default_max_body_bytes")]
     pub max_body_bytes: usize,
+    /// Memory of this instance in units of 1,000,000 bytes; none if it is unknown.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// Timeout for the arrival of a request's head and body.
     #[serde(default = "default_request_arrival_ms")]
     pub request_arrival_ms: u64,
@@ -144,6 +148,14 @@
     }
 }
 
+impl Entry {
+    /// Limits on what callers make this process hold.
+    #[must_use]
+    pub fn caller_limits(&self) -> CallerLimits {
+        CallerLimits::new(self.memory_mb)
+    }
+}
+
 impl Validate for Side {
     fn validate(&self) -> Result<(), (jsonc::Path, String)> {
         self.daemon.validate()?;
