Idle connections give way to new ones

Callers saw: no connection at all for up to 60 s, while others held all descriptors of an entry with connections on which they sent nothing.

Cause: the server accepts 25,600 connections, whatever the process may open, and closes one that sends nothing after 60 s; nothing else ends them. Connections to endpoints, peers and the store need descriptors too.

Change: at most three quarters of the descriptors beyond 200 (max_descriptors in the settings, or the system's limit) and an eighth of the memory at 6 KiB each are open to callers: 2,237 at 110 MB and 4,100 descriptors. Beyond that the connection without a request that never had one, or else was idle longest, is closed. New connections are not refused for it, since those who use none of theirs would keep all others out.

--- a/src/caller_connections.rs
+++ b/src/caller_connections.rs
@@ -46,8 +46,11 @@
     io: IoRef,
     /// Bytes of an incomplete head.
     head_bytes: usize,
-    /// Orders the connections by when the first byte of the incomplete head arrived.
+    /// Orders the connections by when they were opened, the first byte of the incomplete head arrived, or the last request
+    /// ended.
     idle_since: u64,
+    /// Whether a request has been decoded on it.
+    was_used: bool,
     /// Requests in progress.
     requests: u32,
     /// Whether it is being closed in favour of others.
@@ -60,6 +63,9 @@
     /// Incomplete heads hold too much.
     #[display("heads")]
     Heads,
+    /// Too many connections are open.
+    #[display("connections")]
+    Connections,
     /// A line before a chunk is too long.
     #[display("line")]
     Line,
@@ -82,6 +88,7 @@
     open: SlotMap<ConnectionKey, Connection>,
     /// Sum over all connections that are not given up.
     head_bytes: usize,
+    given_up: usize,
     /// Number of events that [`Connection::idle_since`] counts.
     events: u64,
 }
@@ -106,6 +113,7 @@
         let connection = &mut self.open[key];
         connection.is_given_up = true;
         connection.io.terminate();
+        self.given_up += 1;
         count_closed(cause);
     }
 
@@ -119,6 +127,17 @@
             self.give_up(key, Cause::Heads);
         }
     }
+
+    /// Closes connections without a request, those that never had one first, until their number fits.
+    fn bound_connections(&mut self, max_connections: usize) {
+        while self.open.len() - self.given_up > max_connections {
+            let idle = self.open.iter().filter(|(_, one)| one.requests == 0 && !one.is_given_up);
+            let Some((key, _)) = idle.min_by_key(|(_, one)| (one.was_used, one.idle_since)) else {
+                return;
+            };
+            self.give_up(key, Cause::Connections);
+        }
+    }
 }
 
 impl Connections {
@@ -129,9 +148,11 @@
             io,
             head_bytes: 0,
             idle_since,
+            was_used: false,
             requests: 0,
             is_given_up: false,
         });
+        state.bound_connections(self.limits.connections);
         metrics::gauge!("briarwinch_caller_connections").increment(1.0);
         Handle { connections: Rc::clone(self), key }
     }
@@ -139,7 +160,8 @@
     fn close(&self, key: ConnectionKey) {
         let state = &mut *self.state.borrow_mut();
         state.set_head_bytes(key, 0);
-        state.open.remove(key);
+        let connection = state.open.remove(key);
+        state.given_up -= usize::from(connection.is_some_and(|one| one.is_given_up));
         metrics::gauge!("briarwinch_caller_connections").decrement(1.0);
     }
 
@@ -221,7 +243,7 @@
     }
 }
 
-/// A request in progress.
+/// A request in progress; its connection is not closed in favour of others.
 #[derive(Debug)]
 pub struct ActiveRequest(Handle);
 
@@ -234,6 +256,7 @@
         state.set_head_bytes(handle.key, 0);
         let connection = state.open.get_mut(handle.key)?;
         connection.requests += 1;
+        connection.was_used = true;
         Some(Self(handle.clone()))
     }
 
@@ -250,8 +273,10 @@
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         let mut state = self.0.connections.state.borrow_mut();
+        let event = state.next_event();
         if let Some(connection) = state.open.get_mut(self.0.key) {
             connection.requests -= 1;
+            connection.idle_since = event;
         }
     }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::policy::budget;
-use crate::caller_limits::CallerLimits;
+use crate::caller_limits::{self, CallerLimits};
 use crate::{jsonc, settings};
 
 /// Retry budget of all entries together: sends beyond the first one of each request.
@@ -85,6 +85,9 @@
     /// Memory of this instance in units of 1,000,000 bytes; none if it is unknown.
     #[serde(default)]
     pub memory_mb: Option<u64>,
+    /// Number of descriptors that this process may open; none if only the system limits it.
+    #[serde(default)]
+    pub max_descriptors: Option<u64>,
     /// Time from the request to stop until the process is killed.
     pub stop_s: f64,
     /// CPU share of this process on its instance, in cores.
@@ -127,7 +130,9 @@
     /// Limits on what callers make this process hold.
     #[must_use]
     pub fn caller_limits(&self) -> CallerLimits {
-        CallerLimits::new(self.memory_mb)
+        let max_descriptors = caller_limits::max_descriptors();
+        let max_descriptors = self.max_descriptors.unwrap_or(u64::MAX).min(max_descriptors);
+        CallerLimits::new(self.memory_mb, max_descriptors)
     }
 
     /// Returns this process's CPU share in thousandths of a core.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::caller_limits::CallerLimits;
+use crate::caller_limits::{self, CallerLimits};
 use crate::jsonc;
 
 /// Settings common to all daemons.
@@ -152,7 +152,7 @@
     /// Limits on what callers make this process hold.
     #[must_use]
     pub fn caller_limits(&self) -> CallerLimits {
-        CallerLimits::new(self.memory_mb)
+        CallerLimits::new(self.memory_mb, caller_limits::max_descriptors())
     }
 }
 
--- a/tests/gateway/virtual_fleet.rs
+++ b/tests/gateway/virtual_fleet.rs
@@ -100,6 +100,7 @@
         cold_rate: None,
         overload_control: false,
         memory_mb: None,
+        max_descriptors: None,
         stop_s: 8.0,
         cores,
     }
