Bodies of refused requests are not gathered

Callers saw: an entry that was ended for its memory by bodies of requests that could not be served: with an unknown key, on no route, or with a stated length over the limit.

Cause: the gateway read and kept the whole body before it looked at route and key. A stated length was not looked at; a body was dropped once more than the limit had been gathered. Without a configuration there was no limit at all.

Change: configuration, route, key and stated length are checked before the body is read. The entry checked keys first already.

--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -229,7 +229,10 @@
     }
     let settings = &worker.common.settings;
     let limit = Duration::from_millis(settings.request_arrival_ms);
-    let body = body::read(payload, settings.max_body_bytes, limit).await?;
+    let body = match body::is_declared(http) {
+        true => body::read(http, payload, settings.max_body_bytes, limit).await?,
+        false => Vec::new(),
+    };
     check_key_not_forwarded(http, &body)?;
     let destination = resolve_destination(config, http, &body)?;
     let service = config.service_at(destination.service);
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -3,8 +3,10 @@
 
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use rand::Rng;
+use xxhash_rust::xxh3;
 
 use super::job::{ActiveGuard, Billed, Job};
 use super::request::Request;
@@ -14,6 +16,31 @@
 /// Retry delay for callers of an entry that has just started and has no configuration yet.
 const STARTING_RETRY_MS: std::ops::Range<u32> = 600..1_800;
 
+/// How the body of a request may be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyTerms {
+    /// Hash of the client account's name.
+    pub account: u64,
+    pub max_bytes: usize,
+}
+
+/// Finds the route of a request and the client account that sent it; `None` where none is needed.
+fn authorize<'a>(
+    table: &'a route::Table,
+    request: &Request,
+) -> Result<(route::RouteKey, Option<&'a route::Account>), error::Refusal> {
+    let refuse = error::Refusal::not_run;
+    let key = table
+        .find(&request.host, request.path())
+        .ok_or_else(|| refuse(error::Kind::UnknownPath))?;
+    if table.route(key).is_public || !table.has_accounts() {
+        return Ok((key, None));
+    }
+    let sent = request.api_key.as_deref().ok_or_else(|| refuse(error::Kind::MissingKey))?;
+    let account = table.account_for_key(sent).ok_or_else(|| refuse(error::Kind::InvalidKey))?;
+    Ok((key, Some(account)))
+}
+
 impl Gateway {
     /// Admits a request: finds its route, account and service, or returns the refusal.
     pub(super) fn admit(&self, request: Request) -> Result<Job, error::Refusal> {
@@ -23,21 +50,9 @@
         if self.shared.stop.is_admission_closed() {
             return Err(drain::refusal());
         }
-        let snapshot = self.shared.snapshot.load();
-        let table = snapshot.table.clone().ok_or_else(|| {
-            let wait_ms = rand::rng().random_range(STARTING_RETRY_MS);
-            refuse(error::Kind::NotReady).retry_after_ms(wait_ms)
-        })?;
-        let key = table
-            .find(&request.host, request.path())
-            .ok_or_else(|| refuse(error::Kind::UnknownPath))?;
+        let table = self.table()?;
+        let (key, account) = authorize(&table, &request)?;
         let route = table.route(key);
-        let account = if route.is_public || !table.has_accounts() {
-            None
-        } else {
-            let sent = request.api_key.as_deref().ok_or_else(|| refuse(error::Kind::MissingKey))?;
-            Some(table.account_for_key(sent).ok_or_else(|| refuse(error::Kind::InvalidKey))?)
-        };
         if request.body.len() > table.max_body_bytes() {
             return Err(refuse(error::Kind::BodyTooLarge));
         }
@@ -81,6 +96,25 @@
         })
     }
 
+    /// Returns the configuration in force.
+    fn table(&self) -> Result<Arc<route::Table>, error::Refusal> {
+        self.shared.snapshot.load().table.clone().ok_or_else(|| {
+            let wait_ms = rand::rng().random_range(STARTING_RETRY_MS);
+            error::Refusal::not_run(error::Kind::NotReady).retry_after_ms(wait_ms)
+        })
+    }
+
+    /// Checks the head of a request before its body is read.
+    ///
+    /// # Errors
+    /// The refusal of a request that is not accepted with any body.
+    pub fn check_head(&self, request: &Request) -> Result<BodyTerms, error::Refusal> {
+        let table = self.table()?;
+        let (_, account) = authorize(&table, request)?;
+        let name = account.map_or("", |account| account.name.as_str());
+        Ok(BodyTerms { account: xxh3::xxh3_64(name.as_bytes()), max_bytes: table.max_body_bytes() })
+    }
+
     /// Whether this process, if it is stopping, has the time to answer a request that arrives now.
     fn has_time_to_answer(
         &self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! entries and competes for the duties' leases. Platform-specific protocols are adapters that
 //! implement [`request::EndpointProtocol`] and [`control::Platform`].
 
-mod admit;
+pub mod admit;
 pub mod attempt;
 pub mod buffer_allowance;
 mod call_admission;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -67,6 +67,15 @@
         response
     }
 
+    /// Refuses a request whose body is not read, and logs it.
+    pub fn refuse(&self, request: &Request, refusal: error::Refusal) -> Response {
+        metrics::refused(refusal.kind.answer().code);
+        let requested = request_log::RequestedPath::of(request);
+        let response = Response::Refused(refusal);
+        self.log_response(&request.id, &requested, &response, 0);
+        response
+    }
+
     /// Forwards a request. One that has no answer shortly before the exit of this process gets a final
     /// refusal.
     async fn forward_until_exit(self: &Rc<Self>, mut job: Job) -> Response {
