Bodies of requests share an allowance

Callers saw: an entry that was ended for its memory, with all its requests, by many bodies of legal size at once: whole, in pieces, in large or very small chunks, most of them stopping short of their end and staying open.

Cause: each body was gathered in a vector that grows by doubling, and copied when it was encoded for an endpoint (three times on the way to a side); nothing counted the bodies of all requests together. The server keeps a record of 24 bytes for each chunk.

Change (docs/design/caller-limits.md): a body of over 16 KiB reserves all of its length, times the copies that are made, of a quarter of the memory before it is read, and waits for that while its caller is not read. One in chunks reserves the largest size allowed once 16 KiB have arrived. Of those that wait, the account that has reserved least is next. A body that arrives too slowly to be complete in time is given up while others wait, so stopping short keeps nothing. What reading costs besides has an eighth of the memory, which bounds the queue. The server hands over each read before the next. One body of the largest size is always let through. Refusals: 503 memory_full with Retry-After, 408; none of these requests ran.

--- a/src/caller_connections.rs
+++ b/src/caller_connections.rs
@@ -23,7 +23,8 @@
 
 use crate::caller_limits::CallerLimits;
 
-/// Size of a read from a connection.
+/// Size of a read from a connection. The server keeps a record for each chunk of a body that it has read, however
+/// small, so it reads little at a time.
 pub const READ_BYTES: usize = 4 << 10;
 /// Free bytes below which the server extends its read buffer.
 const MIN_FREE_BYTES: usize = 512;
--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -9,12 +9,13 @@
 use compact_str::CompactString;
 use ntex::http::{Method, header};
 use ntex::web::{self, HttpRequest, HttpResponse};
+use xxhash_rust::xxh3;
 
 use super::{Worker, relay, respond};
 use crate::caller_connections::ActiveRequest;
 use crate::{
-    admission, body, clock, config, drain, error, explain, gossip, head_timer, keys, openai, trace,
-    wire,
+    admission, body, body_allowance, clock, config, drain, error, explain, gossip, head_timer,
+    keys, openai, trace, wire,
 };
 
 /// Header that selects the class of a request.
@@ -68,6 +69,8 @@
     pub(super) may_have_run: Cell<bool>,
     pub(super) trace: trace::Context,
     pub(super) call: wire::Call,
+    /// Memory that the body of the call takes.
+    _body_reservation: Option<body_allowance::Reservation>,
 }
 
 /// Counts a request as in progress until it is dropped.
@@ -229,10 +232,19 @@
     }
     let settings = &worker.common.settings;
     let limit = Duration::from_millis(settings.request_arrival_ms);
+    let limits = body::Limits {
+        allowance: &worker.common.body_allowance,
+        account: xxh3::xxh3_64(account.name.as_bytes()),
+        max_bytes: settings.max_body_bytes,
+        arrival: limit,
+        wait: limit,
+    };
     let body = match body::is_declared(http) {
-        true => body::read(http, payload, settings.max_body_bytes, limit).await?,
-        false => Vec::new(),
+        true => Some(body::read(http, payload, limits).await?),
+        false => None,
     };
+    let (body, body_reservation) = body.map(|one| (one.bytes, one.reservation)).unzip();
+    let body = body.unwrap_or_default();
     check_key_not_forwarded(http, &body)?;
     let destination = resolve_destination(config, http, &body)?;
     let service = config.service_at(destination.service);
@@ -270,6 +282,7 @@
         repeatable,
         may_have_run: Cell::new(false),
         trace,
+        _body_reservation: body_reservation,
         call: wire::Call {
             method: http.method().as_str().into(),
             path: destination.path,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,7 @@
 use ntex::web::{self, App};
 use tokio::{task, time};
 
+use crate::body_allowance::BodyAllowance;
 use crate::caller_connections::{self, BoundedConnections};
 use crate::{
     admin, admission, clock, control, drain, durations, error, explain, gossip, hub, logging,
@@ -37,6 +38,9 @@
 /// Interval at which withdrawn keys and unanswered asks are checked.
 const SWEEP_MS: u64 = 100;
 
+/// Number of times that a request's body is held: as the caller sent it, and as a message to a side.
+const BODY_COPIES: usize = 3;
+
 /// State shared by all traffic threads of an entry.
 #[derive(Debug)]
 struct Common {
@@ -49,6 +53,8 @@
     /// Requests in flight and the progress of a stop.
     stop: drain::Progress,
     durations: durations::ByService,
+    /// Bounds the memory of callers' request bodies.
+    body_allowance: Arc<BodyAllowance>,
 }
 
 /// State of one traffic thread.
@@ -94,6 +100,7 @@
     let common = Arc::new(Common {
         secret: seal::Secret::fleet(&settings.daemon.fleet_secret),
         spans: logging::span_sink(&settings.daemon),
+        body_allowance: BodyAllowance::new(settings.caller_limits(), BODY_COPIES),
         settings,
         hub,
         log,
--- a/src/error.rs
+++ b/src/error.rs
@@ -52,6 +52,7 @@
     Internal,
     RequestQuarantined,
     Interrupted,
+    MemoryFull,
 }
 
 /// The response that a caller gets for a kind of refusal.
@@ -210,6 +211,13 @@
                 "The router stopped before the endpoint had answered.",
                 true,
             ),
+            Self::MemoryFull => answer(
+                503,
+                "memory_full",
+                SERVER,
+                "The router has no memory left for the body.",
+                true,
+            ),
             Self::Internal => answer(500, "internal", SERVER, "The router failed.", false),
         }
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,8 +16,12 @@
     buffer_allowance, departures, directory, evacuation, route, served_versions, settings,
     silences, stream_versions,
 };
+use crate::body_allowance::BodyAllowance;
 use crate::{clock, drain};
 
+/// Number of times that a request's body is held: as the caller sent it, and encoded for an endpoint.
+const BODY_COPIES: usize = 2;
+
 /// Immutable view of the configuration, the endpoints and the restrictions on sending to them.
 #[derive(Debug, Default)]
 pub struct Snapshot {
@@ -82,6 +86,8 @@
     pub admission: admission::AdmissionControl,
     /// Bounds the memory of incomplete responses.
     pub buffer_allowance: Arc<buffer_allowance::BufferAllowance>,
+    /// Bounds the memory of callers' request bodies.
+    pub body_allowance: Arc<BodyAllowance>,
     /// Wakes the control thread to send an update to the other entries immediately, for example after a long
     /// prompt was sent.
     pub urgent_update: Notify,
@@ -118,6 +124,7 @@
             false => buffer_allowance::BufferAllowance::default(),
         };
         Self {
+            body_allowance: BodyAllowance::new(settings.caller_limits(), BODY_COPIES),
             urgent_update: Notify::new(),
             stream_versions_due: Notify::new(),
             version_store_due: Notify::new(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod answer;
 pub mod billing;
 pub mod body;
+pub mod body_allowance;
 pub mod caller_connections;
 pub mod caller_limits;
 pub mod claims;
