Requests take less memory while their bodies arrive

Cause: the future that handles a request includes the one that serves it, about 40 KB in an unoptimized build, and that from the first byte of its body on. With 600 callers whose bodies wait or are dropped this was more than the bodies themselves.

--- a/src/entry/intake.rs
+++ b/src/entry/intake.rs
@@ -150,7 +150,10 @@
     let admission = admit(worker, http, payload, id, span.context, &mut record);
     let admitted = worker.common.stop.until(drain::Phase::FinalAnswers, admission).await;
     match admitted.unwrap_or_else(|| Err(drain::refusal())) {
-        Ok((request, active)) => relay::relay(worker, request, active, record, span).await,
+        Ok((request, active)) => {
+            // Boxed so that a request takes no memory for this while its body arrives.
+            Box::pin(relay::relay(worker, request, active, record, span)).await
+        }
         Err(refusal) => {
             span.end(&worker.common.spans, &record.request);
             respond::refuse(worker, &refusal, record, begin_ms)
