Slow bodies give way to ordinary ones

Found by a form that was added after the last change, at briarwinch-gateway: 300 callers send bodies of 40,000 bytes at 16 KB/s each. They make progress and reserve little, but 146 of them take all of the allowance for reading.

Cause: for a new body only those were given up that were dropped, stalled or waiting.

Change: after these, what has been read longest, for 0.5 s at least, of the account that has most bodies; for a small body, or one whose account has fewer. Small bodies keep going ahead of large ones that wait. The order is one type (Rank). Complete small bodies may exceed the allowance by half, not by all of it.

Tests: slow callers, with two forms; all forms now also send an ordinary body of 16,000 bytes beside the crowd.

--- a/src/body.rs
+++ b/src/body.rs
@@ -13,7 +13,9 @@
 use rand::Rng;
 use tokio::time;
 
-use crate::body_allowance::{BodyAllowance, GivenUp, IncomingBody, Reservation, SMALL_BYTES};
+use crate::body_allowance::{
+    BodyAllowance, GivenUp, IncomingBody, MIN_PROGRESS_BYTES, Reservation, SMALL_BYTES,
+};
 use crate::caller_connections::READ_BYTES;
 use crate::error;
 
@@ -21,8 +23,6 @@
 const MAX_DROPPED_BYTES: usize = 16 << 20;
 /// Maximum number of pieces in which these arrive.
 const MAX_DROPPED_PIECES: usize = MAX_DROPPED_BYTES / READ_BYTES;
-/// Bytes after which their arrival is recorded.
-const RECORDED_BYTES: usize = READ_BYTES;
 /// Time without bytes after which no more are expected.
 const DROP_PAUSE: Duration = Duration::from_secs(1);
 /// Longest time for which bytes are read and dropped.
@@ -171,7 +171,7 @@
         }
         body.extend_from_slice(&piece);
         unrecorded_bytes += piece.len();
-        if unrecorded_bytes >= RECORDED_BYTES {
+        if unrecorded_bytes >= MIN_PROGRESS_BYTES {
             incoming.record_arrival(std::mem::take(&mut unrecorded_bytes));
         }
     }
--- a/src/body_allowance.rs
+++ b/src/body_allowance.rs
@@ -5,6 +5,7 @@
 //! others wait, so that a caller who stops short of the end cannot keep the allowance. Small bodies do not wait. What
 //! reading costs besides the bodies has an allowance of its own, which also bounds the queue.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -28,9 +29,16 @@
 /// Part of a body that has to arrive in that time. One that arrives more slowly is not complete within the time limit for
 /// bodies.
 const PROGRESS_PART: usize = 20;
+/// Bytes that have to arrive in that time if this is more.
+pub const MIN_PROGRESS_BYTES: usize = READ_BYTES;
 /// Interval at which a waiting body asks again.
 const RETRY: Duration = Duration::from_millis(50);
 
+/// Bytes of a body of this size that make progress.
+fn progress_bytes(body_bytes: usize) -> usize {
+    (body_bytes / PROGRESS_PART).max(MIN_PROGRESS_BYTES)
+}
+
 slotmap::new_key_type! {
     /// Key of a body that has not arrived completely.
     struct IncomingKey;
@@ -68,6 +76,7 @@
     /// Part of the allowance for bodies.
     reserved_bytes: usize,
     phase: Phase,
+    begun_ms: u64,
     progress_ms: u64,
     /// Bytes that have arrived since then.
     bytes_since_progress: usize,
@@ -77,7 +86,53 @@
     wake: Arc<Notify>,
 }
 
+/// A body that is about to be read.
+#[derive(Clone, Copy, Debug)]
+struct NewBody {
+    account: u64,
+    is_small: bool,
+}
+
+/// Order in which bodies are given up in favour of a new one; the lowest is first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// What is dropped anyway, by its last progress.
+    Dropped(u64),
+    /// By its last progress.
+    Stalled(u64),
+    /// The last in the queue, of the account that has most bodies.
+    Waits(Reverse<usize>, Reverse<u64>),
+    /// What has been read longest, likewise.
+    Slow(Reverse<usize>, u64),
+}
+
+impl Rank {
+    fn cause(self) -> GivenUp {
+        match self {
+            Self::Dropped(_) | Self::Waits(..) => GivenUp::Memory,
+            Self::Stalled(_) | Self::Slow(..) => GivenUp::Stalled,
+        }
+    }
+}
+
 impl Incoming {
+    /// Returns when it is given up in favour of a new body; `None` if it is not. The account of this one has so many
+    /// bodies, and without progress of its own it `may_yield`.
+    fn rank(&self, by_account: usize, may_yield: bool, now_ms: u64) -> Option<Rank> {
+        let is_old = now_ms.saturating_sub(self.begun_ms) >= STALLED_MS;
+        match self.phase {
+            Phase::Dropped => Some(Rank::Dropped(self.progress_ms)),
+            Phase::Read if self.is_stalled(now_ms) => Some(Rank::Stalled(self.progress_ms)),
+            Phase::Waits { turn, .. } if may_yield => {
+                Some(Rank::Waits(Reverse(by_account), Reverse(turn)))
+            }
+            Phase::Read if may_yield && is_old => {
+                Some(Rank::Slow(Reverse(by_account), self.begun_ms))
+            }
+            Phase::Read | Phase::Waits { .. } => None,
+        }
+    }
+
     fn is_stalled(&self, now_ms: u64) -> bool {
         self.phase == Phase::Read && now_ms.saturating_sub(self.progress_ms) >= STALLED_MS
     }
@@ -104,52 +159,34 @@
 }
 
 impl State {
-    /// Gives up bodies until this much of the allowance for reading is or will be left.
-    fn make_reading_room(
-        &mut self,
-        needed_bytes: usize,
-        (account, is_small): (u64, bool),
-        now_ms: u64,
-    ) -> bool {
+    /// Gives up bodies in favour of a new one until this much of the allowance for reading is or will be left. Returns
+    /// false if there are not enough.
+    fn make_reading_room(&mut self, needed_bytes: usize, new: NewBody, now_ms: u64) -> bool {
         let leaving = self.incoming.values().filter(|one| one.given_up.is_some());
         let mut left_bytes = leaving.map(|one| one.reading_bytes).sum::<usize>();
         while left_bytes < needed_bytes {
-            let waiting = self.waiting_by_account();
-            let waiting_by = |account| waiting.get(&account).copied().unwrap_or_default();
-            let own_waiting = waiting_by(account);
+            let counts = self.count_by_account();
+            let count = |account| counts.get(&account).copied().unwrap_or_default();
             let candidates = self.incoming.values_mut().filter(|one| one.given_up.is_none());
             let ranked = candidates.filter_map(|one| {
-                let rank = match one.phase {
-                    Phase::Dropped => (0, one.progress_ms),
-                    Phase::Read if one.is_stalled(now_ms) => (1, one.progress_ms),
-                    Phase::Waits { turn, .. } => {
-                        let others_waiting = waiting_by(one.account);
-                        if !is_small && others_waiting <= own_waiting + 1 {
-                            return None;
-                        }
-                        // The last of the account that has most of them.
-                        (usize::MAX - others_waiting, u64::MAX - turn)
-                    }
-                    Phase::Read => return None,
-                };
-                Some((rank, one))
+                let by_account = count(one.account);
+                let may_yield = new.is_small || by_account > count(new.account) + 1;
+                Some((one.rank(by_account, may_yield, now_ms)?, one))
             });
-            let Some(((class, _), one)) = ranked.min_by_key(|(rank, _)| *rank) else {
+            let Some((rank, one)) = ranked.min_by_key(|(rank, _)| *rank) else {
                 return false;
             };
-            one.give_up(if class == 1 { GivenUp::Stalled } else { GivenUp::Memory });
+            one.give_up(rank.cause());
             left_bytes += one.reading_bytes;
         }
         true
     }
 
-    /// Returns the number of bodies that wait, by account.
-    fn waiting_by_account(&self) -> HashMap<u64, usize> {
+    /// Returns the number of bodies that are not given up, by account.
+    fn count_by_account(&self) -> HashMap<u64, usize> {
         let mut counts = HashMap::new();
-        for one in self.incoming.values() {
-            if matches!(one.phase, Phase::Waits { .. }) && one.given_up.is_none() {
-                *counts.entry(one.account).or_default() += 1;
-            }
+        for one in self.incoming.values().filter(|one| one.given_up.is_none()) {
+            *counts.entry(one.account).or_default() += 1;
         }
         counts
     }
@@ -185,6 +222,7 @@
             let one = &mut self.incoming[key];
             one.reserved_bytes = bytes;
             one.phase = Phase::Read;
+            one.begun_ms = now_ms;
             one.progress_ms = now_ms;
             one.wake.notify_waiters();
         }
@@ -246,8 +284,9 @@
         let state = &mut *self.state();
         let wanted_bytes = state.reading_bytes + reading_bytes;
         let missing_bytes = wanted_bytes.saturating_sub(self.limits.reading_bytes);
-        let is_full = state.reserved_bytes > self.limits.bodies_bytes.saturating_mul(2);
-        if is_full || !state.make_reading_room(missing_bytes, (account, is_small), now_ms) {
+        let new = NewBody { account, is_small };
+        let is_full = state.reserved_bytes > self.limits.bodies_bytes / 2 * 3;
+        if is_full || !state.make_reading_room(missing_bytes, new, now_ms) {
             metrics::counter!("briarwinch_request_bodies_given_up_total", "cause" => "memory")
                 .increment(1);
             return None;
@@ -259,9 +298,10 @@
             reading_bytes,
             reserved_bytes: 0,
             phase: Phase::Read,
+            begun_ms: now_ms,
             progress_ms: now_ms,
             bytes_since_progress: 0,
-            progress_bytes: stated_bytes.unwrap_or(SMALL_BYTES) / PROGRESS_PART,
+            progress_bytes: progress_bytes(stated_bytes.unwrap_or_default()),
             given_up: None,
             wake: Arc::clone(&wake),
         });
@@ -319,7 +359,7 @@
             state.turns += 1;
             let incoming = &mut state.incoming[self.key];
             incoming.phase = Phase::Waits { turn: state.turns, bytes };
-            incoming.progress_bytes = bytes / self.allowance.copies / PROGRESS_PART;
+            incoming.progress_bytes = progress_bytes(bytes / self.allowance.copies);
             state.admit_waiting(self.allowance.limits.bodies_bytes, clock::boot_ms());
         }
         loop {
--- a/tests/abusive_callers/crowd.rs
+++ b/tests/abusive_callers/crowd.rs
@@ -21,11 +21,18 @@
     Short,
     /// In pieces but for the last byte.
     ShortInPieces,
+    /// In small pieces over several seconds.
+    Slow,
 }
 
 impl Delivery {
-    fn is_in_pieces(self) -> bool {
-        matches!(self, Self::InPieces | Self::ShortInPieces)
+    /// Number of pieces and the pause after one of each caller; `None` if all is sent at once.
+    fn pieces(self) -> Option<(usize, Duration)> {
+        match self {
+            Self::Whole | Self::Short => None,
+            Self::InPieces | Self::ShortInPieces => Some((PIECES, PIECE_PAUSE)),
+            Self::Slow => Some((SLOW_PIECES, SLOW_PAUSE)),
+        }
     }
 
     fn stops_short(self) -> bool {
@@ -48,6 +55,11 @@
 const PIECES: usize = 20;
 /// Pause after one piece of each caller.
 const PIECE_PAUSE: Duration = Duration::from_millis(10);
+/// The same for slow callers.
+const SLOW_PIECES: usize = 200;
+const SLOW_PAUSE: Duration = Duration::from_millis(25);
+/// Pieces after which a crowd of slow callers is settled.
+const SETTLED_PIECES: usize = 60;
 /// Most bytes of one write.
 const WRITE_BYTES: usize = 64 << 10;
 /// Time without progress of any caller after which a crowd is settled.
@@ -140,22 +152,31 @@
     let mut callers: Vec<Caller> =
         (0..script.callers).map(|number| open_caller(addr, script, number)).collect();
     let mut progress_at = Instant::now();
+    let mut rounds = 0;
     while !state.is_over.load(Ordering::Acquire) {
         let mut has_progress = false;
         for caller in &mut callers {
-            let piece_bytes = (caller.to_send_bytes / PIECES).max(1);
-            let max_bytes = if script.delivery.is_in_pieces() { piece_bytes } else { WRITE_BYTES };
+            let max_bytes = match script.delivery.pieces() {
+                // The head of a slow caller arrives at once.
+                Some(_) if script.delivery == Delivery::Slow && caller.sent_bytes == 0 => {
+                    caller.head.len()
+                }
+                Some((pieces, _)) => (caller.to_send_bytes / pieces).max(1),
+                None => WRITE_BYTES,
+            };
             has_progress |= !caller.is_done() && caller.send(&script.rest, max_bytes);
         }
         if has_progress {
             progress_at = Instant::now();
         }
-        if callers.iter().all(Caller::is_done) || progress_at.elapsed() > QUIET {
+        rounds += 1;
+        let is_slow_enough = script.delivery == Delivery::Slow && rounds > SETTLED_PIECES;
+        if callers.iter().all(Caller::is_done) || progress_at.elapsed() > QUIET || is_slow_enough {
             *state.is_settled.lock().expect("the crowd's state") = true;
             state.settled.notify_all();
         }
-        if script.delivery.is_in_pieces() {
-            thread::sleep(PIECE_PAUSE);
+        if let Some((_, pause)) = script.delivery.pieces() {
+            thread::sleep(pause);
         } else if !has_progress {
             thread::sleep(RETRY);
         }
--- a/tests/abusive_callers/forms.rs
+++ b/tests/abusive_callers/forms.rs
@@ -231,6 +231,20 @@
     play(small_chunks(Delivery::ShortInPieces), MAX_DESCRIPTORS);
 }
 
+/// Guards against small bodies that arrive slowly, but not slowly enough to be given up, and keep others from being read.
+#[test]
+fn small_bodies_of_slow_callers() {
+    let head = |number| request_head(Sender::Account, number, "content-length: 200\r\n") + "\r\n";
+    play(send(900, head, vec![b'x'; 200], Delivery::Slow), MAX_DESCRIPTORS);
+}
+
+/// Guards against the same with bodies that are not small.
+#[test]
+fn medium_bodies_of_slow_callers() {
+    let head = |number| request_head(Sender::Account, number, "content-length: 40000\r\n") + "\r\n";
+    play(send(300, head, vec![b'x'; 40_000], Delivery::Slow), MAX_DESCRIPTORS);
+}
+
 /// Guards against the line before a chunk that has no end.
 #[test]
 fn a_chunk_size_line_without_end() {
--- a/tests/abusive_callers/main.rs
+++ b/tests/abusive_callers/main.rs
@@ -83,9 +83,10 @@
     crowd.settle();
     check("beside", 0, 0);
     check("beside", 1, 300);
+    check("beside", 2, 16_000);
     drop(crowd);
-    check("after", 2, 0);
-    check("after", 3, MAX_BODY_BYTES);
+    check("after", 3, 0);
+    check("after", 4, MAX_BODY_BYTES);
     measurement.check(MEMORY_MB * 1_000_000, max_descriptors);
     assert!(!fleet.entries[0].process.has_exited(), "the entry has ended");
 }
