--- a/src/body_allowance.rs
+++ b/src/body_allowance.rs
@@ -2,8 +2,10 @@
 //!
 //! A large body reserves all of its length before it is read, and waits for that in a queue; meanwhile the caller is not
 //! read. Bodies of the account that has reserved least are next. Those that do not arrive any further are given up while
-//! others wait, so that a caller who stops short of the end cannot keep the allowance. Small bodies do not wait. What
-//! reading costs besides the bodies has an allowance of its own, which also bounds the queue.
+//! others wait, so that a caller who stops short of the end cannot keep the allowance. Small bodies do not wait.
+//!
+//! What reading costs besides the bodies has an allowance of its own, which also bounds the queue. Where it is used up, a
+//! new body takes the place of another one, in the order of [`Rank`], or is refused.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -76,13 +78,16 @@
     /// Part of the allowance for bodies.
     reserved_bytes: usize,
     phase: Phase,
+    /// When it was first read.
     begun_ms: u64,
+    /// When it last made progress.
     progress_ms: u64,
     /// Bytes that have arrived since then.
     bytes_since_progress: usize,
     /// Bytes that make progress.
     progress_bytes: usize,
     given_up: Option<GivenUp>,
+    /// Wakes its reader when it is given up or may be read.
     wake: Arc<Notify>,
 }
 
@@ -116,8 +121,8 @@
 }
 
 impl Incoming {
-    /// Returns when it is given up in favour of a new body; `None` if it is not. The account of this one has so many
-    /// bodies, and without progress of its own it `may_yield`.
+    /// Returns its place in the order; `None` if it is not given up. Unless it `may_yield`, that happens only if it makes no
+    /// progress. `by_account` is the number of bodies of its account.
     fn rank(&self, by_account: usize, may_yield: bool, now_ms: u64) -> Option<Rank> {
         let is_old = now_ms.saturating_sub(self.begun_ms) >= STALLED_MS;
         match self.phase {
@@ -153,6 +158,7 @@
     reserved_bytes: usize,
     /// Number of large bodies among them.
     large_bodies: usize,
+    /// Number of bodies that have begun to wait.
     turns: u64,
     /// When those that wait are looked at next, apart from releases.
     next_check_ms: u64,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -67,7 +67,7 @@
         response
     }
 
-    /// Refuses a request whose body is not read, and logs it.
+    /// Refuses a request whose body is not read, and logs it like those that are served.
     pub fn refuse(&self, request: &Request, refusal: error::Refusal) -> Response {
         metrics::refused(refusal.kind.answer().code);
         let requested = request_log::RequestedPath::of(request);
