Released bodies look for waiting ones only if there are any

Found when the change was read once more; behaviour is as it was. - Each body that is released asked for the next one that waits, up to three times a request, and for that summed the reservations of all accounts, also where none waits. - Bodies that are given up were counted in two places, with the cause's name written out in one of them.

--- a/src/body_allowance.rs
+++ b/src/body_allowance.rs
@@ -69,6 +69,13 @@
     Stalled,
 }
 
+impl GivenUp {
+    fn count(self) {
+        metrics::counter!("briarwinch_request_bodies_given_up_total", "cause" => self.to_string())
+            .increment(1);
+    }
+}
+
 /// A body that has not arrived completely.
 #[derive(Debug)]
 struct Incoming {
@@ -145,8 +152,7 @@
     fn give_up(&mut self, cause: GivenUp) {
         self.given_up = Some(cause);
         self.wake.notify_waiters();
-        metrics::counter!("briarwinch_request_bodies_given_up_total", "cause" => cause.to_string())
-            .increment(1);
+        cause.count();
     }
 }
 
@@ -199,6 +205,10 @@
 
     /// Returns the body that is next among those that wait, with the bytes that it asks for.
     fn next_waiting(&self) -> Option<(IncomingKey, usize)> {
+        // Each body that is released asks, and mostly none waits.
+        if !self.incoming.values().any(|one| matches!(one.phase, Phase::Waits { .. })) {
+            return None;
+        }
         let mut reserved_by_account = HashMap::<u64, usize>::new();
         for one in self.incoming.values() {
             *reserved_by_account.entry(one.account).or_default() += one.reserved_bytes;
@@ -293,8 +303,7 @@
         let new = NewBody { account, is_small };
         let is_full = state.reserved_bytes > self.limits.bodies_bytes / 2 * 3;
         if is_full || !state.make_reading_room(missing_bytes, new, now_ms) {
-            metrics::counter!("briarwinch_request_bodies_given_up_total", "cause" => "memory")
-                .increment(1);
+            GivenUp::Memory.count();
             return None;
         }
         state.reading_bytes += reading_bytes;
