Tests: one account of what must hold beside a crowd

Found when the change was read once more: both programs' tests had the sequence of checks, the turn-taking, the limits and the kinds of callers twice. They share them now; crowds, bounds and checks are the same.

--- a/tests/abusive_callers/crowd.rs
+++ b/tests/abusive_callers/crowd.rs
@@ -3,12 +3,14 @@
 //! One thread writes for all callers in turn, without blocking, and keeps the connections open until the crowd is
 //! dropped. A crowd is settled once no caller can send more: each has sent all of its bytes, has lost its connection, or
 //! is not read any further.
+//!
+//! The tests run one at a time, because what other tests hold on this machine would be measured as well.
 
 use std::fs;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -117,14 +119,14 @@
 
 /// A running crowd. Its connections are closed when it is dropped.
 #[derive(Debug)]
-pub struct Crowd {
+struct Crowd {
     state: Arc<State>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
 impl Crowd {
     /// Connects the callers and lets them send.
-    pub fn open(addr: SocketAddr, script: Script) -> Self {
+    fn open(addr: SocketAddr, script: Script) -> Self {
         let state = Arc::new(State::default());
         let shared = Arc::clone(&state);
         let thread = thread::spawn(move || drive(addr, &script, &shared));
@@ -132,7 +134,7 @@
     }
 
     /// Waits until the crowd is settled.
-    pub fn settle(&self) {
+    fn settle(&self) {
         let is_settled = self.state.is_settled.lock().expect("the crowd's state");
         let wait = self.state.settled.wait_timeout_while(is_settled, SETTLE_LIMIT, |is| !*is);
         drop(wait.expect("the crowd's state"));
@@ -227,7 +229,7 @@
 
 /// A running measurement of a process.
 #[derive(Debug)]
-pub struct Measurement {
+struct Measurement {
     pid: u32,
     addr: SocketAddr,
     peaks: Arc<Peaks>,
@@ -235,7 +237,7 @@
 
 impl Measurement {
     /// Measures a process and the connections to its address.
-    pub fn open(pid: u32, addr: SocketAddr) -> Self {
+    fn open(pid: u32, addr: SocketAddr) -> Self {
         let peaks = Arc::<Peaks>::default();
         let shared = Arc::clone(&peaks);
         thread::spawn(move || {
@@ -248,7 +250,7 @@
     }
 
     /// Checks that the process has stayed within its bounds.
-    pub fn check(&self, max_memory_bytes: u64, max_descriptors: u64) {
+    fn check(&self, max_memory_bytes: u64, max_descriptors: u64) {
         self.peaks.measure(self.pid, self.addr);
         let sampled_bytes = self.peaks.memory_bytes.load(Ordering::Relaxed);
         let memory_bytes = sampled_bytes.max(status_bytes(self.pid, "VmHWM:"));
@@ -295,11 +297,54 @@
     unread.sum()
 }
 
+/// Held by the test that runs.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Waits until no other test runs.
+pub fn wait_for_turn() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What the process of a test may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// In units of 1,000,000 bytes.
+    pub memory_mb: u64,
+    pub descriptors: u64,
+    /// Largest body that it accepts.
+    pub body_bytes: usize,
+}
+
+/// Lets a crowd send to a process and checks what must hold beside it and after it. `ordinary_request` returns a request
+/// of another caller with a body of this size.
+pub fn play(
+    pid: u32,
+    addr: SocketAddr,
+    script: Script,
+    bounds: Bounds,
+    mut ordinary_request: impl FnMut(usize) -> Vec<u8>,
+) {
+    let measurement = Measurement::open(pid, addr);
+    let mut check = |when: &str, body_bytes| {
+        let status = status_of(addr, &ordinary_request(body_bytes));
+        assert_eq!(status, 200, "{when} the crowd, a body of {body_bytes} bytes");
+    };
+    let crowd = Crowd::open(addr, script);
+    crowd.settle();
+    check("beside", 0);
+    check("beside", 300);
+    check("beside", 16_000);
+    drop(crowd);
+    check("after", 0);
+    check("after", bounds.body_bytes);
+    measurement.check(bounds.memory_mb * 1_000_000, bounds.descriptors);
+}
+
 /// Longest wait for an answer to an ordinary caller.
 const ANSWER_LIMIT: Duration = Duration::from_secs(20);
 
 /// Sends a whole request on a new connection and returns the status of its answer; zero if there is none.
-pub fn status_of(addr: SocketAddr, request: &[u8]) -> u16 {
+fn status_of(addr: SocketAddr, request: &[u8]) -> u16 {
     let answer = || {
         let mut stream = TcpStream::connect_timeout(&addr, ANSWER_LIMIT).ok()?;
         stream.set_read_timeout(Some(ANSWER_LIMIT)).ok()?;
--- a/tests/abusive_callers/forms.rs
+++ b/tests/abusive_callers/forms.rs
@@ -2,7 +2,19 @@
 //! and stopping short of their end on connections that stay open.
 
 use crate::crowd::{self, Delivery, Script};
-use crate::{MAX_BODY_BYTES, MAX_DESCRIPTORS, Sender, play, request_head};
+use crate::{play, request_head};
+
+/// Largest body that is allowed.
+pub const MAX_BODY_BYTES: usize = 1 << 20;
+/// Descriptors that the process may open.
+const MAX_DESCRIPTORS: u64 = 4_100;
+
+/// Whose key a request of the crowd bears.
+#[derive(Clone, Copy, Debug)]
+pub enum Sender {
+    Account,
+    Unknown,
+}
 
 /// Callers that send as much as the largest body.
 const BODY_CALLERS: usize = 80;
