Each object of the store is decoded by itself

Callers saw almost nothing served after a restart of all entries while one entry of another writer stood in the list of endpoints: its value was nested deep, or a number in it was out of range. An entry that ran learnt of no endpoint any more.

Cause: an answer of the store was decoded as one document, so whatever the decoder refuses in one object (depth, range, bytes that are no text) refused the whole list or watch. The class: input of many writers, judged as a whole.

Change: answers are split into objects without decoding them, and without recursion (raw_json.rs), and each object is decoded alone. One that cannot be read is set aside, counted and logged once for as long as it stands; as a record of an endpoint it names none. Content of single objects that cannot be decoded is handed on as text, which their readers replace as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod placement;
 pub mod platform;
 pub mod queue;
+pub mod raw_json;
 pub mod retry;
 pub mod scaler;
 pub mod scaling;
--- a/tests/properties/main.rs
+++ b/tests/properties/main.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod lease;
 mod queue;
+mod raw_json;
 mod usage;
 
 use proptest::test_runner::{Config, RngSeed};
