--- a/src/store.rs
+++ b/src/store.rs
@@ -4,6 +4,7 @@
 //! the object to find out, so each conditionally written value carries a nonce of its writer.
 
 use compact_str::CompactString;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode};
 use serde::{Deserialize, Serialize};
 
 /// Prefix of the objects that all daemons share; the readers watch it.
@@ -16,6 +17,15 @@
 /// Prefix of the API key records, one object each.
 pub const KEYS_PREFIX: &str = "shared/keys/";
 
+/// Bytes that are encoded in a name: all but the unreserved characters of RFC 3986.
+const ENCODED: AsciiSet = NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
+/// Encodes an object's name for a segment of a path or a value in a query.
+#[must_use]
+pub fn encode_name(name: &str) -> PercentEncode<'_> {
+    percent_encoding::utf8_percent_encode(name, &ENCODED)
+}
+
 /// Number of low bits of a version that hold the store's revision; its era is in the bits above.
 const REVISION_BITS: u32 = 40;
 
