--- a/src/control.rs
+++ b/src/control.rs
@@ -108,7 +108,7 @@
         fleet_id_in_doubt: Cell::new(false),
         fleet_id_confirmed: Cell::new(false),
         last_store_read_ms: Cell::new(0),
-        platform: platform::Platform::open(&settings.platform_url).await?,
+        platform: platform::Platform::open(&settings.platform_url).await?.with_log(log.clone()),
         boot: identity.boot,
         settings,
         hub,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -98,19 +98,6 @@
     .increment(1);
 }
 
-/// Counts an object of the store that cannot be read, and sets the gauge of those of its kind.
-pub fn object_set_aside(kind: &str, count: usize) {
-    metrics::counter!("briarwinch_gateway_objects_set_aside_total", "kind" => kind.to_owned())
-        .increment(1);
-    objects_set_aside(kind, count);
-}
-
-/// Sets the gauge of the objects of a kind in the store that cannot be read.
-pub fn objects_set_aside(kind: &str, count: usize) {
-    metrics::gauge!("briarwinch_gateway_objects_set_aside", "kind" => kind.to_owned())
-        .set(count as f64);
-}
-
 /// Counts messages of one kind sent to other entries, and their bytes.
 pub fn messages_sent(kind: &'static str, messages: u64, bytes: u64) {
     metrics::counter!("briarwinch_gateway_messages_total", "kind" => kind).increment(messages);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod scaler;
 pub mod scaling;
 pub mod seal;
+pub mod set_aside;
 pub mod settings;
 pub mod side;
 pub mod sockets;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,17 +1,20 @@
 //! HTTP adapter to the platform's interfaces. `docs/PLATFORM.md` describes the assumed formats; a
 //! platform with other formats needs another adapter.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use ntex::client;
 use ntex::http::{Method, StatusCode};
 use ntex::time::Millis;
+use ntex::util::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
 
 use crate::store::{self, Condition, Failure, ObjectStore};
-use crate::{orders, usage};
+use crate::{orders, raw_json, set_aside, usage};
 
 /// Timeout for an answer of the platform.
 const CALL_MS: u32 = 2_000;
@@ -67,10 +70,31 @@
 pub struct Platform {
     http: client::Client,
     url: String,
+    set_aside: Rc<set_aside::SetAside>,
+    log: slog::Logger,
+}
+
+/// What a list of the platform holds.
+#[derive(Clone, Copy, Debug)]
+enum ListKind {
+    Objects,
+    Instances,
+    Endpoints,
+}
+
+impl ListKind {
+    /// Name of the member that holds the items of a list.
+    fn member(self) -> &'static str {
+        match self {
+            Self::Objects => "objects",
+            Self::Instances => "instances",
+            Self::Endpoints => "endpoints",
+        }
+    }
 }
 
 impl Platform {
-    /// Creates a client; connections are made on demand.
+    /// Creates a client that logs nothing; connections are made on demand.
     ///
     /// # Errors
     /// When the HTTP client cannot be created.
@@ -84,7 +108,18 @@
             .build(ntex::SharedCfg::default())
             .await
             .map_err(|error| anyhow::anyhow!("cannot create the HTTP client: {error:?}"))?;
-        Ok(Self { http, url: url.trim_end_matches('/').to_owned() })
+        Ok(Self {
+            http,
+            url: url.trim_end_matches('/').to_owned(),
+            set_aside: Rc::default(),
+            log: slog::Logger::root(slog::Discard, slog::o!()),
+        })
+    }
+
+    /// Returns this client with a log.
+    #[must_use]
+    pub fn with_log(self, log: slog::Logger) -> Self {
+        Self { log, ..self }
     }
 
     async fn call<T: DeserializeOwned>(
@@ -94,6 +129,52 @@
         body: String,
         wait_ms: u32,
     ) -> Result<Option<T>, Failure> {
+        let answer = self.call_raw(method, path, body, wait_ms).await?;
+        let decode = |bytes: Bytes| serde_json::from_slice(&bytes).map_err(|_| Failure::NoAnswer);
+        answer.map(decode).transpose()
+    }
+
+    /// Reads a list; returns its revision, if it has one, and its items. Each is decoded by itself: one that cannot be
+    /// read is left out.
+    async fn read_list<T: DeserializeOwned>(
+        &self,
+        kind: ListKind,
+        path: &str,
+        wait_ms: u32,
+    ) -> Result<(Option<u64>, Vec<T>), Failure> {
+        let body = self.call_raw(Method::GET, path, String::new(), wait_ms).await?;
+        let body = body.ok_or(Failure::NoAnswer)?;
+        let texts = raw_json::member(&body, kind.member()).and_then(raw_json::elements);
+        let texts = texts.ok_or(Failure::NoAnswer)?;
+        let revision = raw_json::member(&body, "revision");
+        let revision = revision.map(serde_json::from_slice).transpose();
+        let items = texts.into_iter().filter_map(|text| self.decode_item(kind, text)).collect();
+        Ok((revision.map_err(|_| Failure::NoAnswer)?, items))
+    }
+
+    fn decode_item<T: DeserializeOwned>(&self, kind: ListKind, text: &[u8]) -> Option<T> {
+        // Decoded whole first: parts that are not used have to be readable as well.
+        let decoded = serde_json::from_slice::<serde_json::Value>(text);
+        match decoded.and_then(serde_json::from_value) {
+            Ok(item) => Some(item),
+            Err(error) => {
+                if self.set_aside.add(kind.member(), xxh3::xxh3_64(text)) {
+                    let text = set_aside::shortened(&String::from_utf8_lossy(text));
+                    slog::warn!(self.log, "object not readable"; "kind" => kind.member(),
+                        "text" => text, "error" => set_aside::shortened(&error.to_string()));
+                }
+                None
+            }
+        }
+    }
+
+    async fn call_raw(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+        wait_ms: u32,
+    ) -> Result<Option<Bytes>, Failure> {
         let request = self
             .http
             .request(method, format!("{}{path}", self.url))
@@ -118,7 +199,7 @@
                     .await
                     .map_err(|_| Failure::NoAnswer)?
                     .map_err(|_| Failure::NoAnswer)?;
-                serde_json::from_slice(&bytes).map(Some).map_err(|_| Failure::NoAnswer)
+                Ok(Some(bytes))
             }
             StatusCode::SERVICE_UNAVAILABLE => Err(Failure::Down),
             _ => Err(Failure::NoAnswer),
@@ -141,8 +222,14 @@
     /// # Errors
     /// When the store is down or gives no answer.
     pub async fn watch(&self, prefix: &str, after: u64) -> Result<store::Listing, Failure> {
+        let prefix = encode_key(prefix);
         let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={WATCH_MS}");
-        self.call_required(Method::GET, &path, String::new(), WATCH_MS + CALL_MS).await
+        self.read_listing(&path, WATCH_MS + CALL_MS).await
+    }
+
+    async fn read_listing(&self, path: &str, wait_ms: u32) -> Result<store::Listing, Failure> {
+        let (revision, objects) = self.read_list(ListKind::Objects, path, wait_ms).await?;
+        Ok(store::Listing { revision: revision.ok_or(Failure::NoAnswer)?, objects })
     }
 
     /// Reads the lagging list of instances and endpoints.
@@ -150,7 +237,9 @@
     /// # Errors
     /// When the platform is down or gives no answer.
     pub async fn roster(&self) -> Result<Roster, Failure> {
-        self.call_required(Method::GET, "/instances", String::new(), CALL_MS).await
+        let (revision, instances) =
+            self.read_list(ListKind::Instances, "/instances", CALL_MS).await?;
+        Ok(Roster { revision: revision.ok_or(Failure::NoAnswer)?, instances })
     }
 
     /// Reads the endpoints of an availability zone.
@@ -158,7 +247,9 @@
     /// # Errors
     /// When the platform is down or gives no answer.
     pub async fn endpoints(&self, zone: &str) -> Result<EndpointList, Failure> {
-        self.call_required(Method::GET, &format!("/endpoints/{zone}"), String::new(), CALL_MS).await
+        let path = format!("/endpoints/{}", store::encode_name(zone));
+        let (_, endpoints) = self.read_list(ListKind::Endpoints, &path, CALL_MS).await?;
+        Ok(EndpointList { endpoints })
     }
 
     /// Sends an order for endpoints of a zone; its timeout is the time limit of orders.
@@ -167,7 +258,7 @@
     /// `Conflict` when the platform has seen a higher fencing token.
     pub async fn order(&self, zone: &str, order: &orders::Order) -> Result<(), Failure> {
         let body = serde_json::to_string(order).map_err(|_| Failure::Down)?;
-        let path = format!("/endpoints/{zone}/orders");
+        let path = format!("/endpoints/{}/orders", store::encode_name(zone));
         let _: serde_json::Value =
             self.call_required(Method::POST, &path, body, orders::SEND_TIMEOUT_MS as u32).await?;
         Ok(())
@@ -185,9 +276,19 @@
     }
 }
 
+/// Encodes the segments of a key.
+fn encode_key(key: &str) -> String {
+    let segments = key.split('/').map(|segment| store::encode_name(segment).to_string());
+    segments.collect::<Vec<String>>().join("/")
+}
+
+fn object_path(key: &str) -> String {
+    format!("/objects/{}", encode_key(key))
+}
+
 impl ObjectStore for Platform {
     async fn get(&self, key: &str) -> Result<Option<store::Object>, Failure> {
-        self.call(Method::GET, &format!("/objects/{key}"), String::new(), CALL_MS).await
+        self.call(Method::GET, &object_path(key), String::new(), CALL_MS).await
     }
 
     async fn put(&self, key: &str, value: String, condition: Condition) -> Result<u64, Failure> {
@@ -195,20 +296,20 @@
             Condition::Absent => 0,
             Condition::Version(version) => version,
         };
-        let path = format!("/objects/{key}?if_version={version}");
+        let path = format!("{}?if_version={version}", object_path(key));
         let written: Written = self.call_required(Method::PUT, &path, value, CALL_MS).await?;
         Ok(written.version)
     }
 
     async fn delete(&self, key: &str, version: u64) -> Result<(), Failure> {
-        let path = format!("/objects/{key}?if_version={version}");
+        let path = format!("{}?if_version={version}", object_path(key));
         let _: serde_json::Value =
             self.call_required(Method::DELETE, &path, String::new(), CALL_MS).await?;
         Ok(())
     }
 
     async fn list(&self, prefix: &str) -> Result<store::Listing, Failure> {
-        self.call_required(Method::GET, &format!("/list?prefix={prefix}"), String::new(), CALL_MS)
-            .await
+        let path = format!("/list?prefix={}", encode_key(prefix));
+        self.read_listing(&path, CALL_MS).await
     }
 }
--- a/src/side/mod.rs
+++ b/src/side/mod.rs
@@ -109,7 +109,9 @@
     Ok(Rc::new(Side {
         secret: seal::Secret::fleet(&settings.daemon.fleet_secret),
         spans: logging::span_sink(&settings.daemon),
-        platform: platform::Platform::open(&settings.daemon.platform_url).await?,
+        platform: platform::Platform::open(&settings.daemon.platform_url)
+            .await?
+            .with_log(log.clone()),
         settings,
         hub,
         log,
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -190,14 +190,18 @@
 type SharedState = web::types::State<Shared>;
 
 fn object_key(request: &HttpRequest) -> String {
-    request.path().trim_start_matches("/objects/").to_owned()
+    decoded(request.path().trim_start_matches("/objects/"))
 }
 
 fn query_value<T: std::str::FromStr>(request: &HttpRequest, name: &str) -> Option<T> {
     let query = request.uri().query()?;
     let pair =
         query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name));
-    pair?.1.parse().ok()
+    decoded(pair?.1).parse().ok()
+}
+
+fn decoded(text: &str) -> String {
+    percent_encoding::percent_decode_str(text).decode_utf8_lossy().into_owned()
 }
 
 async fn get(request: HttpRequest, shared: SharedState) -> HttpResponse {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod load_details;
 mod outage;
+mod platform_lists;
 mod pulls;
 mod quarantine;
 mod retries;
