Heads of responses that are not in the form of the protocol are malformed

Callers got answers with status 000 (as a 502 with the endpoint's head and body), 600 and 999, and answers with a body that was not the endpoint's after a damaged content-length or transfer-encoding. Lookups were not tried again.

Cause: the reader took the part of a value that it understood (+21, the first of two lengths, "chunked" anywhere) and fell back to the end of the connection where it understood none; the status was judged where the answer is written. The class: lenient reading of what tells the extent of data.

Change: statuses 100 to 599; lengths of digits only, all the same if repeated; chunked alone and not beside a length or in HTTP/1.0; no line of a head ends with a line feed alone (a damaged value went on as another field). All else is a malformed response, which is retried, billed and counted against the endpoint like a broken one. The same reader serves the store, duties, health checks and engines.

--- a/src/gateway/http1.rs
+++ b/src/gateway/http1.rs
@@ -12,6 +12,7 @@
 use std::ffi::c_int;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -23,6 +24,8 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::time;
 
+use super::framing::{self, Framing};
+
 /// Maximum size of a response head in bytes, twice the usual limit of servers, and of all interim responses
 /// before it.
 const MAX_HEAD_BYTES: usize = 32 << 10;
@@ -31,6 +34,8 @@
 const MAX_SIZE_LINE_BYTES: usize = 64;
 /// Maximum size of all trailer lines of a response.
 const MAX_TRAILER_BYTES: usize = 8 << 10;
+/// Statuses of the protocol, with those of interim responses.
+const STATUSES: Range<u16> = 100..600;
 const READ_BYTES: usize = 4 << 10;
 /// Time between two keep-alive probes of an idle connection, the shortest that the system offers.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -92,21 +97,12 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name)).map(Header::text)
     }
-}
 
-/// How the end of the body is determined, and how far it has been read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    /// The head of the response is due.
-    Head,
-    Length(u64),
-    ChunkSize,
-    ChunkData(u64),
-    ChunkEnd,
-    /// Trailer lines, with the number of bytes read of them.
-    Trailer(usize),
-    UntilClose,
-    Done,
+    /// The values of all headers with this name.
+    pub(super) fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = self.headers.iter().filter(move |one| one.name.eq_ignore_ascii_case(name));
+        named.map(|header| header.value.as_ref())
+    }
 }
 
 /// An open connection.
@@ -331,8 +327,12 @@
         let httparse::Status::Complete(length) = status else {
             return Ok(None);
         };
-        let keeps_alive = parsed.version == Some(1);
-        let status = parsed.code.ok_or(Error::Malformed)?;
+        if !framing::has_only_whole_line_ends(&self.buffer[..length]) {
+            return Err(Error::Malformed);
+        }
+        let is_http_1_0 = parsed.version == Some(0);
+        let status = parsed.code.filter(|status| STATUSES.contains(status));
+        let status = status.ok_or(Error::Malformed)?;
         let headers: Vec<Header> = parsed
             .headers
             .iter()
@@ -340,33 +340,12 @@
             .collect();
         self.buffer.advance(length);
         let head = Head { status, headers };
-        self.begin_body(&head, keeps_alive)?;
-        Ok(Some(head))
-    }
-
-    fn begin_body(&mut self, head: &Head, keeps_alive: bool) -> Result<(), Error> {
+        self.framing = Framing::of(&head, is_http_1_0)?;
         let connection = head.header("connection").unwrap_or_default().to_ascii_lowercase();
-        self.closes_after = connection.contains("close") || !keeps_alive;
+        self.closes_after =
+            connection.contains("close") || is_http_1_0 || self.framing == Framing::UntilClose;
         self.keep_alive_s = head.header("keep-alive").and_then(keep_alive_s);
-        let is_chunked = head
-            .header("transfer-encoding")
-            .is_some_and(|coding| coding.to_ascii_lowercase().contains("chunked"));
-        self.framing = if (100..200).contains(&head.status) {
-            Framing::Head
-        } else if matches!(head.status, 204 | 304) {
-            Framing::Done
-        } else if is_chunked {
-            Framing::ChunkSize
-        } else if let Some(length) = head.header("content-length") {
-            match length.trim().parse().map_err(|_| Error::Malformed)? {
-                0 => Framing::Done,
-                length => Framing::Length(length),
-            }
-        } else {
-            self.closes_after = true;
-            Framing::UntilClose
-        };
-        Ok(())
+        Ok(Some(head))
     }
 
     async fn fill(&mut self) -> Result<usize, Error> {
