Chunk lines must be in the form of the protocol; a reset that a write has seen ends no body

Callers got an answer as whole after a damaged chunk size (+15, a blank before it, control bytes in an extension), a line feed alone after a line, or a trailer that is no field. Cause: the size was trimmed and parsed leniently, trailers were not looked at.

Callers of long uploads got part of an answer without a length as all of it: its endpoint reset the connection while the request was written. Cause: the system reports a reset once; the write got it, its error was dropped because an early answer may be valid, and the reads after it ended as in an orderly close. Now the connection remembers it, and a body that ends with the connection is then broken.

--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -65,6 +65,26 @@
     Ok(true)
 }
 
+/// Returns the size of a chunk from the line before it.
+pub(super) fn chunk_size(line: &[u8]) -> Result<u64, Error> {
+    let end = line.iter().position(|byte| *byte == b';').unwrap_or(line.len());
+    let (size, extensions) = line.split_at(end);
+    let size = if extensions.is_empty() { size } else { size.trim_ascii_end() };
+    if !is_text(extensions) {
+        return Err(Error::Malformed);
+    }
+    number(size, 16).ok_or(Error::Malformed)
+}
+
+/// Whether a line is a header field.
+pub(super) fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    let (name, value) = line.split_at(colon);
+    !name.is_empty() && name.iter().all(|byte| is_token_byte(*byte)) && is_text(value)
+}
+
 /// Whether all lines of a head end with a carriage return and a line feed. A line feed alone would let a damaged
 /// value go on as another field.
 pub(super) fn has_only_whole_line_ends(head: &[u8]) -> bool {
@@ -82,3 +102,12 @@
     let digits = std::str::from_utf8(digits).ok().filter(|_| digits.iter().all(is_digit))?;
     u64::from_str_radix(digits, radix).ok()
 }
+
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// Whether bytes have no control characters but the tab.
+fn is_text(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| *byte == b'\t' || !byte.is_ascii_control())
+}
--- a/src/gateway/http1.rs
+++ b/src/gateway/http1.rs
@@ -116,6 +116,9 @@
     /// Seconds for which the peer keeps an idle connection open, from its `Keep-Alive` header.
     keep_alive_s: Option<u64>,
     request_fully_sent: bool,
+    /// The peer has reset the connection while the request was sent. The system reports that once, so reads after it
+    /// end as if the peer had closed in order.
+    was_reset: bool,
     /// Number of requests sent on this connection.
     requests: u32,
 }
@@ -141,6 +144,7 @@
             closes_after: false,
             keep_alive_s: None,
             request_fully_sent: true,
+            was_reset: false,
             requests: 0,
         })
     }
@@ -284,6 +288,9 @@
             _ = read.readable() => None,
         };
         self.request_fully_sent = sent_bytes == request.len();
+        // A write to a peer that has closed in order fails with a broken pipe.
+        self.was_reset =
+            failure.as_ref().is_some_and(|error| error.kind() != io::ErrorKind::BrokenPipe);
         match failure {
             Some(error) if sent_bytes == 0 => Err(Error::Unsent(error)),
             // The write fails if the peer closes after an early response; that response is still valid.
@@ -372,7 +379,7 @@
                 return Ok(None);
             }
             if self.fill().await? == 0 {
-                if self.framing != Framing::UntilClose {
+                if self.framing != Framing::UntilClose || self.was_reset {
                     return Err(Error::Broken(io::ErrorKind::UnexpectedEof.into()));
                 }
                 self.framing = Framing::Done;
@@ -404,10 +411,7 @@
                 }
                 Framing::ChunkSize => {
                     let Some(line) = self.take_line()? else { return Ok(None) };
-                    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-                    let digits = std::str::from_utf8(digits).map_err(|_| Error::Malformed)?;
-                    let size =
-                        u64::from_str_radix(digits.trim(), 16).map_err(|_| Error::Malformed)?;
+                    let size = framing::chunk_size(&line)?;
                     self.framing =
                         if size == 0 { Framing::Trailer(0) } else { Framing::ChunkData(size) };
                 }
@@ -421,7 +425,8 @@
                 Framing::Trailer(read_bytes) => {
                     let Some(line) = self.take_line()? else { return Ok(None) };
                     let read_bytes = read_bytes + line.len();
-                    if read_bytes > MAX_TRAILER_BYTES {
+                    let is_valid = line.is_empty() || framing::is_field(&line);
+                    if read_bytes > MAX_TRAILER_BYTES || !is_valid {
                         return Err(Error::Malformed);
                     }
                     self.framing =
@@ -436,7 +441,8 @@
         self.buffer.split_to(count).freeze()
     }
 
-    /// Takes the next line without its line ending from the buffer; `None` if it is incomplete.
+    /// Takes the next line without its line ending from the buffer; `None` if it is incomplete. A line feed alone ends no
+    /// line.
     fn take_line(&mut self) -> Result<Option<Bytes>, Error> {
         let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') else {
             if self.buffer.len() > MAX_SIZE_LINE_BYTES {
@@ -444,12 +450,9 @@
             }
             return Ok(None);
         };
-        let mut line = self.buffer.split_to(end + 1);
-        line.truncate(end);
-        if line.last() == Some(&b'\r') {
-            line.truncate(end - 1);
-        }
-        Ok(Some(line.freeze()))
+        let line = self.buffer.split_to(end + 1).freeze();
+        let line_bytes = line.strip_suffix(b"\r\n").ok_or(Error::Malformed)?.len();
+        Ok(Some(line.slice(..line_bytes)))
     }
 
     /// Reads the rest of the body, up to a limit in bytes.
