Sides refuse answers of engines whose status or framing is none of the protocol

The side's HTTP library takes them; now the side judges status and framing headers by the same rules as the gateway's reader. An early answer that is reset behind a side: 0 of 10 looked whole, before and after (test). Open, listed: a line feed alone in a head, which the library takes for the end of a line.

--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -24,8 +24,8 @@
     /// Returns the framing of the body after this head. `is_http_1_0` says that the head is of HTTP/1.0, which has no
     /// transfer codings.
     pub(super) fn of(head: &Head, is_http_1_0: bool) -> Result<Self, Error> {
-        let length = content_length(head)?;
-        let is_chunked = is_chunked(head)?;
+        let length = content_length(head.all("content-length"))?;
+        let is_chunked = is_chunked(head.all("transfer-encoding"))?;
         if is_chunked && (length.is_some() || is_http_1_0) {
             return Err(Error::Malformed);
         }
@@ -41,9 +41,9 @@
 }
 
 /// Returns the stated length of the body. A length may be stated more than once if it is always the same.
-fn content_length(head: &Head) -> Result<Option<u64>, Error> {
+fn content_length<'a>(values: impl Iterator<Item = &'a [u8]>) -> Result<Option<u64>, Error> {
     let mut length = None;
-    for value in head.all("content-length") {
+    for value in values {
         let value = number(value, 10).ok_or(Error::Malformed)?;
         if length.is_some_and(|length| length != value) {
             return Err(Error::Malformed);
@@ -54,8 +54,7 @@
 }
 
 /// Whether the body comes in chunks. No other coding is asked for, so a body with one is not the endpoint's.
-fn is_chunked(head: &Head) -> Result<bool, Error> {
-    let mut codings = head.all("transfer-encoding");
+fn is_chunked<'a>(mut codings: impl Iterator<Item = &'a [u8]>) -> Result<bool, Error> {
     let Some(coding) = codings.next() else {
         return Ok(false);
     };
@@ -65,6 +64,19 @@
     Ok(true)
 }
 
+/// Whether the status and the framing headers of a final response are those of the protocol. For heads that another
+/// client has parsed.
+#[must_use]
+pub fn is_valid_response<'a>(
+    status: u16,
+    lengths: impl Iterator<Item = &'a [u8]>,
+    codings: impl Iterator<Item = &'a [u8]>,
+) -> bool {
+    let (length, is_chunked) = (content_length(lengths), is_chunked(codings));
+    (200..600).contains(&status)
+        && matches!((length, is_chunked), (Ok(None), Ok(true)) | (Ok(_), Ok(false)))
+}
+
 /// Returns the size of a chunk from the line before it.
 pub(super) fn chunk_size(line: &[u8]) -> Result<u64, Error> {
     let end = line.iter().position(|byte| *byte == b';').unwrap_or(line.len());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 mod event_timing;
 pub mod fingerprint;
 pub mod fleet;
-mod framing;
+pub mod framing;
 pub mod graceful_stop;
 pub mod http1;
 pub mod job;
--- a/src/side/run/call.rs
+++ b/src/side/run/call.rs
@@ -11,6 +11,7 @@
 use tokio::time;
 
 use super::{Run, Side};
+use crate::gateway::framing;
 use crate::{answer, claims, error, openai, queue, sse, trace, usage, wire};
 
 /// Maximum time between two chunks of an answer, also before the first one.
@@ -299,6 +300,10 @@
 ) -> Result<(), error::Refusal> {
     let sent_ms = side.now_ms();
     let response = send(side, run, context).await?;
+    if !is_valid(&response) {
+        let refusal = error::Refusal::unknown(error::Kind::EndpointFailed);
+        return Err(refusal.detail("The endpoint's answer is malformed."));
+    }
     let is_stream = is_event_stream(&response);
     run.answer.borrow_mut().head = Some(answer::AnswerHead {
         status: response.status().as_u16(),
@@ -396,6 +401,16 @@
     Ok(())
 }
 
+/// Whether the status and the framing of a response are those of the protocol. The client takes more than that.
+fn is_valid(response: &client::ClientResponse) -> bool {
+    let values = |name| response.headers().get_all(name).map(|value| value.as_bytes());
+    framing::is_valid_response(
+        response.status().as_u16(),
+        values(header::CONTENT_LENGTH),
+        values(header::TRANSFER_ENCODING),
+    )
+}
+
 fn is_event_stream(response: &client::ClientResponse) -> bool {
     response
         .headers()
--- a/tests/processes/cut_heads.rs
+++ b/tests/processes/cut_heads.rs
@@ -18,13 +18,13 @@
 
 /// What an engine answers, and how many requests it has received.
 #[derive(Default)]
-struct State {
-    bytes: Vec<u8>,
-    requests: usize,
+pub struct State {
+    pub bytes: Vec<u8>,
+    pub requests: usize,
 }
 
 /// Starts an engine that answers each request with the same bytes and closes the connection. Returns its URL.
-fn engine(state: Arc<Mutex<State>>) -> String {
+pub fn engine(state: Arc<Mutex<State>>) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let addr = listener.local_addr().expect("an address");
     thread::spawn(move || {
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -17,6 +17,9 @@
 mod orders;
 mod overload;
 mod path;
+mod spoilt_answers;
+#[path = "../../platform/tests/entry/spoilt_forms.rs"]
+mod spoilt_forms;
 mod stale;
 mod stops;
 mod streams;
