An entry that may be cut off does not take its list for all versions that have served

Cause: a continuation that names no stream asked only whether one version has served by this entry's own list, whether or not that list was current; one that names its stream did the same once the others had not been heard for 10 s. The class: knowledge of a process that may be out of step, used as that of the fleet.

Change: the list counts as complete if the store, or the entry that reads it for the zone, has been heard within a second.

--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -22,6 +22,9 @@
 const UNCONFIRMED_MS: u64 = 1_000;
 /// Maximum wait for what entries have saved in the store.
 const STORE_TIMEOUT_MS: u64 = 250;
+/// Time within which an entry that hears the others has a list as new as theirs: the interval between their messages,
+/// and a pull.
+const LIST_SPREAD: Duration = Duration::from_millis(400);
 /// Interval between checks whether an answer has arrived.
 const LOOKUP_POLL: Duration = Duration::from_millis(5);
 
@@ -31,6 +34,8 @@
     /// An entry answered, and none knows the stream.
     Unknown,
     NoAnswer,
+    /// No other entry has been heard lately.
+    Alone,
 }
 
 impl Gateway {
@@ -44,7 +49,12 @@
             return Ok(());
         }
         let (version, source) = if job.request.resumes.is_none() {
-            (self.only_version(job).await, "only_version")
+            // Nobody knows the stream, but an answer shows that this entry is not cut off.
+            let lookup = match self.is_list_current() {
+                true => Lookup::Unknown,
+                false => self.look_up(job.stream_key()).await,
+            };
+            (self.only_version(job, &lookup).await, "only_version")
         } else {
             self.find_version(job).await
         };
@@ -78,11 +88,14 @@
         if let Some(version) = self.find_saved(stream).await {
             return (Some(version), "store");
         }
-        match lookup {
-            Lookup::Known(_) | Lookup::Unknown => (self.only_version(job).await, "only_version"),
-            // This entry may be cut off, and its directory out of date.
-            Lookup::NoAnswer => (None, "none"),
-        }
+        (self.only_version(job, &lookup).await, "only_version")
+    }
+
+    /// Whether the store has told this entry of each version that serves, but for the time that a change takes.
+    fn is_list_current(&self) -> bool {
+        let heard_ms = self.shared.store_heard_ms.load(Ordering::Relaxed);
+        let now_ms = self.now_ms();
+        now_ms <= heard_ms + UNCONFIRMED_MS && self.shared.control_progress.is_current(now_ms)
     }
 
     /// Finds the version of a stream among those that entries have saved in the store. An entry that does not
@@ -104,7 +117,7 @@
         }
         match self.look_up(stream).await {
             Lookup::Known(version) => Some(version),
-            Lookup::Unknown | Lookup::NoAnswer => None,
+            Lookup::Unknown | Lookup::NoAnswer | Lookup::Alone => None,
         }
     }
 
@@ -137,7 +150,7 @@
     /// Asks other entries which version began a stream.
     async fn look_up(&self, stream: StreamKey) -> Lookup {
         if self.shared.recent_entries.load(Ordering::Relaxed) <= 1 {
-            return Lookup::Unknown;
+            return Lookup::Alone;
         }
         let mut result = Lookup::NoAnswer;
         for _ in 0..MAX_LOOKUPS {
@@ -164,8 +177,15 @@
     }
 
     /// The version that began a stream of the request's route if there has been only one for as long as streams
-    /// last.
-    async fn only_version(&self, job: &Job) -> Option<VersionKey> {
+    /// last. An entry that is cut off does not know: others may have begun the stream at a version that it has not
+    /// heard of.
+    async fn only_version(&self, job: &Job, lookup: &Lookup) -> Option<VersionKey> {
+        match lookup {
+            Lookup::NoAnswer => return None,
+            Lookup::Known(_) | Lookup::Unknown | Lookup::Alone if self.is_list_current() => {}
+            Lookup::Known(_) | Lookup::Unknown => time::sleep(LIST_SPREAD).await,
+            Lookup::Alone => return None,
+        }
         let end_ms = self.now_ms() + STORE_TIMEOUT_MS;
         while self.now_ms() < end_ms && !self.shared.served_versions().is_history_read() {
             time::sleep(LOOKUP_POLL).await;
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -325,14 +325,15 @@
     /// write their records again.
     pub(super) fn confirm_directory(&self, now_ms: u64) {
         let is_read_here = self.reads_store();
-        let is_available = match is_read_here {
-            true => self.is_store_available(),
-            false => self.exchange.borrow().peers.first_store_reader(now_ms).is_some(),
+        let heard_ms = match is_read_here {
+            true => self.is_store_available().then(|| self.store_answered_ms.get()),
+            false => self.exchange.borrow().peers.store_reader_heard_ms(now_ms),
         };
-        if !is_available {
+        let Some(heard_ms) = heard_ms else {
             self.store_available_since_ms.set(None);
             return;
-        }
+        };
+        self.shared.store_heard_ms.store(heard_ms, Ordering::Relaxed);
         let since_ms = self.store_available_since_ms.get().unwrap_or(now_ms);
         self.store_available_since_ms.set(Some(since_ms));
         if now_ms >= since_ms + outage::LAPSE_GRACE_MS {
--- a/src/gateway/fleet/peers.rs
+++ b/src/gateway/fleet/peers.rs
@@ -269,6 +269,13 @@
         readers.next().map(|(addr, _)| *addr)
     }
 
+    /// Returns when the peer that ranks first as a reader of the store was last heard.
+    #[must_use]
+    pub fn store_reader_heard_ms(&self, now_ms: u64) -> Option<u64> {
+        let mut readers = self.store_readers_before(now_ms).filter(|(_, peer)| peer.has_store);
+        readers.next().map(|(_, peer)| peer.last_heard_ms)
+    }
+
     /// Returns how many peers rank before this entry as readers of the store, reachable or not.
     #[must_use]
     pub fn store_reader_rank(&self, now_ms: u64) -> usize {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -80,6 +80,8 @@
     pub serving_peers: AtomicUsize,
     /// Time up to which the store is known to have told this entry of each endpoint that started again.
     pub directory_confirmed_ms: AtomicU64,
+    /// Time at which the store last answered this entry, or the one that reads it for the zone was last heard.
+    pub store_heard_ms: AtomicU64,
     /// When the control thread last ran, and until when it reads what has waited while it did not.
     pub control_progress: ControlProgress,
     /// Admission control: rejects prompts while almost no engine capacity is free.
@@ -141,6 +143,7 @@
             counts_delivered: AtomicBool::new(true),
             serving_peers: AtomicUsize::new(0),
             directory_confirmed_ms: AtomicU64::new(0),
+            store_heard_ms: AtomicU64::new(0),
             control_progress: ControlProgress::default(),
             admission: admission::AdmissionControl::default(),
             buffer_allowance: Arc::new(buffer_allowance),
