Set-aside items of the product's own client are known by their names

Found when reading the change: an item that changes while it cannot be read counted as a new one each time, for ever.

--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -182,9 +182,9 @@
     async fn only_version(&self, job: &Job, lookup: &Lookup) -> Option<VersionKey> {
         match lookup {
             Lookup::NoAnswer => return None,
-            Lookup::Known(_) | Lookup::Unknown | Lookup::Alone if self.is_list_current() => {}
-            Lookup::Known(_) | Lookup::Unknown => time::sleep(LIST_SPREAD).await,
+            _ if self.is_list_current() => {}
             Lookup::Alone => return None,
+            Lookup::Known(_) | Lookup::Unknown => time::sleep(LIST_SPREAD).await,
         }
         let end_ms = self.now_ms() + STORE_TIMEOUT_MS;
         while self.now_ms() < end_ms && !self.shared.served_versions().is_history_read() {
--- a/src/gateway/http1.rs
+++ b/src/gateway/http1.rs
@@ -116,8 +116,8 @@
     /// Seconds for which the peer keeps an idle connection open, from its `Keep-Alive` header.
     keep_alive_s: Option<u64>,
     request_fully_sent: bool,
-    /// The peer has reset the connection while the request was sent. The system reports that once, so reads after it
-    /// end as if the peer had closed in order.
+    /// The connection was reset while the request was sent. The system reports that once, so reads after it end as if
+    /// the peer had closed in order.
     was_reset: bool,
     /// Number of requests sent on this connection.
     requests: u32,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -91,6 +91,14 @@
             Self::Endpoints => "endpoints",
         }
     }
+
+    /// Name of the member that tells an item from the others.
+    fn name_member(self) -> &'static str {
+        match self {
+            Self::Objects => "key",
+            Self::Instances | Self::Endpoints => "id",
+        }
+    }
 }
 
 impl Platform {
@@ -153,12 +161,16 @@
     }
 
     fn decode_item<T: DeserializeOwned>(&self, kind: ListKind, text: &[u8]) -> Option<T> {
+        let hash = || xxh3::xxh3_64(raw_json::member(text, kind.name_member()).unwrap_or(text));
         // Decoded whole first: parts that are not used have to be readable as well.
         let decoded = serde_json::from_slice::<serde_json::Value>(text);
         match decoded.and_then(serde_json::from_value) {
-            Ok(item) => Some(item),
+            Ok(item) => {
+                self.set_aside.remove(kind.member(), hash);
+                Some(item)
+            }
             Err(error) => {
-                if self.set_aside.add(kind.member(), xxh3::xxh3_64(text)) {
+                if self.set_aside.add(kind.member(), hash()) {
                     let text = set_aside::shortened(&String::from_utf8_lossy(text));
                     slog::warn!(self.log, "object not readable"; "kind" => kind.member(),
                         "text" => text, "error" => set_aside::shortened(&error.to_string()));
